Let a disk join only while whole ones are a majority without it

Members now say whether they are whole, and admit() keeps the whole ones a majority. Tested with the roster of the incident.

--- a/packages/register/include/register/state.hpp
+++ b/packages/register/include/register/state.hpp
@@ -8,10 +8,12 @@
 
 namespace dockbend {
 
-// Invariant: at most one member an ip; (ip, life) names one disk for ever.
+// Invariants: at most one member an ip; (ip, life) names one disk for ever; whole
+// is set only once that disk holds every key that a majority held, so the members
+// that are whole are always a majority of the roster.
 struct Member {
   DB_RECORD(Member, (std::string, ip), (Life, life), (std::string, zone), (std::string, region),
-                           (u32, control));
+                           (u32, control), (bool, whole));
   bool same_disk(Member const& o) const { return ip == o.ip && life == o.life; }
 };
 
@@ -26,6 +28,10 @@
     return nullptr;
   }
   std::size_t majority() const { return roster.size() / 2 + 1; }
+  // Takes a member in, or a new disk at its address, or news of itself; false if
+  // it must wait: a disk that can't vote on keys yet may come only while those
+  // that can are a majority without it, or nobody could ever fill it.
+  bool admit(Member const& me);
   std::map<std::string, Item> by_key() const {
     std::map<std::string, Item> m;
     for (Item const& i : items) m[i.key] = i;
--- a/packages/register/state.cpp
+++ b/packages/register/state.cpp
@@ -10,11 +10,31 @@
 }
 bool same(std::vector<Member> const& a, std::vector<Member> const& b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](Member const& x, Member const& y) {
-    return x.same_disk(y) && x.zone == y.zone && x.region == y.region && x.control == y.control;
+    return x.same_disk(y) && x.zone == y.zone && x.region == y.region && x.control == y.control && x.whole == y.whole;
   });
 }
 }  // namespace
 
+bool State::admit(Member const& me) {
+  std::size_t whole = 0, n = 1;
+  for (Member const& m : roster) {
+    if (m.ip == me.ip) continue;
+    ++n;
+    whole += m.whole ? 1 : 0;
+  }
+  for (Member& m : roster) {
+    if (m.ip != me.ip) continue;
+    if (!m.same_disk(me) && !me.whole && whole < n / 2 + 1) return false;
+    if (m.same_disk(me) && m.zone == me.zone && m.region == me.region && m.control == me.control && m.whole == me.whole) return false;
+    m = me;
+    return true;
+  }
+  if (!me.whole && whole < n / 2 + 1) return false;
+  roster.push_back(me);
+  std::sort(roster.begin(), roster.end(), [](Member const& a, Member const& b) { return a.ip < b.ip; });
+  return true;
+}
+
 Delta delta_of(State const& from, State const& to) {
   Delta d;
   d.base = from.bal;
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -122,6 +122,7 @@
         m.ip = a.ip;
         m.life = Life(1);
         m.control = a.port;
+        m.whole = true;
         f.roster.push_back(m);
       }
       std::sort(f.roster.begin(), f.roster.end(), [](Member const& a, Member const& b) { return a.ip < b.ip; });
@@ -563,26 +564,16 @@
   void join_roster(Secs now) {
     if (!committed_ || !born_ || now < join_at_) return;
     Member const* m = committed_->member(st_.ip);
-    if (m != nullptr && m->life == acceptor_->life() && !m->zone.empty()) return;
-    join_at_ = now + 1.5 + random01();
+    if (m != nullptr && m->life == acceptor_->life() && !m->zone.empty() && m->whole == ledger_->whole()) return;
+    join_at_ = now + 0.6 + 0.6 * random01();
     Member me;
     me.ip = st_.ip;
     me.life = acceptor_->life();
     me.zone = st_.zone;
     me.region = st_.region;
     me.control = control_port();
-    submit(
-        [me](State& s) {
-          for (Member& x : s.roster)
-            if (x.ip == me.ip) {
-              if (x.same_disk(me) && x.zone == me.zone) return false;
-              x = me;
-              return true;
-            }
-          s.roster.push_back(me);
-          std::sort(s.roster.begin(), s.roster.end(), [](Member const& a, Member const& b) { return a.ip < b.ip; });
-          return true;
-        },
+    me.whole = ledger_->whole();
+    submit([me](State& s) { return s.admit(me); },
         [](State const*) {}, 2.0);
   }
 
@@ -616,6 +607,7 @@
           return;
         }
         ledger_->set_whole();
+        join_at_ = 0;
         LOG4CPLUS_INFO(lg_, "Keys are whole, " << ledger_->size() << " of them.");
       });
     } else if (!ops.empty()) {
--- a/tests/register_test.cpp
+++ b/tests/register_test.cpp
@@ -49,3 +49,23 @@
   }
   cr_assert(won > 600, "only %zu rounds won", won);
 }
+
+// Three joiners that came in before any was filled once waited for each other.
+Test(register_, disks_that_can_not_vote_wait_until_they_can_be_filled) {
+  State s{};
+  for (int i = 0; i < 3; ++i) {
+    Member m = member(Net::name(i), Life(1));
+    m.whole = true;
+    s.roster.push_back(m);
+  }
+  Member d = member(Net::name(3), Life(7)), e = member(Net::name(4), Life(8)), f = member(Net::name(5), Life(9));
+  cr_assert(s.admit(d));
+  cr_assert(s.admit(e));
+  cr_assert_not(s.admit(f), "3 whole disks of 6 are no majority");
+  d.whole = true;
+  cr_assert(s.admit(d));
+  cr_assert(s.admit(f));
+  cr_assert_not(s.admit(f), "a member that has not changed is no change");
+  Member wiped = member(Net::name(0), Life(77));
+  cr_assert_not(s.admit(wiped), "with it only 3 of 6 would be whole");
+}
