Know servers, answers, proxy counts and the committed value soon after all power is lost

A node waited for a whole round before it believed its own disk, the roll waited for the next beats, shares were taken as if no other proxy were there, and stalled exits ran into the end of the grace time because the log library's threads were joined. Ruled out: slow dialling alone (links were up 0.3 s after the start). Now a majority's reports of the accepted ballot are enough, rows and first answers are on disk, counts of proxies outlive a restart, and an end is an end.

--- a/packages/gossip/include/gossip/roll.hpp
+++ b/packages/gossip/include/gossip/roll.hpp
@@ -30,6 +30,8 @@
     Secs beat = 0;     // when its owner last heard it (owner only)
   };
 
+  // From our own disk, after a start: nobody is late yet.
+  void load(Row const& r, Secs now);
   // True if the row is news that others and the proxies should hear of.
   bool join(Row const& r, Secs now);
   // A beat heard here: true if others should hear of it.
@@ -59,10 +61,10 @@
 // Wire messages of the agents and directories.
 struct Hello {
   DB_RECORD(Hello, (u32, role), (std::string, ip), (std::string, zone), (std::string, region),
-                           (std::string, front), (u32, control), (Life, life), (std::string, node));
+                           (std::string, front), (u32, control), (Life, life), (std::string, node), (Ballot, accepted));
 };
 struct HelloR {
-  DB_RECORD(HelloR, (std::vector<std::string>, mates), (Ballot, bal), (Life, life));
+  DB_RECORD(HelloR, (std::vector<std::string>, mates), (Ballot, bal), (Life, life), (Ballot, accepted));
 };
 struct SiteBeat {
   DB_RECORD(SiteBeat, (std::string, front), (std::string, zone), (std::string, region), (bool, ready),
@@ -82,7 +84,7 @@
                            (std::vector<ZoneCount>, sites));
 };
 struct Digest {
-  DB_RECORD(Digest, (u64, digest), (Ballot, bal), (std::vector<std::string>, mates));
+  DB_RECORD(Digest, (u64, digest), (Ballot, bal), (std::vector<std::string>, mates), (Life, life), (Ballot, accepted));
 };
 
 }  // namespace dockbend
--- a/packages/gossip/roll.cpp
+++ b/packages/gossip/roll.cpp
@@ -17,6 +17,12 @@
   if (r.state != Standing::gone) digest_ += mark(r);
 }
 
+void Roll::load(Row const& r, Secs now) {
+  Entry& e = m_[r.id];
+  put(e, r, now);
+  e.beat = now;
+}
+
 bool Roll::join(Row const& r, Secs now) {
   auto const it = m_.find(r.id);
   if (it == m_.end()) {
--- a/packages/keys/include/keys/ledger.hpp
+++ b/packages/keys/include/keys/ledger.hpp
@@ -21,7 +21,8 @@
 // A first answer, kept in the key's home regions only.
 struct Return {
   DB_RECORD(Return, (std::string, key), (u64, holder), (u32, code), (std::string, reason),
-                           (std::vector<std::string>, heads), (std::string, body), (bool, lost));
+                           (std::vector<std::string>, heads), (std::string, body), (bool, lost),
+            (std::vector<std::string>, homes));
 };
 struct Fetch {
   DB_RECORD(Fetch, (std::string, key));
--- a/packages/register/include/register/vellum.hpp
+++ b/packages/register/include/register/vellum.hpp
@@ -26,12 +26,13 @@
 class Vellum {
  public:
   struct Op {
-    enum class What { meta, put_key, drop_key } what = What::meta;
+    enum class What { meta, put_key, drop_key, put_row, drop_row, put_ret, drop_ret } what = What::meta;
     std::string k, v;
     u64 holder = 0;
     bool sealed = false;
   };
   using Done = std::function<void(bool)>;
+  using Found = std::function<void(std::string const&)>;
 
   // Opens (or makes) the file in dir; throws std::runtime_error.
   Vellum(event_base* eb, std::string const& dir);
@@ -40,6 +41,10 @@
 
   std::string meta(std::string const& k) const;  // only before the first submit
   std::vector<DiskKey> keys() const;             // only before the first submit
+  std::vector<std::string> rows() const;          // only before the first submit
+  std::vector<std::string> ret_keys() const;      // only before the first submit
+  // Looks a kept answer up; "" if there is none. Seen after all submits before it.
+  void find_ret(std::string const& k, Found f);
   void submit(std::vector<Op> ops, Done done);
   std::size_t backlog() const { return waiting_; }
 
@@ -48,9 +53,13 @@
     std::vector<Op> ops;
     Done done;
     bool ok = false;
+    std::string want, got;  // a look-up, if want is not empty
+    Found found;
   };
   void run();
   bool commit(std::deque<Batch>& all);
+  std::string lookup(std::string const& k);
+  std::vector<std::string> column(char const* sql) const;
   void reap();
   struct Db;
   std::unique_ptr<Db> db_;
--- a/packages/register/vellum.cpp
+++ b/packages/register/vellum.cpp
@@ -10,7 +10,7 @@
 
 struct Vellum::Db {
   sqlite3* h = nullptr;
-  sqlite3_stmt *meta = nullptr, *put = nullptr, *drop = nullptr;
+  sqlite3_stmt *stmt[7] = {}, *find = nullptr;  // stmt: by Op::What
 
   void exec(char const* sql) {
     char* err = nullptr;
@@ -27,9 +27,8 @@
     return s;
   }
   ~Db() {
-    sqlite3_finalize(meta);
-    sqlite3_finalize(put);
-    sqlite3_finalize(drop);
+    for (sqlite3_stmt* s : stmt) sqlite3_finalize(s);
+    sqlite3_finalize(find);
     sqlite3_close(h);
   }
 };
@@ -45,9 +44,14 @@
   db_->exec("PRAGMA cache_size=-512");
   db_->exec("CREATE TABLE IF NOT EXISTS meta(k TEXT PRIMARY KEY, v BLOB) WITHOUT ROWID");
   db_->exec("CREATE TABLE IF NOT EXISTS claim(k TEXT PRIMARY KEY, holder INTEGER, sealed INTEGER) WITHOUT ROWID");
-  db_->meta = db_->prep("INSERT OR REPLACE INTO meta VALUES(?,?)");
-  db_->put = db_->prep("INSERT OR REPLACE INTO claim VALUES(?,?,?)");
-  db_->drop = db_->prep("DELETE FROM claim WHERE k=?");
+  db_->exec("CREATE TABLE IF NOT EXISTS server(k TEXT PRIMARY KEY, v BLOB) WITHOUT ROWID");
+  db_->exec("CREATE TABLE IF NOT EXISTS ret(k TEXT PRIMARY KEY, v BLOB) WITHOUT ROWID");
+  char const* const sql[7] = {"INSERT OR REPLACE INTO meta VALUES(?,?)",   "INSERT OR REPLACE INTO claim VALUES(?,?,?)",
+                              "DELETE FROM claim WHERE k=?",               "INSERT OR REPLACE INTO server VALUES(?,?)",
+                              "DELETE FROM server WHERE k=?",              "INSERT OR REPLACE INTO ret VALUES(?,?)",
+                              "DELETE FROM ret WHERE k=?"};
+  for (int i = 0; i < 7; ++i) db_->stmt[i] = db_->prep(sql[i]);
+  db_->find = db_->prep("SELECT v FROM ret WHERE k=?");
   if (pipe2(pipe_, O_CLOEXEC | O_NONBLOCK) != 0) throw std::runtime_error("disk: no pipe");
   ev_ = event_new(eb, pipe_[0], EV_READ | EV_PERSIST, [](evutil_socket_t, short, void* p) { static_cast<Vellum*>(p)->reap(); }, this);
   event_add(ev_, nullptr);
@@ -89,24 +93,62 @@
   return out;
 }
 
+std::vector<std::string> Vellum::column(char const* sql) const {
+  std::vector<std::string> out;
+  sqlite3_stmt* s = db_->prep(sql);
+  while (sqlite3_step(s) == SQLITE_ROW)
+    out.emplace_back(static_cast<char const*>(sqlite3_column_blob(s, 0)), static_cast<std::size_t>(sqlite3_column_bytes(s, 0)));
+  sqlite3_finalize(s);
+  return out;
+}
+std::vector<std::string> Vellum::rows() const { return column("SELECT v FROM server"); }
+std::vector<std::string> Vellum::ret_keys() const { return column("SELECT k FROM ret"); }
+
+std::string Vellum::lookup(std::string const& k) {
+  sqlite3_stmt* s = db_->find;
+  sqlite3_bind_text(s, 1, k.data(), static_cast<int>(k.size()), SQLITE_STATIC);
+  std::string v;
+  if (sqlite3_step(s) == SQLITE_ROW) v.assign(static_cast<char const*>(sqlite3_column_blob(s, 0)), static_cast<std::size_t>(sqlite3_column_bytes(s, 0)));
+  sqlite3_reset(s);
+  return v;
+}
+
+void Vellum::find_ret(std::string const& k, Found f) {
+  ++waiting_;
+  Batch b;
+  b.want = k;
+  b.found = std::move(f);
+  {
+    std::lock_guard<std::mutex> const g(mu_);
+    in_.push_back(std::move(b));
+  }
+  cv_.notify_one();
+}
+
 void Vellum::submit(std::vector<Op> ops, Done done) {
   ++waiting_;
   {
     std::lock_guard<std::mutex> const g(mu_);
-    in_.push_back(Batch{std::move(ops), std::move(done), false});
+    Batch b;
+    b.ops = std::move(ops);
+    b.done = std::move(done);
+    in_.push_back(std::move(b));
   }
   cv_.notify_one();
 }
 
 bool Vellum::commit(std::deque<Batch>& all) {
+  bool any = false;
+  for (Batch const& b : all) any = any || !b.ops.empty();
+  if (!any) return true;
   if (!db_->quick("BEGIN IMMEDIATE")) return false;
   bool ok = true;
   for (Batch const& b : all) {
     for (Op const& o : b.ops) {
-      sqlite3_stmt* s = o.what == Op::What::meta ? db_->meta : o.what == Op::What::put_key ? db_->put : db_->drop;
+      sqlite3_stmt* s = db_->stmt[static_cast<int>(o.what)];
       sqlite3_reset(s);
       sqlite3_bind_text(s, 1, o.k.data(), static_cast<int>(o.k.size()), SQLITE_STATIC);
-      if (o.what == Op::What::meta) sqlite3_bind_blob(s, 2, o.v.data(), static_cast<int>(o.v.size()), SQLITE_STATIC);
+      if (o.what == Op::What::meta || o.what == Op::What::put_row || o.what == Op::What::put_ret) sqlite3_bind_blob(s, 2, o.v.data(), static_cast<int>(o.v.size()), SQLITE_STATIC);
       if (o.what == Op::What::put_key) {
         sqlite3_bind_int64(s, 2, static_cast<sqlite3_int64>(o.holder));
         sqlite3_bind_int(s, 3, o.sealed ? 1 : 0);
@@ -132,6 +174,8 @@
       all.swap(in_);
     }
     bool const ok = commit(all);
+    for (Batch& b : all)
+      if (!b.want.empty()) b.got = lookup(b.want);
     {
       std::lock_guard<std::mutex> const g(mu_);
       for (Batch& b : all) {
@@ -157,6 +201,7 @@
   for (Batch& b : got) {
     --waiting_;
     if (b.done) b.done(b.ok);
+    if (b.found) b.found(b.got);
   }
 }
 
--- a/packages/stacks/courier.cpp
+++ b/packages/stacks/courier.cpp
@@ -200,11 +200,12 @@
   ch_->on_up.connect([this](Channel&) {
     since_ = now_s();
     back_ = 0.1;
+    wait_ = 0.4;
     on_up.emit(*this);
   });
   ch_->on_down.connect([this](Channel&) {
     next_ = now_s() + back_ * (0.5 + random01());
-    back_ = std::min(back_ * 2, 0.8);
+    back_ = std::min(back_ * 1.5, 0.3);
     on_down.emit(*this);
   });
   ch_->on_letter.connect([this](Channel&, Letter const& l) { on_letter.emit(*this, l); });
@@ -216,7 +217,10 @@
     return;
   }
   if (!ch_->up()) {
-    if (now - dialled_ > 1.0) dial();
+    if (now - dialled_ > wait_) {
+      wait_ = std::min(wait_ * 1.5, 2.0);  // a far mate may need longer than we first give it
+      dial();
+    }
     return;
   }
   if (now - ch_->heard() > quiet_s_) {
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -126,7 +126,7 @@
   Addr to_;
   Secs ping_s_, quiet_s_;
   ChannelP ch_;
-  Secs next_ = 0, dialled_ = 0, since_ = 0, back_ = 0.1;
+  Secs next_ = 0, dialled_ = 0, since_ = 0, back_ = 0.1, wait_ = 0.4;
 };
 
 void tune_socket(evutil_socket_t fd, int user_timeout_ms);
--- a/packages/stacks/include/stacks/log.hpp
+++ b/packages/stacks/include/stacks/log.hpp
@@ -6,7 +6,6 @@
 namespace dockbend {
 // Call once in main, before the first log line.
 void start_log();
-void stop_log();
 }  // namespace dockbend
 
 #define DB_LOG(part) static log4cplus::Logger const lg = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT(part))
--- a/packages/stacks/log.cpp
+++ b/packages/stacks/log.cpp
@@ -9,16 +9,15 @@
 
 namespace dockbend {
 namespace {
-std::unique_ptr<log4cplus::Initializer> init;
+log4cplus::Initializer* init = nullptr;  // never freed: its threads go with the process
 }
 
 void start_log() {
-  init = std::make_unique<log4cplus::Initializer>();
+  if (init == nullptr) init = new log4cplus::Initializer;
   log4cplus::SharedAppenderPtr app(new log4cplus::ConsoleAppender(true, true));
   app->setLayout(std::unique_ptr<log4cplus::Layout>(new log4cplus::PatternLayout(LOG4CPLUS_TEXT("%c: %m%n"))));
   log4cplus::Logger root = log4cplus::Logger::getRoot();
   root.addAppender(app);
   root.setLogLevel(log4cplus::INFO_LOG_LEVEL);
 }
-void stop_log() { init.reset(); }
 }  // namespace dockbend
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -55,6 +55,8 @@
   int off = 0;
   Secs pulled = 0;
   Secs heard = 0;
+  Life life;         // of the disk that said so
+  Ballot accepted;   // the newest value it says it holds on disk
 };
 
 struct Peer {  // an incoming channel
@@ -137,6 +139,11 @@
     for (DiskKey const& k : early_keys_) ledger_->load(k.key, k.holder, k.sealed, now_s());
     early_keys_.clear();
     proposer_.saw(promised);
+    if (first.empty() && s) durable_ = s->bal;
+    for (std::string const& r : vellum_->rows()) roll_.load(codec::unpack<Row>(r), now_s());
+    for (std::string const& k : vellum_->ret_keys()) ret_order_.emplace_back(k, now_s());
+    if (std::string const v = vellum_->meta("sites"); !v.empty())
+      for (ZoneCount const& z : codec::unpack<News>(v).sites) counts_[z.zone] = Counted{z.n, now_s()};
     if (!first.empty()) {
       // Nothing is said in this life's name before the life is on disk.
       vellum_->submit(std::move(first), [this](bool ok) {
@@ -182,6 +189,7 @@
       h.control = control_port();
       h.life = acceptor_->life();
       h.node = st_.nodeName;
+      h.accepted = durable_;
       l.send(Kind::hello, 0, h);
       mates_[ip].heard = now_s();
       for (auto& o : proposer_.resend(ip)) send_out(o);
@@ -200,6 +208,26 @@
     auto const it = st_.bind.find("control");
     return it == st_.bind.end() ? 0 : it->second.port;
   }
+  Ballot accepted() const { return acceptor_->state() ? acceptor_->state()->bal : Ballot(); }
+  // What mates say of the value they hold on disk. Once a majority holds ours, it
+  // is committed; after a start of the whole core nobody else could tell us.
+  void holds(std::string const& ip, Life life, Ballot acc) {
+    Mate& m = mate(ip);
+    m.life = life;
+    m.accepted = acc;
+    if (!acceptor_->state() || accepted() <= bal()) return;
+    State const& s = *acceptor_->state();
+    if (s.epoch.v == s.bal.v) return;  // it changed the roster: two majorities count
+    std::size_t n = 0;
+    for (Member const& x : s.roster) {
+      if (x.ip == st_.ip) {
+        n += durable_ >= s.bal && x.life == acceptor_->life() ? 1 : 0;
+      } else if (auto const it = mates_.find(x.ip); it != mates_.end()) {
+        n += it->second.life == x.life && it->second.accepted == s.bal ? 1 : 0;
+      }
+    }
+    if (n >= s.majority()) learn(State(s));
+  }
   Ballot bal() const { return committed_ ? committed_->bal : Ballot(); }
 
   bool up(std::string const& ip) const {
@@ -223,6 +251,7 @@
       case Kind::helloR: {
         HelloR const h = l.as<HelloR>();
         for (std::string const& x : h.mates) mate(x);
+        holds(ip, h.life, h.accepted);
         break;
       }
       case Kind::prepR: outs(proposer_.on_prep(ip, l.as<PrepR>())); break;
@@ -238,6 +267,7 @@
     Mate& m = mates_[ip];
     if (!m.link) return;
     for (std::string const& x : d.mates) mate(x);
+    if (d.life.v != 0) holds(ip, d.life, d.accepted);
     Secs const now = now_s();
     if (d.bal > bal()) {
       if (acceptor_->state() && acceptor_->state()->bal == d.bal) {
@@ -275,10 +305,11 @@
         p.hello = l.as<Hello>();
         p.ch->peer_ip = p.hello.ip;
         p.ch->peer_role = static_cast<int>(p.hello.role);
-        if (p.hello.role == 1) mate(p.hello.ip);
+        if (p.hello.role == 1) holds(p.hello.ip, p.hello.life, p.hello.accepted);
         HelloR r;
         r.bal = bal();
         r.life = acceptor_->life();
+        r.accepted = durable_;
         r.mates = known();
         p.ch->send(Kind::helloR, 0, r);
         break;
@@ -312,6 +343,8 @@
         Digest r;
         r.digest = roll_.digest();
         r.bal = bal();
+        r.life = acceptor_->life();
+        r.accepted = durable_;
         p.ch->send(Kind::digestR, 0, r);
         if (mates_.count(p.hello.ip) > 0 && mates_[p.hello.ip].link) digest(p.hello.ip, d);
         break;
@@ -330,17 +363,16 @@
           s.heard = now;
           s.channel = p.ch->id();
           catalog_.keep(std::move(s));
+          count_sites(now);
         }
         SiteBeatR r;
         r.bal = bal();
         r.digest = roll_.digest();
         r.settled = settled();
-        std::map<std::string, u32> n;
-        for (auto const& [f, s] : catalog_.rows()) ++n[s.zone];
-        for (auto const& [z, c] : n) {
+        for (auto const& [z, c] : counts_) {
           ZoneCount zc;
           zc.zone = z;
-          zc.n = c;
+          zc.n = c.n;
           r.sites.push_back(zc);
         }
         p.ch->send(Kind::beatR, 0, r);
@@ -368,15 +400,15 @@
         }
         break;
       }
-      case Kind::store: store(l.body); break;
+      case Kind::store: store(l.body, l.tag == 1); break;
       case Kind::fetch: {
-        FetchR r;
-        auto const it = returns_.find(l.as<Fetch>().key);
-        if (it != returns_.end()) {
-          r.have = true;
-          r.ret = it->second.ret;
-        }
-        p.ch->send(Kind::fetchR, l.tag, r);
+        std::weak_ptr<Channel> const w = p.ch;
+        vellum_->find_ret(l.as<Fetch>().key, [w, tag = l.tag](std::string const& v) {
+          FetchR r;
+          r.have = !v.empty();
+          r.ret = v;
+          if (auto const c = w.lock()) c->send(Kind::fetchR, tag, r);
+        });
         break;
       }
       case Kind::rebuild: {
@@ -406,8 +438,9 @@
       return;
     }
     std::weak_ptr<Channel> const w = ch;
-    vellum_->submit(vote_ops(state), [w, k, tag, r](bool ok) {
+    vellum_->submit(vote_ops(state), [this, w, k, tag, r, b = state ? accepted() : Ballot()](bool ok) {
       if (!ok) return;  // a disk that takes nothing does not vote
+      durable_ = std::max(durable_, b);
       if (auto const c = w.lock()) c->send(k, tag, r);
     });
   }
@@ -481,8 +514,10 @@
           after(eb_, 0, [this, r] { outs(proposer_.on_acc(st_.ip, r)); });
           return;
         }
-        vellum_->submit(vote_ops(true), [this, r](bool ok) {
-          if (ok) outs(proposer_.on_acc(st_.ip, r));
+        vellum_->submit(vote_ops(true), [this, r, b = accepted()](bool ok) {
+          if (!ok) return;
+          durable_ = std::max(durable_, b);
+          outs(proposer_.on_acc(st_.ip, r));
         });
       }
       return;
@@ -525,7 +560,10 @@
     std::optional<State> const old = std::move(committed_);
     committed_ = s;
     proposer_.saw(s.bal);
-    if (acceptor_->learn(s)) vellum_->submit(vote_ops(true), nullptr);
+    if (acceptor_->learn(s))
+      vellum_->submit(vote_ops(true), [this, b = s.bal](bool ok) {
+        if (ok) durable_ = std::max(durable_, b);
+      });
     for (Member const& m : s.roster) mate(m.ip);
     News n;
     if (old)
@@ -590,7 +628,7 @@
   }
 
   void rebuilt(std::string const& ip, RebuildR const& r) {
-    if (ledger_->whole() || !committed_ || !r.ok) return;
+    if (ledger_->whole() || filling_ || !committed_ || !r.ok) return;
     Member const* m = committed_->member(ip);
     if (m == nullptr || m->life != r.life || !rebuild_heard_.insert(ip).second) return;
     Secs const now = now_s();
@@ -601,7 +639,9 @@
     }
     if (rebuild_heard_.size() >= committed_->majority()) {
       ops.push_back(meta("whole", "1"));
+      filling_ = true;
       vellum_->submit(std::move(ops), [this](bool ok) {
+        filling_ = false;
         if (!ok) {
           rebuild_heard_.clear();
           return;
@@ -644,29 +684,35 @@
     });
   }
 
-  struct Kept {
-    std::string ret;
-    Secs at = 0;
-  };
-  void store(std::string_view body) {
+  // A first answer goes to disk; nobody waits for it. Its first keeper hands one
+  // copy to another home disk, a near one if there is one.
+  void store(std::string_view body, bool relay) {
     Return const r = codec::unpack<Return>(body);
     if (r.body.size() > 64 * 1024) return;
-    auto const [it, fresh] = returns_.try_emplace(r.key);
-    if (!fresh && !codec::unpack<Return>(it->second.ret).lost) return;
-    returns_bytes_ += body.size();
-    it->second.ret.assign(body);
-    it->second.at = now_s();
-    returns_order_.push_back(r.key);
+    Vellum::Op o;
+    o.what = Vellum::Op::What::put_ret;
+    o.k = r.key;
+    o.v.assign(body);
+    vellum_->submit({o}, nullptr);
     Secs const now = now_s();
-    while (!returns_order_.empty()) {
-      auto const o = returns_.find(returns_order_.front());
-      if (o != returns_.end() && now - o->second.at < st_.bounds.keyHorizonS && returns_bytes_ < 24u << 20) break;
-      if (o != returns_.end()) {
-        returns_bytes_ -= std::min(returns_bytes_, o->second.ret.size());
-        returns_.erase(o);
-      }
-      returns_order_.pop_front();
+    ret_order_.emplace_back(r.key, now);
+    std::vector<Vellum::Op> old;
+    while (!ret_order_.empty() && now - ret_order_.front().second > st_.bounds.keyHorizonS * 1.25 + 5) {
+      Vellum::Op d;
+      d.what = Vellum::Op::What::drop_ret;
+      d.k = ret_order_.front().first;
+      old.push_back(std::move(d));
+      ret_order_.pop_front();
     }
+    if (!old.empty()) vellum_->submit(std::move(old), nullptr);
+    if (!relay || !committed_) return;
+    Member const* best = nullptr;
+    for (Member const& m : committed_->roster) {
+      if (m.ip == st_.ip || !up(m.ip)) continue;
+      if (!r.homes.empty() && std::find(r.homes.begin(), r.homes.end(), m.region) == r.homes.end()) continue;
+      if (best == nullptr || (m.region == st_.region && best->region != st_.region)) best = &m;
+    }
+    if (best != nullptr) mates_[best->ip].link->ch()->send(Kind::store, 0, body);
   }
 
   // ---- servers -----------------------------------------------------------------------
@@ -681,6 +727,17 @@
   // it new passes it on.
   void spread(std::vector<Row> const& v, std::string const& from) {
     if (v.empty()) return;
+    // On disk too, so that after a loss of all power the servers are known before
+    // their next beats. Nobody waits for it: the beats set right what it lacks.
+    std::vector<Vellum::Op> ops;
+    for (Row const& r : v) {
+      Vellum::Op o;
+      o.what = r.state == Standing::gone ? Vellum::Op::What::drop_row : Vellum::Op::What::put_row;
+      o.k = r.id;
+      if (r.state != Standing::gone) o.v = codec::pack(r);
+      ops.push_back(std::move(o));
+    }
+    vellum_->submit(std::move(ops), nullptr);
     News n;
     n.rows = v;
     std::string const body = codec::pack(n);
@@ -1022,6 +1079,33 @@
     return std::string(sb.GetString(), sb.GetSize());
   }
 
+  // How many proxies share the global bounds. Fewer are believed only after a
+  // while: one that is cut off or starting anew still takes its share.
+  void count_sites(Secs now) {
+    std::map<std::string, u32> n;
+    for (auto const& [f, s] : catalog_.rows()) ++n[s.zone];
+    bool changed = false;
+    for (auto& [z, c] : counts_)
+      if (n[z] >= c.n) c.seen = now;
+    for (auto const& [z, k] : n) {
+      Counted& c = counts_[z];
+      if (k > c.n || (k < c.n && now - c.seen > st_.bounds.retryWindowS)) {
+        c.n = k;
+        c.seen = now;
+        changed = true;
+      }
+    }
+    if (!changed) return;
+    News w;
+    for (auto const& [z, c] : counts_) {
+      ZoneCount zc;
+      zc.zone = z;
+      zc.n = c.n;
+      w.sites.push_back(zc);
+    }
+    vellum_->submit({meta("sites", codec::pack(w))}, nullptr);
+  }
+
   // ---- loops -----------------------------------------------------------------------------
   void tick() {
     Secs const now = now_s();
@@ -1062,6 +1146,7 @@
       }
     roll_.purge(90, now);
     catalog_.expire(now);
+    count_sites(now);
     auto const old = ledger_->forget(st_.bounds.keyHorizonS * 1.25 + 5, now, 200);
     if (!old.empty()) {
       std::vector<Vellum::Op> ops;
@@ -1077,6 +1162,8 @@
     d.digest = roll_.digest();
     d.bal = bal();
     d.mates = known();
+    d.life = acceptor_->life();
+    d.accepted = durable_;
     for (auto& [ip, m] : mates_)
       if (m.link && m.link->up()) m.link->send(Kind::digest, 0, d);
     if (leaving_ > 0 && ((calls_.empty() && batch_.empty() && now - leaving_ > 0.5) || now - leaving_ > st_.bounds.gracePeriodS - 1.5)) event_base_loopbreak(eb_);
@@ -1097,13 +1184,17 @@
   std::deque<Call> calls_;
   std::vector<Call> batch_;
   std::set<std::string> rebuild_heard_;
-  std::unordered_map<std::string, Kept> returns_;
-  std::deque<std::string> returns_order_;
-  std::size_t returns_bytes_ = 0;
+  std::deque<std::pair<std::string, Secs>> ret_order_;
+  struct Counted {
+    u32 n = 0;
+    Secs seen = 0;
+  };
+  std::map<std::string, Counted> counts_;  // proxies by zone
   Roll roll_;
   evhttp *control_ = nullptr, *directory_ = nullptr;
   std::unique_ptr<Ticker> tick_;
-  bool born_ = false;
+  bool born_ = false, filling_ = false;
+  Ballot durable_;  // of the newest value on our own disk
   int losses_ = 0;
   Secs start_ = 0, finish_at_ = 0, join_at_ = 0, rebuild_at_ = 0, next_round_ = 0, slow_at_ = 0, leaving_ = 0, last_tick_ = 0;
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("archivist");
@@ -1121,8 +1212,7 @@
     w.on_term.connect([&] { a.term(); });
     w.on_settings.connect([&](Settings const& s) { a.settings(s); });
     event_base_dispatch(eb);
-    stop_log();
-    _exit(0);
+    _exit(0);  // nothing is left to unwind, and log threads need not be waited for
   } catch (BadSetting const& e) {
     std::fprintf(stderr, "archivist: settings: %s\n", e.what());
     return 2;
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -191,7 +191,6 @@
         for (Evac const& e : s.evacs)
           if (e.on) evac_.insert(e.zone);
         as_.evacuated(evac_, now);
-        LOG4CPLUS_INFO(lg_, "Manifest " << man_->lanes() << " lanes, live " << as_.live());
       }
     }
     if (n.rows_full) {
@@ -632,6 +631,7 @@
       Return ret;
       ret.key = e.key;
       ret.holder = e.holder;
+      ret.homes = e.lane->homes;
       ret.code = static_cast<u32>(rep.code);
       char const* rl = evhttp_request_get_response_code_line(r);
       ret.reason = rl != nullptr ? rl : "OK";
@@ -783,8 +783,7 @@
     w.on_term.connect([&] { px.drain(); });
     w.on_settings.connect([&](Settings const& s) { px.settings(s); });
     event_base_dispatch(eb);
-    stop_log();
-    _exit(0);
+    _exit(0);  // nothing is left to unwind, and log threads need not be waited for
   } catch (BadSetting const& e) {
     std::fprintf(stderr, "circulation: settings: %s\n", e.what());
     return 2;
--- a/programs/page.cpp
+++ b/programs/page.cpp
@@ -460,15 +460,13 @@
       r.key = t.key;
       r.holder = t.holder;
       r.lost = true;
+      r.homes = t.homes;
       ret = codec::pack(r);
     }
-    int n = 0;
     for (std::string const& ip : by_distance(true)) {
       if (!is_home(ip, t.homes)) continue;
-      if (n > 0 && tier(ip) > 1) break;
-      Mate& m = mates_[ip];
-      if (m.link->ch() != nullptr) m.link->ch()->send(Kind::store, 0, std::string_view(ret));
-      if (++n == 2) break;
+      mates_[ip].link->ch()->send(Kind::store, 1, std::string_view(ret));  // it sees to the second copy
+      break;
     }
   }
 
@@ -553,8 +551,7 @@
     w.on_term.connect([&] { a.term(); });
     w.on_settings.connect([&](Settings const& s) { a.settings(s); });
     event_base_dispatch(eb);
-    stop_log();
-    _exit(0);
+    _exit(0);  // nothing is left to unwind, and log threads need not be waited for
   } catch (BadSetting const& e) {
     std::fprintf(stderr, "page: settings: %s\n", e.what());
     return 2;
