--- a/packages/catalog/catalog.cpp
+++ b/packages/catalog/catalog.cpp
@@ -17,11 +17,15 @@
     v.push_back({s, tier, random01()});
   }
   std::sort(v.begin(), v.end(), [](Rated const& a, Rated const& b) { return a.tier != b.tier ? a.tier < b.tier : a.r < b.r; });
+  // Two of the nearest tier and one of the next: a list whose machines all stand
+  // in one zone is worth nothing when that zone is lost. The last tier is for
+  // those who have nothing nearer.
   std::vector<Site const*> out;
+  std::size_t near = 0;
   for (Rated const& r : v) {
-    // The list stays inside the nearest tier that has anyone: a further site
-    // costs the client a longer way and the operator dearer bytes.
-    if (out.size() >= most || (!out.empty() && r.tier != v.front().tier)) break;
+    if (out.size() >= most) break;
+    if (r.tier % 3 == 2 && !out.empty()) break;
+    if (r.tier == v.front().tier && ++near > most - 1) continue;
     out.push_back(r.s);
   }
   return out;
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -63,12 +63,13 @@
   ChannelP ch;
   Hello hello;
   bool feeding = false;
+  u64 counts_told = 0;
 };
 
 class Archivist {
  public:
   Archivist(event_base* eb, Settings const& st)
-      : eb_(eb), st_(st), proposer_(st.ip), catalog_(4.0), door_(eb, Addr{st.ip, st.innerFirst}) {
+      : eb_(eb), st_(st), proposer_(st.ip), catalog_(1.9), door_(eb, Addr{st.ip, st.innerFirst}) {
     open_disk();
     door_.on_channel.connect([this](ChannelP c) { took(std::move(c)); });
     for (Addr const& s : st_.seeds) mate(s.ip);
@@ -179,7 +180,7 @@
     if (it != mates_.end()) return it->second;
     Mate& m = mates_[ip];
     if (ip == st_.ip) return m;
-    m.link = std::make_unique<Link>(eb_, Addr{ip, st_.innerFirst}, 0.4, 1.3);
+    m.link = std::make_unique<Link>(eb_, Addr{ip, st_.innerFirst}, 0.6, 1.5);
     m.link->on_up.connect([this, ip](Link& l) {
       Hello h;
       h.role = 1;
@@ -369,11 +370,9 @@
         r.bal = bal();
         r.digest = roll_.digest();
         r.settled = settled();
-        for (auto const& [z, c] : counts_) {
-          ZoneCount zc;
-          zc.zone = z;
-          zc.n = c.n;
-          r.sites.push_back(zc);
+        if (p.counts_told != counts_turn_) {
+          p.counts_told = counts_turn_;
+          r.sites = counted();
         }
         p.ch->send(Kind::beatR, 0, r);
         break;
@@ -992,7 +991,8 @@
     if (l.empty()) return write(r, fault(503, "no site is ready"));
     schema::ResolveRet ret;
     for (Site const* s : l) ret.addresses.push_back(s->front);
-    ret.ttlS = std::min(2.0, st_.bounds.ttlMaxS);
+    // Who has but one address has nowhere else to go until it asks again.
+    ret.ttlS = std::min(l.size() > 1 ? 2.0 : 1.0, st_.bounds.ttlMaxS);
     write(r, CallRet{200, json::render(ret)});
   }
 
@@ -1096,14 +1096,21 @@
       }
     }
     if (!changed) return;
+    ++counts_turn_;
     News w;
+    w.sites = counted();
+    vellum_->submit({meta("sites", codec::pack(w))}, nullptr);
+  }
+
+  std::vector<ZoneCount> counted() const {
+    std::vector<ZoneCount> v;
     for (auto const& [z, c] : counts_) {
       ZoneCount zc;
       zc.zone = z;
       zc.n = c.n;
-      w.sites.push_back(zc);
+      v.push_back(zc);
     }
-    vellum_->submit({meta("sites", codec::pack(w))}, nullptr);
+    return v;
   }
 
   // ---- loops -----------------------------------------------------------------------------
@@ -1135,7 +1142,7 @@
     } else {
       finish_at_ = 0;
     }
-    if (now - slow_at_ < 0.5) return;
+    if (now - slow_at_ < 0.6) return;
     slow_at_ = now;
     if (now - start_ > 3 * st_.beatPeriodS) spread(roll_.expire(st_.ip, 3 * st_.beatPeriodS, now), "");
     for (auto& [ip, m] : mates_)
@@ -1189,6 +1196,7 @@
     u32 n = 0;
     Secs seen = 0;
   };
+  u64 counts_turn_ = 1;
   std::map<std::string, Counted> counts_;  // proxies by zone
   Roll roll_;
   evhttp *control_ = nullptr, *directory_ = nullptr;
--- a/programs/page.cpp
+++ b/programs/page.cpp
@@ -49,6 +49,11 @@
   Secs since = 0;
 };
 
+// The keepalive of the design: 5 s and three misses to begin with. Here a site's
+// machine may be gone between two breaths, and a list that still names it costs its
+// zone everything, so it is shorter.
+Secs const keepalive_s = 0.6;
+
 class Agent {
  public:
   Agent(event_base* eb, Settings const& st) : eb_(eb), st_(st), door_(eb, Addr{"127.0.0.1", st.innerFirst + 1}) {
@@ -76,7 +81,7 @@
     auto const it = mates_.find(ip);
     if (it != mates_.end()) return it->second;
     Mate& m = mates_[ip];
-    m.link = std::make_unique<Link>(eb_, Addr{ip, st_.innerFirst}, 0.4, 1.3);
+    m.link = std::make_unique<Link>(eb_, Addr{ip, st_.innerFirst}, 1.0, 1.5);  // our keepalives are answered, so pings are rare
     m.link->on_up.connect([this, ip](Link& l) {
       Hello h;
       h.role = 2;
@@ -152,9 +157,11 @@
       case Kind::beatR: {
         SiteBeatR const r = l.as<SiteBeatR>();
         m.rtt = m.rtt * 0.7 + 0.3 * (now - m.beat_sent);
-        m.sites.clear();
-        for (ZoneCount const& z : r.sites) m.sites[z.zone] = z.n;
-        tell_sites();
+        if (!r.sites.empty()) {  // said only when it changed
+          m.sites.clear();
+          for (ZoneCount const& z : r.sites) m.sites[z.zone] = z.n;
+          tell_sites();
+        }
         if (r.bal > (have_ ? state_.bal : Ballot()) || (!have_ && r.settled)) {
           if (now - m.pulled > 0.25) {
             m.pulled = now;
@@ -498,7 +505,7 @@
       }
       if (!j.widened && now > j.widen_at) widen(id, j);
     }
-    if (now - last_beat_ > 1.0) {
+    if (now - last_beat_ > keepalive_s) {
       last_beat_ = now;
       beat_all();
       for (auto it = held_.begin(); it != held_.end();) it = now - it->second.since > 60 ? held_.erase(it) : std::next(it);
