Bring manifest changes out in stages; let a racing round give way

A change is held by the nodes first, a third and then all, and committed only once 0.6 of each stage's nodes in touch hold it; a stage that does not settle pauses, goes on by itself or falls back by itself.

--- /dev/null
+++ b/packages/rollout/include/rollout/rollout.hpp
@@ -0,0 +1,90 @@
+// Brings one manifest change to the nodes in stages: they hold it first, and it
+// is committed only once every stage has settled. No I/O.
+#pragma once
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "manifest/manifest.hpp"
+#include "stacks/settings.hpp"
+
+namespace dockbend {
+
+enum class RollPhase : u8 {
+  holding = 1,     // a stage is being brought out
+  paused = 2,      // too few of the stage answered so far; goes on by itself
+  stopped = 3,     // the operator said pause
+  committing = 4,  // every stage settled: the register decides
+  done = 5,
+  fell_back = 6,   // its time was up before every stage settled
+  aborted = 7,     // the operator said abort
+  overtaken = 8,   // higher versions stand: nothing is left to bring
+};
+char const* phase_str(RollPhase p);
+bool is_over(RollPhase p);
+
+// Invariants: the commit is asked for exactly once, and only after every stage
+// settled; nothing is withdrawn after it was asked for; before it, the end of a
+// rollout drops what is held and changes nothing of how errands are handled.
+class Rollout {
+ public:
+  Rollout(u64 id, RolloutPlan const& plan, Secs now);
+
+  struct Step {
+    std::vector<std::string> send;  // sites that shall hold it (again)
+    bool commit = false;            // ask the register now
+    bool drop = false;              // tell every site that was asked to drop it
+  };
+  // in_touch: site -> zone of the nodes that carry lanes and are heard from. Only
+  // they count, so dead, frozen and cut-off nodes hold nothing up for long.
+  Step step(Secs now, std::map<std::string, std::string> const& in_touch);
+  void heard(std::string const& site, bool holds);
+  void lost(std::string const& site);  // its life ended: what it held is gone
+  bool pause();
+  bool resume(Secs now);
+  bool abort();
+  void overtaken();
+  void committed(bool stands);  // what the register said
+
+  u64 id() const { return id_; }
+  RollPhase phase() const { return phase_; }
+  std::size_t stage() const { return stage_; }
+  std::size_t stages() const { return plan_.stages.size(); }
+  std::size_t wanted() const { return wanted_; }  // of the stage at hand
+  std::size_t holding() const { return holding_; }
+  std::set<std::string> const& asked() const { return asked_; }
+  Secs until() const { return until_; }
+
+ private:
+  u64 id_;
+  RolloutPlan plan_;
+  RollPhase phase_ = RollPhase::holding;
+  std::size_t stage_ = 0, wanted_ = 0, holding_ = 0;
+  Secs since_, until_;
+  bool drop_due_ = false;
+  std::set<std::string> asked_, held_, refused_;
+  std::map<std::string, Secs> sent_;
+};
+
+// An order of the sites in which every prefix is spread over the zones.
+std::vector<std::string> spread_order(std::map<std::string, std::string> const& site_zone);
+
+// Wire messages.
+struct Hold {
+  DB_RECORD(Hold, (u64, id), (bool, drop), (u32, for_ms), (std::vector<Item>, items));
+};
+struct HoldR {
+  DB_RECORD(HoldR, (u64, id), (bool, holds), (std::string, front));
+};
+// What mates tell each other of their rollouts, and what an operator asks of one.
+struct RollNote {
+  DB_RECORD(RollNote, (u64, id), (std::string, at), (RollPhase, phase), (u32, stage), (u32, stages), (u32, wanted),
+            (u32, holding), (std::vector<std::string>, items), (double, age));
+};
+enum class RollOrder : u8 { pause = 1, resume = 2, abort = 3 };
+struct RollCmd {
+  DB_RECORD(RollCmd, (u64, id), (RollOrder, order));
+};
+
+}  // namespace dockbend
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -23,7 +23,7 @@
   rebuild = 26, rebuildR = 27,
   rows = 30, digest = 31, digestR = 32,
   ask = 40, askR = 41, done = 42, load = 43, leaving = 44,
-  hold = 50, holdR = 51,
+  hold = 50, holdR = 51, rollNote = 52, rollCmd = 53,
 };
 
 struct Letter {
--- a/packages/stacks/include/stacks/program.hpp
+++ b/packages/stacks/include/stacks/program.hpp
@@ -14,6 +14,7 @@
 struct Cli {
   char const* name;
   char const* what;
+  bool can_stage = false;  // knows --staged
 };
 
 // Reads the command line (--help, --version, --check, --settings FILE) and the
--- a/packages/stacks/include/stacks/settings.hpp
+++ b/packages/stacks/include/stacks/settings.hpp
@@ -30,7 +30,19 @@
          coldOvershoot = 1.5, coldTolerance = 5, evacuateBoundS = 5, settleS = 15, ttlMaxS = 5, reuseHoldoffS = 2;
 };
 
+// How a manifest change is brought out. Invariants: stages climb and end at 1;
+// 0 < enough <= 1; the times are above 0.
+struct RolloutPlan {
+  std::vector<double> stages{0.3, 1.0};  // shares of the nodes, each stage with the ones before it
+  double enough = 0.6;                    // of a stage's nodes in touch
+  Secs stageS = 0.7;                      // after this a stage that has not settled counts as paused
+  Secs resendS = 0.4;
+  Secs giveUpS = 0;                       // 0: 0.6 of ackBoundS, so that the caller can still ask another node
+};
+
 struct Settings {
+  RolloutPlan rollout;
+  bool staged = false;
   std::string nodeName, role, machineClass, ip, zone, region, dataDir;
   std::map<std::string, std::string> zones;  // zone -> region
   std::map<std::string, Addr> bind;
--- a/packages/stacks/program.cpp
+++ b/packages/stacks/program.cpp
@@ -18,25 +18,34 @@
                "  --settings FILE  the settings file (default: $DOCKBEND_SETTINGS,\n"
                "                   then /etc/dockbend/boot.conf)\n"
                "  --check          read and check the settings, then end\n"
+               "%s"
                "  --help           this text\n"
                "  --version        the version\n\n"
                "exit codes: 0 in order, 1 failed while running, 2 wrong usage or bad settings\n",
-               c.name, c.what, c.name);
+               c.name, c.what, c.name, c.can_stage ? "  --staged         bring manifest changes out in stages (see rollout.* settings)\n" : "");
 }
 }  // namespace
 
 std::optional<int> open_program(Cli const& cli, int argc, char** argv, Settings& st) {
   static option const opts[] = {{"settings", required_argument, nullptr, 's'},
                                 {"check", no_argument, nullptr, 'c'},
+                                {"staged", no_argument, nullptr, 'g'},
                                 {"help", no_argument, nullptr, 'h'},
                                 {"version", no_argument, nullptr, 'v'},
                                 {nullptr, 0, nullptr, 0}};
-  bool check = false;
+  bool check = false, staged = false;
   path_used = settings_path();
   for (int o = 0; (o = getopt_long(argc, argv, "s:chv", opts, nullptr)) != -1;) {
     switch (o) {
       case 's': path_used = optarg; break;
       case 'c': check = true; break;
+      case 'g':
+        if (!cli.can_stage) {
+          usage(cli, stderr);
+          return 2;
+        }
+        staged = true;
+        break;
       case 'h': usage(cli, stdout); return 0;
       case 'v': std::printf("%s (dockbend) 0.1.0\n", cli.name); return 0;
       default: usage(cli, stderr); return 2;
@@ -48,6 +57,7 @@
   }
   try {
     st = load_settings(path_used);
+    st.staged = st.staged || staged;
   } catch (BadSetting const& e) {
     std::fprintf(stderr, "%s: settings: %s\n", cli.name, e.what());
     return 2;
--- a/packages/stacks/settings.cpp
+++ b/packages/stacks/settings.cpp
@@ -93,6 +93,20 @@
   num("bounds.settleS", b.settleS);
   num("bounds.ttl_max_s", b.ttlMaxS);
   num("bounds.reuseHoldoffS", b.reuseHoldoffS);
+  num("rollout.enough", st.rollout.enough, 0.01, 1);
+  num("rollout.stageS", st.rollout.stageS, 0.01, 86400);
+  num("rollout.resendS", st.rollout.resendS, 0.01, 86400);
+  num("rollout.giveUpS", st.rollout.giveUpS, 0.01, 86400);
+  known["rollout.staged"] = [&](auto const& f, auto const& v) { st.staged = boolean(f, v); };
+  known["rollout.stages"] = [&](auto const& f, auto const& v) {
+    st.rollout.stages.clear();
+    for (auto const& s : split(v, ',')) {
+      double const x = number(f, s, 0.001, 1);
+      if (!st.rollout.stages.empty() && x <= st.rollout.stages.back()) throw BadSetting(f, "stages must climb");
+      st.rollout.stages.push_back(x);
+    }
+    if (st.rollout.stages.empty() || st.rollout.stages.back() != 1) throw BadSetting(f, "the last stage must be 1");
+  };
   known["innerPorts"] = [&](auto const& f, auto const& v) {
     auto const p = split(v, ',');
     if (p.size() != 2) throw BadSetting(f, "wants FIRST,LAST");
@@ -122,6 +136,7 @@
       it->second(k, v);
     }
   }
+  if (st.rollout.giveUpS == 0) st.rollout.giveUpS = 0.6 * st.bounds.ackBoundS;
   in_addr tmp{};
   if (inet_pton(AF_INET, st.ip.c_str(), &tmp) != 1) throw BadSetting("ip", "missing or no IPv4 address");
   if (st.innerFirst == 0) throw BadSetting("innerPorts", "missing");
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 #include <deque>
 #include <map>
@@ -19,6 +20,7 @@
 #include "register/acceptor.hpp"
 #include "register/proposer.hpp"
 #include "register/vellum.hpp"
+#include "rollout/rollout.hpp"
 #include "stacks/log.hpp"
 #include "stacks/program.hpp"
 
@@ -84,6 +86,7 @@
   void settings(Settings const& s) {
     st_.seeds = s.seeds;
     st_.bounds = s.bounds;
+    st_.rollout = s.rollout;
     for (Addr const& a : st_.seeds) mate(a.ip);
   }
   void term() {
@@ -295,7 +298,13 @@
       if (it != peers_.end()) from_peer(it->second, l);
     });
     c->on_down.connect([this, id](Channel&) {
-      after(eb_, 0, [this, id] { peers_.erase(id); });
+      after(eb_, 0, [this, id] {
+        // A site whose agent's life may have ended holds nothing for certain.
+        for (auto& [rid, g] : rollouts_)
+          for (auto const& [f, s] : catalog_.rows())
+            if (s.channel == id) g.ro.lost(f);
+        peers_.erase(id);
+      });
     });
   }
 
@@ -319,6 +328,7 @@
         if (!born_) break;
         PrepR r;
         auto const s = acceptor_->prepare(l.as<Prep>(), r);
+        if (r.ok) give_way(r.bal, now);
         reply_after(p.ch, Kind::prepR, l.tag, r, s.write, false);
         break;
       }
@@ -410,6 +420,21 @@
         });
         break;
       }
+      case Kind::holdR: {
+        HoldR const r = l.as<HoldR>();
+        auto const it = rollouts_.find(r.id);
+        if (it == rollouts_.end()) break;
+        it->second.ro.heard(r.front, r.holds);
+        if (!is_over(it->second.ro.phase())) stage_on(it->second, now);
+        break;
+      }
+      case Kind::rollNote: {
+        RollNote n = l.as<RollNote>();
+        u64 const id = n.id;
+        notes_[id] = std::move(n);
+        break;
+      }
+      case Kind::rollCmd: order_rollout(l.as<RollCmd>()); break;
       case Kind::rebuild: {
         Rebuild const q = l.as<Rebuild>();
         RebuildR r;
@@ -462,9 +487,16 @@
     return b;
   }
 
+  // Another's round is under way: two that outbid each other would both be late.
+  // The wait is only courtesy; safety never rests on it.
+  void give_way(Ballot b, Secs now) {
+    way_for_ = b;
+    way_until_ = now + 0.4 + 0.2 * random01();
+  }
+
   void pump() {
     Secs const now = now_s();
-    if (!proposer_.idle() || now < next_round_ || !born_) return;
+    if (!proposer_.idle() || now < next_round_ || now < way_until_ || !born_) return;
     while (!calls_.empty() && calls_.front().until < now) {
       Call const c = std::move(calls_.front());
       calls_.pop_front();
@@ -547,7 +579,7 @@
       for (Call& x : b) x.done(&to);
     } else {
       ++losses_;
-      next_round_ = now + (0.03 + 0.12 * random01()) * std::min(losses_, 6);
+      next_round_ = now + (0.05 + 0.15 * random01()) * std::min(losses_, 6);
       for (auto it = b.rbegin(); it != b.rend(); ++it) calls_.push_front(std::move(*it));
     }
     after(eb_, std::max(0.0, next_round_ - now), [this] { pump(); });
@@ -559,6 +591,10 @@
     std::optional<State> const old = std::move(committed_);
     committed_ = s;
     proposer_.saw(s.bal);
+    if (s.bal >= way_for_ && way_until_ > 0) {
+      way_until_ = 0;
+      after(eb_, 0.02 * random01(), [this] { pump(); });
+    }
     if (acceptor_->learn(s))
       vellum_->submit(vote_ops(true), [this, b = s.bal](bool ok) {
         if (ok) durable_ = std::max(durable_, b);
@@ -899,6 +935,12 @@
       if (!post) return write(r, fault(405, "wants POST"));
       return evacuate(r, rest, false);
     }
+    if (uri == "/-/Rollout.Status") return write(r, CallRet{200, rollout_status()});
+    for (auto const& [pre, o] : {std::pair{"/-/Rollout.Pause/", RollOrder::pause}, {"/-/Rollout.Resume/", RollOrder::resume}, {"/-/Rollout.Abort/", RollOrder::abort}})
+      if (is(pre, rest)) {
+        if (!post) return write(r, fault(405, "wants POST"));
+        return order_call(r, rest, o);
+      }
     if (uri == "/-/Status") return write(r, CallRet{200, status()});
     write(r, fault(404, "no such call"));
   }
@@ -913,6 +955,16 @@
       return write(r, fault(400, e.what()));
     }
     if (leaving_ > 0) return write(r, fault(503, "leaving"));
+    Secs const now = now_s();
+    if (!st_.staged || !worth_staging(a)) return commit_amend(a, patience(), [this, r](CallRet const& c) { write(r, c); });
+    auto const id = (random64() >> 16) | 1;
+    Staged& g = rollouts_.emplace(id, Staged{Rollout(id, st_.rollout, now), a, r, now}).first->second;
+    LOG4CPLUS_INFO(lg_, "Rollout " << id << " of " << a.items.size() << " items begins.");
+    stage_on(g, now);
+  }
+
+  // Validates the whole call against what a majority holds, and puts it in force.
+  void commit_amend(Amendment const& a, Secs patience, std::function<void(CallRet const&)> done) {
     struct Out {
       Joined how = Joined::same;
       std::string field;
@@ -928,16 +980,201 @@
           for (auto& [k, i] : items) s.items.push_back(std::move(i));
           return true;
         },
-        [this, r, o](State const* s) {
-          if (s == nullptr) return write(r, fault(503, "no majority in time"));
+        [done, o](State const* s) {
+          if (s == nullptr) return done(fault(503, "no majority in time"));
           switch (o->how) {
             case Joined::changed:
-            case Joined::same: return write(r, CallRet{200, "{}"});
-            case Joined::clash: return write(r, fault(409, o->field + ": another body stands under this generation"));
-            case Joined::unknown_service: return write(r, fault(400, o->field + ": unknown service"));
+            case Joined::same: return done(CallRet{200, "{}"});
+            case Joined::clash: return done(fault(409, o->field + ": another body stands under this generation"));
+            case Joined::unknown_service: return done(fault(400, o->field + ": unknown service"));
           }
         },
-        patience());
+        patience);
+  }
+
+  // ---- rollouts ------------------------------------------------------------------------
+  struct Staged {
+    Rollout ro;
+    Amendment a;
+    evhttp_request* r = nullptr;  // the operator's call, until it is answered
+    Secs start = 0;
+    RollPhase told{};
+    std::size_t told_stage = 99;
+  };
+
+  // Only what changes lanes that nodes already serve by is brought out in stages:
+  // a first manifest has no version that anyone trusts, and what changes nothing or
+  // is faulty goes to the register at once, whose word is final.
+  bool worth_staging(Amendment const& a) const {
+    if (!committed_ || catalog_.rows().empty()) return false;
+    auto items = committed_->by_key();
+    bool standing = false;
+    for (auto const& [k, i] : items) standing = standing || (k[0] == 'r' && !i.gone);
+    std::string f;
+    return standing && join(items, a, f) == Joined::changed;
+  }
+
+  std::map<std::string, std::string> in_touch() const {
+    std::map<std::string, std::string> m;
+    for (auto const& [f, s] : catalog_.rows())
+      if (peers_.count(s.channel) > 0) m[f] = s.zone;
+    return m;
+  }
+
+  void stage_on(Staged& g, Secs now) {
+    if (committed_ && !is_over(g.ro.phase()) && g.ro.phase() != RollPhase::committing) {
+      auto items = committed_->by_key();
+      std::string f;
+      if (join(items, g.a, f) != Joined::changed) g.ro.overtaken();
+    }
+    Rollout::Step const st = g.ro.step(now, in_touch());
+    if (!st.send.empty()) {
+      Hold h;
+      h.id = g.ro.id();
+      h.for_ms = static_cast<u32>((g.ro.until() - now + 1.0) * 1000);
+      h.items = g.a.items;
+      std::string const body = codec::pack(h);
+      for (std::string const& s : st.send) to_site(s, body);
+    }
+    if (st.drop) {
+      Hold h;
+      h.id = g.ro.id();
+      h.drop = true;
+      std::string const body = codec::pack(h);
+      for (std::string const& s : g.ro.asked()) to_site(s, body);
+    }
+    if (st.commit) {
+      u64 const id = g.ro.id();
+      commit_amend(g.a, patience(), [this, id](CallRet const& c) {
+        auto const it = rollouts_.find(id);
+        if (it == rollouts_.end()) return;
+        it->second.ro.committed(c.code == 200);
+        answer_rollout(it->second, c);
+        stage_on(it->second, now_s());
+      });
+    }
+    RollPhase const p = g.ro.phase();
+    if (p == RollPhase::fell_back) answer_rollout(g, fault(503, "rollout fell back: too few nodes hold it"));
+    if (p == RollPhase::aborted) answer_rollout(g, fault(503, "rollout was aborted by the operator"));
+    if (p == RollPhase::overtaken && g.r != nullptr) {
+      evhttp_request* const r = g.r;
+      g.r = nullptr;
+      commit_amend(g.a, patience(), [this, r](CallRet const& c) { write(r, c); });
+    }
+    if (p != g.told || g.ro.stage() != g.told_stage) {
+      if (p != g.told && p != RollPhase::holding && p != RollPhase::committing)
+        LOG4CPLUS_INFO(lg_, "Rollout " << g.ro.id() << " " << phase_str(p) << " at stage " << g.ro.stage() + 1 << " of " << g.ro.stages() << ", "
+                                       << g.ro.holding() << " hold it, " << g.ro.wanted() << " are enough.");
+      g.told = p;
+      g.told_stage = g.ro.stage();
+      RollNote const n = note_of(g, now);
+      for (auto& [ip, m] : mates_)
+        if (m.link) m.link->send(Kind::rollNote, 0, n);
+    }
+  }
+
+  void answer_rollout(Staged& g, CallRet const& c) {
+    if (g.r == nullptr) return;
+    write(g.r, c);
+    g.r = nullptr;
+  }
+
+  void to_site(std::string const& front, std::string const& body) {
+    auto const it = catalog_.rows().find(front);
+    if (it == catalog_.rows().end()) return;
+    auto const p = peers_.find(it->second.channel);
+    if (p != peers_.end()) p->second.ch->send(Kind::hold, 0, std::string_view(body));
+  }
+
+  RollNote note_of(Staged const& g, Secs now) const {
+    RollNote n;
+    n.id = g.ro.id();
+    n.at = st_.ip;
+    n.phase = g.ro.phase();
+    n.stage = static_cast<u32>(g.ro.stage() + 1);
+    n.stages = static_cast<u32>(g.ro.stages());
+    n.wanted = static_cast<u32>(g.ro.wanted());
+    n.holding = static_cast<u32>(g.ro.holding());
+    n.age = now - g.start;
+    for (Item const& i : g.a.items) n.items.push_back(i.key + "@" + json::gen_str(i.gen));
+    return n;
+  }
+
+  void rollouts(Secs now) {
+    for (auto it = rollouts_.begin(); it != rollouts_.end();) {
+      Staged& g = it->second;
+      if (!is_over(g.ro.phase())) stage_on(g, now);
+      // The ended ones are shown for a while.
+      if (is_over(g.ro.phase()) && g.r == nullptr && now - g.start > 600)
+        it = rollouts_.erase(it);
+      else
+        ++it;
+    }
+    while (notes_.size() > 64) notes_.erase(notes_.begin());
+  }
+
+  bool order_rollout(RollCmd const& c) {
+    auto const it = rollouts_.find(c.id);
+    if (it == rollouts_.end()) return false;
+    Rollout& ro = it->second.ro;
+    Secs const now = now_s();
+    bool const ok = c.order == RollOrder::pause ? ro.pause() : c.order == RollOrder::resume ? ro.resume(now) : ro.abort();
+    if (ok) stage_on(it->second, now);
+    return ok;
+  }
+
+  void order_call(evhttp_request* r, std::string const& id, RollOrder o) {
+    RollCmd c;
+    char* end = nullptr;
+    c.id = std::strtoull(id.c_str(), &end, 10);
+    c.order = o;
+    if (id.empty() || *end != '\0') return write(r, fault(400, "id: wants a number"));
+    if (rollouts_.count(c.id) > 0)
+      return write(r, order_rollout(c) ? CallRet{200, "{}"} : fault(409, std::string("rollout is ") + phase_str(rollouts_.at(c.id).ro.phase())));
+    auto const it = notes_.find(c.id);
+    if (it == notes_.end()) return write(r, fault(404, "id: no such rollout"));
+    if (is_over(it->second.phase)) return write(r, fault(409, std::string("rollout is ") + phase_str(it->second.phase)));
+    if (!up(it->second.at)) return write(r, fault(503, "the node that leads it is not in touch"));
+    mates_[it->second.at].link->send(Kind::rollCmd, 0, c);
+    write(r, CallRet{200, "{}"});
+  }
+
+  std::string rollout_status() const {
+    std::map<u64, RollNote> all = notes_;
+    Secs const now = now_s();
+    for (auto const& [id, g] : rollouts_) all[id] = note_of(g, now);
+    rapidjson::StringBuffer sb;
+    rapidjson::Writer<rapidjson::StringBuffer> w(sb);
+    w.StartObject();
+    w.Key("staged");
+    w.Bool(st_.staged);
+    w.Key("rollouts");
+    w.StartArray();
+    for (auto const& [id, n] : all) {
+      w.StartObject();
+      w.Key("id");
+      w.String(std::to_string(id).c_str());
+      w.Key("state");
+      w.String(phase_str(n.phase));
+      w.Key("stage");
+      w.String((std::to_string(n.stage) + "/" + std::to_string(n.stages)).c_str());
+      w.Key("holding");
+      w.Uint(n.holding);
+      w.Key("enough");
+      w.Uint(n.wanted);
+      w.Key("ledBy");
+      w.String(n.at.c_str());
+      w.Key("ageS");
+      w.Double(std::round(n.age * 1000) / 1000);
+      w.Key("items");
+      w.StartArray();
+      for (std::string const& i : n.items) w.String(i.c_str());
+      w.EndArray();
+      w.EndObject();
+    }
+    w.EndArray();
+    w.EndObject();
+    return std::string(sb.GetString(), sb.GetSize());
   }
 
   void read(evhttp_request* r) {
@@ -1130,6 +1367,7 @@
       for (auto it = b.rbegin(); it != b.rend(); ++it) calls_.push_front(std::move(*it));
     }
     pump();
+    rollouts(now);
     join_roster(now);
     rebuild(now);
     // A value accepted but not known to be committed is brought to an end.
@@ -1201,9 +1439,13 @@
   Roll roll_;
   evhttp *control_ = nullptr, *directory_ = nullptr;
   std::unique_ptr<Ticker> tick_;
+  std::map<u64, Staged> rollouts_;  // led from here
+  std::map<u64, RollNote> notes_;   // led elsewhere, as told
   bool born_ = false, filling_ = false;
   Ballot durable_;  // of the newest value on our own disk
   int losses_ = 0;
+  Ballot way_for_;
+  Secs way_until_ = 0;
   Secs start_ = 0, finish_at_ = 0, join_at_ = 0, rebuild_at_ = 0, next_round_ = 0, slow_at_ = 0, leaving_ = 0, last_tick_ = 0;
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("archivist");
 };
@@ -1212,7 +1454,7 @@
 
 int main(int argc, char** argv) {
   Settings st;
-  if (auto const rc = open_program({"archivist", "dockbend's control API, register and directory"}, argc, argv, st)) return *rc;
+  if (auto const rc = open_program({"archivist", "dockbend's control API, register and directory", true}, argc, argv, st)) return *rc;
   event_base* eb = event_base_new();
   try {
     Archivist a(eb, st);
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -22,6 +22,7 @@
 #include "keys/ask.hpp"
 #include "manifest/manifest.hpp"
 #include "register/state.hpp"
+#include "rollout/rollout.hpp"
 #include "stacks/log.hpp"
 #include "stacks/program.hpp"
 
@@ -173,6 +174,7 @@
     switch (l.kind) {
       case Kind::news: news(l.as<News>()); break;
       case Kind::askR: asked(l.tag, l.as<AskR>()); break;
+      case Kind::hold: hold(l.as<Hold>()); break;
       default: break;
     }
   }
@@ -218,6 +220,24 @@
     as_.evacuated(evac_, now);
   }
 
+  // Holds a change that is being rolled out: it must compile here whole. What is
+  // held changes nothing of how errands are handled; in force is only what the
+  // register has committed.
+  void hold(Hold const& h) {
+    if (h.drop) {
+      held_.erase(h.id);
+      return;
+    }
+    std::size_t lanes = 0;
+    for (Item const& i : h.items) lanes += !i.gone && i.key[0] == 'r' ? 1 : 0;
+    HoldR r;
+    r.id = h.id;
+    r.holds = Compiled::from(h.items).lanes() == lanes;
+    r.front = at("front").str();
+    if (r.holds) held_[h.id] = now_s() + h.for_ms / 1000.0;
+    page_.send(Kind::holdR, 0, r);
+  }
+
   void rules() {
     for (std::string const& n : pool_names_) {
       PoolDef const* d = man_->pool(n);
@@ -750,6 +770,7 @@
   void tick() {
     Secs const now = now_s();
     page_.tick(now);
+    for (auto it = held_.begin(); it != held_.end();) it = it->second < now ? held_.erase(it) : std::next(it);
     for (auto& [s, l] : idle_) {
       std::vector<Chan*> old;
       for (Chan* c : l)
@@ -780,6 +801,7 @@
   std::unordered_map<u32, std::vector<Chan*>> idle_;
   std::unordered_map<u32, Handle> asks_;
   std::set<std::string> pool_names_, evac_;
+  std::map<u64, Secs> held_;  // rollouts whose change is held here, and until when
   u32 next_tag_ = 0;
   bool have_state_ = false, draining_ = false;
   Ballot bal_;
--- a/programs/page.cpp
+++ b/programs/page.cpp
@@ -10,6 +10,7 @@
 #include "gossip/roll.hpp"
 #include "keys/ask.hpp"
 #include "register/state.hpp"
+#include "rollout/rollout.hpp"
 #include "stacks/log.hpp"
 #include "stacks/program.hpp"
 
@@ -184,6 +185,14 @@
         break;
       }
       case Kind::claimR: claim_ret(ip, l.tag, l.as<ClaimR>()); break;
+      case Kind::hold: {
+        // The proxy says whether it holds it; without a proxy nobody answers.
+        Hold const h = l.as<Hold>();
+        if (proxy_) proxy_->send(Kind::hold, 0, l.body);
+        if (h.drop) held_by_.erase(h.id);
+        else held_by_[h.id] = {ip, now + h.for_ms / 1000.0};
+        break;
+      }
       case Kind::fetchR: fetch_ret(l.tag, l.as<FetchR>()); break;
       default: break;
     }
@@ -294,6 +303,14 @@
       }
       case Kind::ask: ask(ch, l.tag, l.as<Ask>()); break;
       case Kind::done: told(l.as<Told>()); break;
+      case Kind::holdR: {
+        HoldR const r = l.as<HoldR>();
+        auto const it = held_by_.find(r.id);
+        if (it == held_by_.end()) break;
+        Mate& m = mates_[it->second.first];
+        if (m.link && m.link->ch() != nullptr) m.link->ch()->send(Kind::holdR, 0, l.body);
+        break;
+      }
       default: break;
     }
   }
@@ -509,6 +526,7 @@
       last_beat_ = now;
       beat_all();
       for (auto it = held_.begin(); it != held_.end();) it = now - it->second.since > 60 ? held_.erase(it) : std::next(it);
+      for (auto it = held_by_.begin(); it != held_by_.end();) it = it->second.second < now ? held_by_.erase(it) : std::next(it);
       roll_.purge(90, now);
     }
     feeds();
@@ -543,6 +561,7 @@
   std::map<std::string, u32> sites_told_;
   std::map<u32, Job> jobs_;
   std::map<u64, Held> held_;
+  std::map<u64, std::pair<std::string, Secs>> held_by_;  // rollouts held: who asked, until when
   u32 next_ = 0;
 };
 
