--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -544,13 +544,17 @@
       // libevent has freed u and calls nothing back.
       return ended(e, End::unsent);
     }
-    tune_socket(bufferevent_getfd(evhttp_connection_get_bufferevent(c->ec)), 2000);
+    // A machine that does not even acknowledge our bytes is not there. What may be
+    // tried again need not wait long to learn it; what may not gets the longer time,
+    // for giving up on it helps nobody.
+    bool const far = !(t.region == as_.region(st_.region));
+    tune_socket(bufferevent_getfd(evhttp_connection_get_bufferevent(c->ec)), e.repeatable() ? (far ? 600 : 250) : 2000);
     // Nothing of it out after this long: the server's machine is not there.
     e.try_limit = now + std::max(3 * as_.lat_of(e.pool), e.lane->setpoint * 0.6);
     set_timer(e, std::min(e.deadline, now + connect_limit(e)));
   }
 
-  Secs connect_limit(Errand const& e) const { return std::max(0.25, std::min(0.5, e.lane->setpoint)); }
+  Secs connect_limit(Errand const& e) { return as_.at(e.server).region == as_.region(st_.region) ? 0.25 : std::max(0.25, std::min(0.5, e.lane->setpoint)); }
 
   Chan* open(ServerIx s, Secs now) {
     Target& t = as_.at(s);
@@ -711,7 +715,7 @@
         as_.full(s, now);
         e.shed_seen = true;
         break;
-      case End::broken:
+      case End::broken: as_.shun(s, now - e.try_at > 0.2 ? 0.4 : 0.1, now); break;
       case End::silent: as_.shun(s, 0.1, now); break;
       case End::whole: break;
     }
