--- a/packages/register/include/register/vellum.hpp
+++ b/packages/register/include/register/vellum.hpp
@@ -46,6 +46,9 @@
   // Looks a kept answer up; "" if there is none. Seen after all submits before it.
   void find_ret(std::string const& k, Found f);
   void submit(std::vector<Op> ops, Done done);
+  // For what nobody waits for: goes along with the next commit, or with one of its
+  // own after a moment. Kept in order with all that was handed in before.
+  void submit_lazy(std::vector<Op> ops);
   std::size_t backlog() const { return waiting_; }
 
  private:
@@ -66,7 +69,7 @@
   std::mutex mu_;
   std::condition_variable cv_;
   std::deque<Batch> in_, out_;
-  bool stop_ = false;
+  bool stop_ = false, eager_ = false;
   std::size_t waiting_ = 0;
   int pipe_[2] = {-1, -1};
   event* ev_ = nullptr;
--- a/packages/register/vellum.cpp
+++ b/packages/register/vellum.cpp
@@ -4,13 +4,14 @@
 #include <sqlite3.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <stdexcept>
 
 namespace dockbend {
 
 struct Vellum::Db {
   sqlite3* h = nullptr;
-  sqlite3_stmt *stmt[7] = {}, *find = nullptr;  // stmt: by Op::What
+  sqlite3_stmt *stmt[7] = {}, *find = nullptr, *begin = nullptr, *commit = nullptr;  // stmt: by Op::What
 
   void exec(char const* sql) {
     char* err = nullptr;
@@ -20,6 +21,11 @@
       throw std::runtime_error(std::string("disk: ") + m);
     }
   }
+  bool run(sqlite3_stmt* s) {
+    bool const ok = sqlite3_step(s) == SQLITE_DONE;
+    sqlite3_reset(s);
+    return ok;
+  }
   bool quick(char const* sql) { return sqlite3_exec(h, sql, nullptr, nullptr, nullptr) == SQLITE_OK; }
   sqlite3_stmt* prep(char const* sql) {
     sqlite3_stmt* s = nullptr;
@@ -29,6 +35,8 @@
   ~Db() {
     for (sqlite3_stmt* s : stmt) sqlite3_finalize(s);
     sqlite3_finalize(find);
+    sqlite3_finalize(begin);
+    sqlite3_finalize(commit);
     sqlite3_close(h);
   }
 };
@@ -51,6 +59,8 @@
                               "DELETE FROM server WHERE k=?",              "INSERT OR REPLACE INTO ret VALUES(?,?)",
                               "DELETE FROM ret WHERE k=?"};
   for (int i = 0; i < 7; ++i) db_->stmt[i] = db_->prep(sql[i]);
+  db_->begin = db_->prep("BEGIN IMMEDIATE");
+  db_->commit = db_->prep("COMMIT");
   db_->find = db_->prep("SELECT v FROM ret WHERE k=?");
   if (pipe2(pipe_, O_CLOEXEC | O_NONBLOCK) != 0) throw std::runtime_error("disk: no pipe");
   ev_ = event_new(eb, pipe_[0], EV_READ | EV_PERSIST, [](evutil_socket_t, short, void* p) { static_cast<Vellum*>(p)->reap(); }, this);
@@ -121,10 +131,24 @@
   {
     std::lock_guard<std::mutex> const g(mu_);
     in_.push_back(std::move(b));
+    eager_ = true;
   }
   cv_.notify_one();
 }
 
+void Vellum::submit_lazy(std::vector<Op> ops) {
+  ++waiting_;
+  Batch b;
+  b.ops = std::move(ops);
+  bool first = false;
+  {
+    std::lock_guard<std::mutex> const g(mu_);
+    first = in_.empty();
+    in_.push_back(std::move(b));
+  }
+  if (first) cv_.notify_one();  // so that the thread begins to count its moment
+}
+
 void Vellum::submit(std::vector<Op> ops, Done done) {
   ++waiting_;
   {
@@ -133,6 +157,7 @@
     b.ops = std::move(ops);
     b.done = std::move(done);
     in_.push_back(std::move(b));
+    eager_ = true;
   }
   cv_.notify_one();
 }
@@ -141,7 +166,7 @@
   bool any = false;
   for (Batch const& b : all) any = any || !b.ops.empty();
   if (!any) return true;
-  if (!db_->quick("BEGIN IMMEDIATE")) return false;
+  if (!db_->run(db_->begin)) return false;
   bool ok = true;
   for (Batch const& b : all) {
     for (Op const& o : b.ops) {
@@ -159,7 +184,7 @@
     }
     if (!ok) break;
   }
-  if (ok) ok = db_->quick("COMMIT");
+  if (ok) ok = db_->run(db_->commit);
   if (!ok && sqlite3_get_autocommit(db_->h) == 0) db_->quick("ROLLBACK");
   return ok;
 }
@@ -171,6 +196,8 @@
       std::unique_lock<std::mutex> g(mu_);
       cv_.wait(g, [this] { return stop_ || !in_.empty(); });
       if (in_.empty()) return;
+      if (!eager_) cv_.wait_for(g, std::chrono::milliseconds(60), [this] { return stop_ || eager_; });
+      eager_ = false;
       all.swap(in_);
     }
     bool const ok = commit(all);
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -80,7 +80,7 @@
     start_ = now_s();
     finish_at_ = start_ + 0.2 + 0.6 * random01();
     join_at_ = start_ + 0.3 + 1.2 * random01();
-    tick_ = std::make_unique<Ticker>(eb, 0.05, [this] { tick(); });
+    tick_ = std::make_unique<Ticker>(eb, 0.1, [this] { tick(); });
   }
 
   void settings(Settings const& s) {
@@ -405,7 +405,7 @@
           Vellum::Op o;
           o.what = Vellum::Op::What::drop_key;
           o.k = r.key;
-          vellum_->submit({o}, nullptr);
+          vellum_->submit_lazy({o});
         }
         break;
       }
@@ -728,7 +728,7 @@
     o.what = Vellum::Op::What::put_ret;
     o.k = r.key;
     o.v.assign(body);
-    vellum_->submit({o}, nullptr);
+    vellum_->submit_lazy({o});
     Secs const now = now_s();
     ret_order_.emplace_back(r.key, now);
     std::vector<Vellum::Op> old;
@@ -739,7 +739,7 @@
       old.push_back(std::move(d));
       ret_order_.pop_front();
     }
-    if (!old.empty()) vellum_->submit(std::move(old), nullptr);
+    if (!old.empty()) vellum_->submit_lazy(std::move(old));
     if (!relay || !committed_) return;
     Member const* best = nullptr;
     for (Member const& m : committed_->roster) {
@@ -772,7 +772,7 @@
       if (r.state != Standing::gone) o.v = codec::pack(r);
       ops.push_back(std::move(o));
     }
-    vellum_->submit(std::move(ops), nullptr);
+    vellum_->submit_lazy(std::move(ops));
     News n;
     n.rows = v;
     std::string const body = codec::pack(n);
@@ -1336,7 +1336,7 @@
     ++counts_turn_;
     News w;
     w.sites = counted();
-    vellum_->submit({meta("sites", codec::pack(w))}, nullptr);
+    vellum_->submit_lazy({meta("sites", codec::pack(w))});
   }
 
   std::vector<ZoneCount> counted() const {
@@ -1401,7 +1401,7 @@
         o.k = k;
         ops.push_back(std::move(o));
       }
-      vellum_->submit(std::move(ops), nullptr);
+      vellum_->submit_lazy(std::move(ops));
     }
     Digest d;
     d.digest = roll_.digest();
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -636,29 +636,9 @@
     }
     if (en != End::whole) return ended(*e, en);
     as_.gave(e->server, now - e->try_at, true, now);
-    if (rep.code >= 500 && e->repeatable() && again(*e, now)) return;
     pass(*e, r, rep, body);
   }
 
-  // A server's own failure of an errand that may repeat: another server may do
-  // better, if there is one and the budget pays for it. The failure itself goes on
-  // to the client only where there is none.
-  bool again(Errand& e, Secs now) {
-    ++e.arrivals;
-    if (e.arrivals >= e.lane->max_tries || e.deadline - now < as_.lat_of(e.pool)) return false;
-    Wish w;
-    w.pool = e.pool;
-    w.homes = &e.homes;
-    w.tried = &e.tried;
-    w.bulky = e.body > 16384;
-    w.setpoint = e.lane->setpoint;
-    Assign::Choice const c = as_.choose(w, now);
-    if (!c.ix || !as_.budget(e.pool).take(now, as_.part())) return false;
-    e.maybe_run = true;
-    send(e, *c.ix, now);
-    return true;
-  }
-
   void doom_keep_errand(Chan* c, Errand& e) {
     e.chan = nullptr;
     doom(c);
