--- /dev/null
+++ b/packages/patron/include/patron/tally.hpp
@@ -0,0 +1,61 @@
+// What a load is made of and what came of it. No I/O.
+#pragma once
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "stacks/types.hpp"
+
+namespace dockbend {
+
+// One kind of errand: NAME:METHOD:PATH:RATE[:BODYBYTES[:keyed]].
+struct LoadKind {
+  std::string name, method, path;
+  double rate = 0;  // a second
+  std::size_t body = 0;
+  bool keyed = false;
+};
+struct BadLoad : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+LoadKind parse_kind(std::string const& s);
+
+// Arrivals come when they come, whether or not earlier ones were answered: an open
+// loop. Invariant: times climb, and their mean gap is 1 / rate.
+class Arrivals {
+ public:
+  Arrivals(double rate, u64 seed) : rate_(rate), s_(seed) {}
+  Secs next();
+
+ private:
+  double rate_;
+  u64 s_;
+  Secs at_ = 0;
+};
+
+// Times in buckets that grow by about 2%, so that memory stays small. Each time is
+// counted from when the errand was due, not from when it could be sent: waiting for
+// a slow answer does not hide the errands that were due meanwhile (coordinated
+// omission).
+class Times {
+ public:
+  void add(Secs due, Secs done);
+  Secs quantile(double q) const;  // 0 if there are none
+  u64 count() const { return n_; }
+  Secs most() const { return most_; }
+
+ private:
+  std::vector<u64> b_;
+  u64 n_ = 0;
+  Secs most_ = 0;
+};
+
+struct Tally {
+  Times times;              // of the successes
+  u64 due = 0, late = 0;    // late: sent over 10 ms after it was due
+  std::map<int, u64> codes; // 0: no answer
+  void add(Secs due_at, Secs sent_at, Secs done_at, int code);
+};
+
+}  // namespace dockbend
--- /dev/null
+++ b/packages/patron/tally.cpp
@@ -0,0 +1,83 @@
+#include "patron/tally.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+
+namespace dockbend {
+namespace {
+double const least = 1e-5, grow = 1.02;
+}
+
+LoadKind parse_kind(std::string const& s) {
+  std::vector<std::string> p{""};
+  for (char const c : s) {
+    if (c == ':')
+      p.emplace_back();
+    else
+      p.back() += c;
+  }
+  if (p.size() < 4 || p.size() > 6) throw BadLoad("--kind: wants NAME:METHOD:PATH:RATE[:BODYBYTES[:keyed]], not '" + s + "'");
+  LoadKind k;
+  k.name = p[0];
+  k.method = p[1];
+  k.path = p[2];
+  auto number = [&](std::string const& v, char const* what) {
+    char* end = nullptr;
+    double const d = std::strtod(v.c_str(), &end);
+    if (v.empty() || *end != '\0' || !(d >= 0) || d > 1e6) throw BadLoad(std::string("--kind: ") + what + ": not a fitting number: '" + v + "'");
+    return d;
+  };
+  if (k.name.empty()) throw BadLoad("--kind: NAME: empty");
+  if (k.method != "GET" && k.method != "POST" && k.method != "PUT") throw BadLoad("--kind: METHOD: GET, POST or PUT, not '" + k.method + "'");
+  if (k.path.empty() || k.path[0] != '/') throw BadLoad("--kind: PATH: wants a slash at its start");
+  k.rate = number(p[3], "RATE");
+  if (k.rate <= 0) throw BadLoad("--kind: RATE: wants more than 0");
+  if (p.size() > 4) k.body = static_cast<std::size_t>(number(p[4], "BODYBYTES"));
+  if (k.body > 0 && k.method == "GET") throw BadLoad("--kind: BODYBYTES: a GET carries none");
+  if (p.size() > 5) {
+    if (p[5] != "keyed") throw BadLoad("--kind: the sixth part can only be 'keyed'");
+    k.keyed = true;
+  }
+  return k;
+}
+
+Secs Arrivals::next() {
+  s_ += 0x9e3779b97f4a7c15ULL;
+  u64 z = s_;
+  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+  z ^= z >> 31;
+  double const u = (static_cast<double>(z >> 11) + 0.5) * 0x1.0p-53;
+  at_ += -std::log(u) / rate_;
+  return at_;
+}
+
+void Times::add(Secs due, Secs done) {
+  Secs const t = std::max(0.0, done - due);
+  auto const i = static_cast<std::size_t>(t <= least ? 0 : std::log(t / least) / std::log(grow));
+  if (b_.size() <= i) b_.resize(i + 1);
+  ++b_[i];
+  ++n_;
+  most_ = std::max(most_, t);
+}
+
+Secs Times::quantile(double q) const {
+  if (n_ == 0) return 0;
+  auto const want = static_cast<u64>(std::ceil(q * static_cast<double>(n_)));
+  u64 seen = 0;
+  for (std::size_t i = 0; i < b_.size(); ++i) {
+    seen += b_[i];
+    if (seen >= std::max<u64>(want, 1)) return std::min(most_, least * std::pow(grow, static_cast<double>(i) + 0.5));
+  }
+  return most_;
+}
+
+void Tally::add(Secs due_at, Secs sent_at, Secs done_at, int code) {
+  ++due;
+  if (sent_at - due_at > 0.01) ++late;
+  ++codes[code];
+  if (code >= 200 && code < 300) times.add(due_at, done_at);
+}
+
+}  // namespace dockbend
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -164,7 +164,7 @@
 
   void set_limits() {
     LimitsDef const& l = man_->limits();
-    evhttp_set_max_headers_size(front_, static_cast<ev_ssize_t>(l.header_bytes * 2 + 8192));
+    evhttp_set_max_headers_size(front_, static_cast<ev_ssize_t>(l.header_bytes * 2 + 131072));
     evhttp_set_max_body_size(front_, static_cast<ev_ssize_t>(l.body_bytes));
     evhttp_set_timeout(front_, std::max(1, static_cast<int>(l.idle + 0.999)));
   }
@@ -337,9 +337,12 @@
     bool const wrong = f == Framing::ambiguous || (f == Framing::length && len != body) || (f == Framing::none && body > 0) ||
                        (f == Framing::chunked && evhttp_request_get_command(r) != EVHTTP_REQ_POST && evhttp_request_get_command(r) != EVHTTP_REQ_PUT &&
                         evhttp_request_get_command(r) != EVHTTP_REQ_PATCH);
-    if (wrong) return write(r, own(400, true), id);
-    std::size_t hb = 0;
-    for (auto const& [k, v] : heads) hb += k.size() + v.size() + 4;
+    std::size_t hb = 0, hosts = 0;
+    for (auto const& [k, v] : heads) {
+      hb += k.size() + v.size() + 4;
+      hosts += same_name(k, "Host") ? 1 : 0;
+    }
+    if (wrong || hosts != 1) return write(r, own(400, true), id);
     LimitsDef const& lim = man_->limits();
     std::string const uri = evhttp_request_get_uri(r);
     if (hb + uri.size() > lim.header_bytes) return write(r, own(431, true), id);
@@ -539,6 +542,10 @@
     evhttp_add_header(out, "X-Time-Left", b);
     evhttp_add_header(out, "X-Target-Server", t.id.c_str());
     evhttp_add_header(out, "Connection", "keep-alive");
+    // Said by us, whatever the method: a body without its length would be read as
+    // the next request.
+    if (e.body > 0 || e.cmd == EVHTTP_REQ_POST || e.cmd == EVHTTP_REQ_PUT || e.cmd == EVHTTP_REQ_PATCH)
+      evhttp_add_header(out, "Content-Length", std::to_string(e.body).c_str());
     if (e.body > 0) evbuffer_add_buffer_reference(evhttp_request_get_output_buffer(u), evhttp_request_get_input_buffer(e.req));
     if (evhttp_make_request(c->ec, u, e.cmd, e.uri.c_str()) != 0) {
       // libevent has freed u and calls nothing back.
--- /dev/null
+++ b/programs/patron.cpp
@@ -0,0 +1,353 @@
+// patron: dockbend's load generator, and the stand-in server that it is tried on.
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <getopt.h>
+#include <signal.h>
+
+#include <cstdio>
+#include <cstring>
+#include <deque>
+#include <memory>
+#include <set>
+
+#include "manifest/json.hpp"
+#include "patron/tally.hpp"
+#include "stacks/courier.hpp"
+
+using namespace dockbend;
+
+namespace {
+
+int const rc_ok = 0, rc_failed = 1, rc_usage = 2;
+
+void usage(FILE* f) {
+  std::fprintf(f,
+               "patron: an open-loop load generator for dockbend\n\n"
+               "usage: patron --to HOST:PORT --host NAME --kind KIND [--kind KIND...] [options]\n"
+               "       patron serve --at HOST:PORT [options]\n\n"
+               "  --kind NAME:METHOD:PATH:RATE[:BODYBYTES[:keyed]]\n"
+               "                     errands of one kind, RATE a second\n"
+               "  --for S            how long errands arrive (default 10)\n"
+               "  --time-left S      what each errand says it will wait (default 2)\n"
+               "  --seed N           the same seed draws the same arrivals (default 1)\n"
+               "  --json             print the figures as JSON\n\n"
+               "  serve              a stand-in server: seals, refuses when full, answers health\n"
+               "  --id ID            its id (default stand-in)\n"
+               "  --work-ms M        how long an errand takes (default 20)\n"
+               "  --capacity N       how many at once; as many again may wait (default 4)\n"
+               "  --beat HOST:PORT   a control address to beat to\n"
+               "  --service S, --zone Z  what the beats say\n\n"
+               "  --help, --version\n\n"
+               "Times run from when an errand was due. It stops by itself.\n"
+               "exit codes: 0 done, 1 nothing was answered or no listening, 2 wrong usage\n");
+}
+
+struct Run;
+struct Kind_ {
+  LoadKind k;
+  Arrivals a;
+  Tally t;
+};
+
+struct Call {
+  Run* run = nullptr;
+  std::size_t kind = 0;
+  Secs due = 0, sent = 0;
+  evhttp_connection* ec = nullptr;
+};
+
+struct Run {
+  event_base* eb = nullptr;
+  Addr to;
+  std::string host;
+  Secs time_left = 2, start = 0, span = 10;
+  u64 seed = 1, ids = 0;
+  std::vector<std::unique_ptr<Kind_>> kinds;
+  std::deque<evhttp_connection*> idle;
+  std::size_t open = 0, at_work = 0, arriving = 0;
+
+  void arm(std::size_t i) {
+    Secs const at = kinds[i]->a.next();
+    if (at > span) {
+      if (--arriving == 0 && at_work == 0) event_base_loopbreak(eb);
+      return;
+    }
+    after(eb, start + at - now_s(), [this, i, at] {
+      send(i, start + at);
+      arm(i);
+    });
+  }
+
+  void send(std::size_t i, Secs due) {
+    LoadKind const& k = kinds[i]->k;
+    auto* const c = new Call;
+    c->run = this;
+    c->kind = i;
+    c->due = due;
+    c->sent = now_s();
+    if (idle.empty()) {
+      c->ec = evhttp_connection_base_new(eb, nullptr, to.ip.c_str(), static_cast<ev_uint16_t>(to.port));
+      evhttp_connection_set_timeout(c->ec, static_cast<int>(time_left) + 2);
+      ++open;
+    } else {
+      c->ec = idle.back();
+      idle.pop_back();
+    }
+    ++at_work;
+    evhttp_request* r = evhttp_request_new(done, c);
+    evkeyvalq* h = evhttp_request_get_output_headers(r);
+    evhttp_add_header(h, "Host", host.c_str());
+    char id[40];
+    std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(hash64("patron", seed + ++ids) ^ random64()));
+    evhttp_add_header(h, "X-Attempt-Id", id);
+    if (k.keyed) evhttp_add_header(h, "X-Operation-Key", (std::string("k-") + id).c_str());
+    evhttp_add_header(h, "X-Time-Left", std::to_string(static_cast<long>(time_left * 1000)).c_str());
+    if (k.body > 0) {
+      std::string const b(k.body, 'x');
+      evbuffer_add(evhttp_request_get_output_buffer(r), b.data(), b.size());
+    }
+    evhttp_cmd_type const cmd = k.method == "GET" ? EVHTTP_REQ_GET : k.method == "PUT" ? EVHTTP_REQ_PUT : EVHTTP_REQ_POST;
+    if (evhttp_make_request(c->ec, r, cmd, k.path.c_str()) != 0) finish(c, 0, false);
+  }
+
+  static void done(evhttp_request* r, void* p) {
+    auto* const c = static_cast<Call*>(p);
+    int const code = r == nullptr ? 0 : evhttp_request_get_response_code(r);
+    bool keep = code != 0;
+    if (keep) {
+      char const* cn = evhttp_find_header(evhttp_request_get_input_headers(r), "Connection");
+      keep = cn == nullptr || evutil_ascii_strcasecmp(cn, "close") != 0;
+    }
+    c->run->finish(c, code, keep);
+  }
+
+  void finish(Call* c, int code, bool keep) {
+    kinds[c->kind]->t.add(c->due, c->sent, now_s(), code);
+    if (keep) {
+      idle.push_back(c->ec);
+    } else {
+      evhttp_connection* const ec = c->ec;
+      after(eb, 0, [ec] { evhttp_connection_free(ec); });
+    }
+    delete c;
+    if (--at_work == 0 && arriving == 0) event_base_loopbreak(eb);
+  }
+
+  bool print(bool as_json) const {
+    u64 good = 0;
+    rapidjson::StringBuffer sb;
+    rapidjson::Writer<rapidjson::StringBuffer> w(sb);
+    w.StartObject();
+    w.Key("channels");
+    w.Uint64(open);
+    w.Key("kinds");
+    w.StartArray();
+    if (!as_json) std::printf("%-14s %8s %8s %6s %9s %9s %9s %9s  %s\n", "kind", "due", "good", "late", "p50 ms", "p90 ms", "p99 ms", "most ms", "answers");
+    for (auto const& k : kinds) {
+      Tally const& t = k->t;
+      good += t.times.count();
+      std::string codes;
+      for (auto const& [c, n] : t.codes) codes += (codes.empty() ? "" : " ") + (c == 0 ? std::string("none") : std::to_string(c)) + ":" + std::to_string(n);
+      if (!as_json)
+        std::printf("%-14s %8llu %8llu %6llu %9.1f %9.1f %9.1f %9.1f  %s\n", k->k.name.c_str(), static_cast<unsigned long long>(t.due),
+                    static_cast<unsigned long long>(t.times.count()), static_cast<unsigned long long>(t.late), t.times.quantile(0.5) * 1e3,
+                    t.times.quantile(0.9) * 1e3, t.times.quantile(0.99) * 1e3, t.times.most() * 1e3, codes.c_str());
+      w.StartObject();
+      w.Key("kind");
+      w.String(k->k.name.c_str());
+      w.Key("due");
+      w.Uint64(t.due);
+      w.Key("good");
+      w.Uint64(t.times.count());
+      w.Key("late");
+      w.Uint64(t.late);
+      for (auto const& [n, q] : {std::pair{"p50Ms", 0.5}, {"p90Ms", 0.9}, {"p99Ms", 0.99}, {"p999Ms", 0.999}}) {
+        w.Key(n);
+        w.Double(t.times.quantile(q) * 1e3);
+      }
+      w.Key("mostMs");
+      w.Double(t.times.most() * 1e3);
+      w.Key("answers");
+      w.StartObject();
+      for (auto const& [c, n] : t.codes) {
+        w.Key(std::to_string(c).c_str());
+        w.Uint64(n);
+      }
+      w.EndObject();
+      w.EndObject();
+    }
+    w.EndArray();
+    w.EndObject();
+    if (as_json) std::printf("%s\n", sb.GetString());
+    return good > 0;
+  }
+};
+
+// The stand-in server. Invariant: at work <= capacity, waiting <= capacity.
+struct Server {
+  event_base* eb = nullptr;
+  std::string id = "stand-in", service, zone;
+  Addr at;
+  Secs work = 0.02;
+  u32 capacity = 4, busy = 0;
+  u64 seq = 0, run = 0;
+  std::deque<evhttp_request*> waiting;
+
+  static void head(evhttp_request* r, char const* k, std::string const& v) { evhttp_add_header(evhttp_request_get_output_headers(r), k, v.c_str()); }
+
+  void arrive(evhttp_request* r) {
+    evkeyvalq* in = evhttp_request_get_input_headers(r);
+    if (std::strcmp(evhttp_request_get_uri(r), "/health") == 0) {
+      head(r, "X-Server-Id", id);
+      evhttp_send_reply(r, 200, "OK", nullptr);
+      return;
+    }
+    char const* a = evhttp_find_header(in, "X-Attempt-Id");
+    if (a != nullptr) head(r, "X-Attempt-Id", a);
+    char const* t = evhttp_find_header(in, "X-Target-Server");
+    if (t != nullptr && id != t) {
+      head(r, "X-Server-Id", id);
+      evhttp_send_reply(r, 421, "Misdirected Request", nullptr);
+    } else if (a == nullptr || (busy >= capacity && waiting.size() >= capacity)) {
+      head(r, "X-Not-Run", "1");
+      evhttp_send_reply(r, a == nullptr ? 400 : 503, "Not Run", nullptr);
+    } else if (busy >= capacity) {
+      waiting.push_back(r);
+    } else {
+      begin(r);
+    }
+  }
+
+  void begin(evhttp_request* r) {
+    ++busy;
+    after(eb, work, [this, r] {
+      --busy;
+      head(r, "X-Server-Seal", id + "." + std::to_string(++run));
+      evbuffer* b = evbuffer_new();
+      evbuffer_add_printf(b, "run %llu\n", static_cast<unsigned long long>(run));
+      evhttp_send_reply(r, 200, "OK", b);
+      evbuffer_free(b);
+      if (!waiting.empty()) {
+        evhttp_request* const n = waiting.front();
+        waiting.pop_front();
+        begin(n);
+      }
+    });
+  }
+
+  void beat(Addr const& to) {
+    schema::Heartbeat h{};
+    h.service = service;
+    h.address = at.str();
+    h.zone = zone;
+    h.generation = "v1";
+    h.capacity = capacity;
+    h.state = "ready";
+    h.coldLeftS = 0;
+    h.callSeq = ++seq;
+    std::string const body = json::render(h);
+    evhttp_connection* c = evhttp_connection_base_new(eb, nullptr, to.ip.c_str(), static_cast<ev_uint16_t>(to.port));
+    evhttp_connection_set_timeout(c, 1);
+    evhttp_request* r = evhttp_request_new(
+        [](evhttp_request*, void* p) {
+          auto* const ec = static_cast<std::pair<event_base*, evhttp_connection*>*>(p);
+          after(ec->first, 0, [ec] {
+            evhttp_connection_free(ec->second);
+            delete ec;
+          });
+        },
+        new std::pair<event_base*, evhttp_connection*>(eb, c));
+    evkeyvalq* o = evhttp_request_get_output_headers(r);
+    evhttp_add_header(o, "Host", to.str().c_str());
+    evhttp_add_header(o, "Content-Type", "application/json");
+    evbuffer_add(evhttp_request_get_output_buffer(r), body.data(), body.size());
+    evhttp_make_request(c, r, EVHTTP_REQ_POST, ("/-/Servers.Heartbeat/" + id).c_str());
+  }
+};
+
+double number(char const* s, char const* what, double lo, double hi) {
+  char* end = nullptr;
+  double const d = std::strtod(s, &end);
+  if (*s == '\0' || *end != '\0' || !(d >= lo) || d > hi) throw BadLoad(std::string(what) + ": not a fitting number: '" + s + "'");
+  return d;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  static option const opts[] = {{"to", required_argument, nullptr, 't'},      {"host", required_argument, nullptr, 'o'},
+                                {"kind", required_argument, nullptr, 'k'},    {"for", required_argument, nullptr, 'f'},
+                                {"time-left", required_argument, nullptr, 'l'}, {"seed", required_argument, nullptr, 's'},
+                                {"json", no_argument, nullptr, 'j'},          {"at", required_argument, nullptr, 'a'},
+                                {"id", required_argument, nullptr, 'i'},      {"work-ms", required_argument, nullptr, 'w'},
+                                {"capacity", required_argument, nullptr, 'c'}, {"beat", required_argument, nullptr, 'b'},
+                                {"service", required_argument, nullptr, 'S'}, {"zone", required_argument, nullptr, 'z'},
+                                {"help", no_argument, nullptr, 'h'},          {"version", no_argument, nullptr, 'v'},
+                                {nullptr, 0, nullptr, 0}};
+  Run run;
+  Server sv;
+  std::optional<Addr> to, at, beat;
+  std::vector<LoadKind> kinds;
+  bool as_json = false;
+  try {
+    for (int o = 0; (o = getopt_long(argc, argv, "hv", opts, nullptr)) != -1;) {
+      switch (o) {
+        case 't': to = parse_addr(optarg, "--to"); break;
+        case 'o': run.host = optarg; break;
+        case 'k': kinds.push_back(parse_kind(optarg)); break;
+        case 'f': run.span = number(optarg, "--for", 0.01, 86400); break;
+        case 'l': run.time_left = number(optarg, "--time-left", 0.01, 3600); break;
+        case 's': run.seed = static_cast<u64>(number(optarg, "--seed", 0, 1e15)); break;
+        case 'j': as_json = true; break;
+        case 'a': at = parse_addr(optarg, "--at"); break;
+        case 'i': sv.id = optarg; break;
+        case 'w': sv.work = number(optarg, "--work-ms", 0, 1e6) / 1000; break;
+        case 'c': sv.capacity = static_cast<u32>(number(optarg, "--capacity", 1, 1e6)); break;
+        case 'b': beat = parse_addr(optarg, "--beat"); break;
+        case 'S': sv.service = optarg; break;
+        case 'z': sv.zone = optarg; break;
+        case 'h': usage(stdout); return rc_ok;
+        case 'v': std::printf("patron (dockbend) 0.1.0\n"); return rc_ok;
+        default: usage(stderr); return rc_usage;
+      }
+    }
+  } catch (std::exception const& e) {
+    std::fprintf(stderr, "patron: %s\n", e.what());
+    return rc_usage;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  event_base* const eb = event_base_new();
+  bool const serve = optind + 1 == argc && std::strcmp(argv[optind], "serve") == 0;
+  if (serve && at && (!beat || (!sv.service.empty() && !sv.zone.empty()))) {
+    sv.eb = eb;
+    sv.at = *at;
+    evhttp* h = evhttp_new(eb);
+    evhttp_set_gencb(h, [](evhttp_request* r, void* p) { static_cast<Server*>(p)->arrive(r); }, &sv);
+    if (evhttp_bind_socket(h, at->ip.c_str(), static_cast<ev_uint16_t>(at->port)) != 0) {
+      std::fprintf(stderr, "patron: can't listen at %s\n", at->str().c_str());
+      return rc_failed;
+    }
+    std::unique_ptr<Ticker> tick;
+    if (beat) {
+      sv.beat(*beat);
+      tick = std::make_unique<Ticker>(eb, 1.0, [&] { sv.beat(*beat); });
+    }
+    event_base_dispatch(eb);
+    return rc_ok;
+  }
+  if (serve || optind < argc || !to || run.host.empty() || kinds.empty()) {
+    usage(stderr);
+    return rc_usage;
+  }
+  run.eb = eb;
+  run.to = *to;
+  for (std::size_t i = 0; i < kinds.size(); ++i) run.kinds.push_back(std::make_unique<Kind_>(Kind_{kinds[i], Arrivals(kinds[i].rate, run.seed * 1000 + i), {}}));
+  run.arriving = kinds.size();
+  run.start = now_s();
+  for (std::size_t i = 0; i < kinds.size(); ++i) run.arm(i);
+  event_base_dispatch(eb);
+  return run.print(as_json) ? rc_ok : rc_failed;
+}
