--- a/packages/assign/assign.cpp
+++ b/packages/assign/assign.cpp
@@ -177,7 +177,7 @@
     // The time an answer is likely to take: what was seen, stretched by our own
     // share of its slots in use. What was seen long ago fades to the pool's mean.
     double lat = t.lat > 0 ? t.lat : pool_lat;
-    double const fade = std::exp(-(now - t.lat_at) / 4.0);
+    double const fade = std::exp(-(now - t.lat_at) / 10.0);
     lat = pool_lat + (lat - pool_lat) * (t.lat > 0 ? fade : 0.0);
     double const own = t.capacity / ns;
     double est = lat * std::max(1.0, (t.out + 1.0) / std::max(own, 0.5)) + lat * 0.15 * t.out;
@@ -208,7 +208,7 @@
   if (t.out > 0) --t.out;
   if (!good) return;
   t.fails = 0;
-  t.lat = t.lat > 0 ? t.lat * 0.8 + lat * 0.2 : lat;
+  t.lat = t.lat > 0 ? t.lat * 0.88 + lat * 0.12 : 0.5 * pool_lat_[t.pool.v] + 0.5 * lat;
   t.lat_at = now;
   double& p = pool_lat_[t.pool.v];
   p = p * 0.99 + lat * 0.01;
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -557,7 +557,7 @@
     bool const far = !(t.region == as_.region(st_.region));
     tune_socket(bufferevent_getfd(evhttp_connection_get_bufferevent(c->ec)), e.repeatable() ? (far ? 600 : 250) : 2000);
     // Nothing of it out after this long: the server's machine is not there.
-    e.try_limit = now + std::max(3 * as_.lat_of(e.pool), e.lane->setpoint * 0.6);
+    e.try_limit = now + std::max(4 * as_.lat_of(e.pool), e.lane->setpoint * 0.85);
     set_timer(e, std::min(e.deadline, now + connect_limit(e)));
   }
 
