--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -745,7 +745,8 @@
     }
     if (e.chan == nullptr) return set_timer(e, e.deadline);
     if (!e.chan->sent) return ended(e, End::unsent);
-    if (e.repeatable() && now >= e.try_limit && e.arrivals + 1 < e.lane->max_tries) {
+    // While draining, a server at work is never broken off.
+    if (!draining_ && e.repeatable() && now >= e.try_limit && e.arrivals + 1 < e.lane->max_tries) {
       Wish w;
       w.pool = e.pool;
       w.homes = &e.homes;
--- a/tests/register_test.cpp
+++ b/tests/register_test.cpp
@@ -175,3 +175,35 @@
   n.run();
   cr_assert_eq(n.history.size(), 1u);
 }
+
+// Four members, a fifth joins: three of the new five are no majority of the old four.
+Test(register_, a_step_of_the_roster_needs_both_majorities) {
+  Net n(1, 4);
+  n.add(4, Life(50), true);
+  std::string const e = Net::name(4);
+  n.propose(e, join_member(e, Life(50)));
+  Node& x = n.nodes.at(e);
+  while (!n.bag.empty() && n.bag.front().what != 2) {
+    Msg const m = n.bag.front();
+    n.bag.erase(n.bag.begin());
+    n.deliver(n.nodes.at(m.to), m);
+  }
+  int old = 0;
+  std::vector<Msg> held;
+  std::vector<Msg> accs;
+  accs.swap(n.bag);
+  for (Msg const& m : accs) {
+    if (m.what != 2) continue;
+    if (m.to != e && ++old > 2) {
+      held.push_back(m);
+      continue;
+    }
+    n.deliver(n.nodes.at(m.to), m);
+  }
+  n.run();
+  cr_assert_not(x.prop->won());
+  cr_assert_not(held.empty());
+  n.bag.push_back(held.front());
+  n.run();
+  cr_assert(x.prop->won());
+}
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -92,14 +92,18 @@
   Sites const s = sites(1);
   r.step(0, s);
   r.heard("e0", false);
-  cr_assert_not(r.step(1, s).commit);
+  auto const again = r.step(1, s);
+  cr_assert_not(again.commit);
+  cr_assert(again.send.empty(), "who refused is not asked again in this life");
   r.lost("e0");
   cr_assert_eq(r.step(1.1, s).send.size(), 1u, "its next life is asked anew");
   r.heard("e0", true);
   cr_assert(r.step(1.2, s).commit);
   Rollout q(2, plan(), 0);
-  q.heard("e9", true);
-  cr_assert_eq(q.step(0, s).send.size(), 1u, "who was not asked does not count");
+  q.heard("e0", true);
+  auto const first = q.step(0, s);
+  cr_assert_eq(first.send.size(), 1u, "who was not asked does not count");
+  cr_assert_not(first.commit);
 }
 
 Test(rollout, operator_pauses_resumes_and_aborts) {
