--- a/packages/gossip/include/gossip/roll.hpp
+++ b/packages/gossip/include/gossip/roll.hpp
@@ -48,7 +48,6 @@
   std::optional<Row> get(std::string const& id, Secs now) const;
   u64 digest() const { return digest_; }
   std::unordered_map<std::string, Entry> const& entries() const { return m_; }
-  std::size_t live() const;
   void drop_absent(std::vector<Row> const& full, Secs older, Secs now);
 
  private:
--- a/packages/gossip/roll.cpp
+++ b/packages/gossip/roll.cpp
@@ -97,12 +97,6 @@
   return r;
 }
 
-std::size_t Roll::live() const {
-  std::size_t n = 0;
-  for (auto const& [id, e] : m_) n += e.row.state != Standing::gone ? 1 : 0;
-  return n;
-}
-
 void Roll::drop_absent(std::vector<Row> const& full, Secs older, Secs now) {
   std::unordered_set<std::string> have;
   for (Row const& r : full) have.insert(r.id);
--- a/packages/register/include/register/vellum.hpp
+++ b/packages/register/include/register/vellum.hpp
@@ -49,7 +49,6 @@
   // For what nobody waits for: goes along with the next commit, or with one of its
   // own after a moment. Kept in order with all that was handed in before.
   void submit_lazy(std::vector<Op> ops);
-  std::size_t backlog() const { return waiting_; }
 
  private:
   struct Batch {
@@ -70,7 +69,6 @@
   std::condition_variable cv_;
   std::deque<Batch> in_, out_;
   bool stop_ = false, eager_ = false;
-  std::size_t waiting_ = 0;
   int pipe_[2] = {-1, -1};
   event* ev_ = nullptr;
   std::thread th_;
--- a/packages/register/vellum.cpp
+++ b/packages/register/vellum.cpp
@@ -124,7 +124,6 @@
 }
 
 void Vellum::find_ret(std::string const& k, Found f) {
-  ++waiting_;
   Batch b;
   b.want = k;
   b.found = std::move(f);
@@ -137,7 +136,6 @@
 }
 
 void Vellum::submit_lazy(std::vector<Op> ops) {
-  ++waiting_;
   Batch b;
   b.ops = std::move(ops);
   bool first = false;
@@ -150,7 +148,6 @@
 }
 
 void Vellum::submit(std::vector<Op> ops, Done done) {
-  ++waiting_;
   {
     std::lock_guard<std::mutex> const g(mu_);
     Batch b;
@@ -226,7 +223,6 @@
     got.swap(out_);
   }
   for (Batch& b : got) {
-    --waiting_;
     if (b.done) b.done(b.ok);
     if (b.found) b.found(b.got);
   }
--- a/packages/stacks/courier.cpp
+++ b/packages/stacks/courier.cpp
@@ -85,10 +85,6 @@
   on_down.emit(*this);
 }
 
-std::size_t Channel::pending() const {
-  return bev_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(bev_));
-}
-
 void Channel::send(Kind k, u32 tag, std::string_view body) {
   if (!up_) return;
   u8 head[head_len];
@@ -198,7 +194,6 @@
   ch_ = Channel::dial(eb_, to_);
   dialled_ = now_s();
   ch_->on_up.connect([this](Channel&) {
-    since_ = now_s();
     back_ = 0.1;
     wait_ = 0.4;
     on_up.emit(*this);
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -53,12 +53,8 @@
   bool open() const { return bev_ != nullptr; }
   Secs heard() const { return heard_; }
   Secs sent() const { return sent_; }
-  std::size_t pending() const;
   u64 id() const { return id_; }
 
-  std::string peer_ip;  // whom the far side said it is
-  int peer_role = 0;    // 0 unknown, 1 archivist, 2 page
-
  private:
   Channel() = default;
   void arm(event_base* eb, evutil_socket_t fd);
@@ -118,7 +114,6 @@
     if (up()) ch_->send(k, tag, x);
   }
   void tick(Secs now);
-  Secs up_since() const { return since_; }
 
  private:
   void dial();
@@ -126,7 +121,7 @@
   Addr to_;
   Secs ping_s_, quiet_s_;
   ChannelP ch_;
-  Secs next_ = 0, dialled_ = 0, since_ = 0, back_ = 0.1, wait_ = 0.4;
+  Secs next_ = 0, dialled_ = 0, back_ = 0.1, wait_ = 0.4;
 };
 
 void tune_socket(evutil_socket_t fd, int user_timeout_ms);
--- a/packages/stacks/include/stacks/program.hpp
+++ b/packages/stacks/include/stacks/program.hpp
@@ -1,7 +1,9 @@
 // What every program shares: command line, settings, signals, a watched file.
 #pragma once
 #include <event2/event.h>
+#include <unistd.h>
 
+#include <cstdio>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -15,6 +17,7 @@
   char const* name;
   char const* what;
   bool can_stage = false;  // knows --staged
+  std::vector<std::string> binds{};  // addresses it can't do without
 };
 
 // Reads the command line (--help, --version, --check, --settings FILE) and the
@@ -37,4 +40,27 @@
   i64 seen_mtime_ = 0, seen_size_ = 0;
 };
 
+// The whole life of a daemon: settings, its task, its signals, the loop. The task
+// has term() and settings(); it breaks the loop when it is done.
+template <class Task>
+int run_daemon(Cli const& cli, int argc, char** argv) {
+  Settings st;
+  if (auto const rc = open_program(cli, argc, argv, st)) return *rc;
+  event_base* const eb = event_base_new();
+  try {
+    Task task(eb, st);
+    Watch w(eb);
+    w.on_term.connect([&] { task.term(); });
+    w.on_settings.connect([&](Settings const& s) { task.settings(s); });
+    event_base_dispatch(eb);
+    _exit(0);  // nothing is left to unwind, and log threads need not be waited for
+  } catch (BadSetting const& e) {
+    std::fprintf(stderr, "%s: settings: %s\n", cli.name, e.what());
+    return 2;
+  } catch (std::exception const& e) {
+    std::fprintf(stderr, "%s: %s\n", cli.name, e.what());
+    return 1;
+  }
+}
+
 }  // namespace dockbend
--- a/packages/stacks/program.cpp
+++ b/packages/stacks/program.cpp
@@ -58,6 +58,8 @@
   try {
     st = load_settings(path_used);
     st.staged = st.staged || staged;
+    for (std::string const& b : cli.binds)
+      if (st.bind.count(b) == 0) throw BadSetting("bind." + b, "missing");
   } catch (BadSetting const& e) {
     std::fprintf(stderr, "%s: settings: %s\n", cli.name, e.what());
     return 2;
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -197,9 +197,6 @@
       l.send(Kind::hello, 0, h);
       mates_[ip].heard = now_s();
       for (auto& o : proposer_.resend(ip)) send_out(o);
-      Feed f;
-      f.on = false;
-      f.have = bal();
       l.send(Kind::pull, 0, Pull{bal()});
       // What we hold of the servers, for it may have begun anew.
       spread_to(l, roll_.all(now_s()));
@@ -313,8 +310,6 @@
     switch (l.kind) {
       case Kind::hello: {
         p.hello = l.as<Hello>();
-        p.ch->peer_ip = p.hello.ip;
-        p.ch->peer_role = static_cast<int>(p.hello.role);
         if (p.hello.role == 1) holds(p.hello.ip, p.hello.life, p.hello.accepted);
         HelloR r;
         r.bal = bal();
@@ -1452,22 +1447,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
-  Settings st;
-  if (auto const rc = open_program({"archivist", "dockbend's control API, register and directory", true}, argc, argv, st)) return *rc;
-  event_base* eb = event_base_new();
-  try {
-    Archivist a(eb, st);
-    Watch w(eb);
-    w.on_term.connect([&] { a.term(); });
-    w.on_settings.connect([&](Settings const& s) { a.settings(s); });
-    event_base_dispatch(eb);
-    _exit(0);  // nothing is left to unwind, and log threads need not be waited for
-  } catch (BadSetting const& e) {
-    std::fprintf(stderr, "archivist: settings: %s\n", e.what());
-    return 2;
-  } catch (std::exception const& e) {
-    std::fprintf(stderr, "archivist: %s\n", e.what());
-    return 1;
-  }
-}
+int main(int argc, char** argv) { return run_daemon<Archivist>({"archivist", "dockbend's control API, register and directory", true, {"control"}}, argc, argv); }
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -103,6 +103,7 @@
   Proxy(event_base* eb, Settings const& st)
       : eb_(eb), st_(st), as_(st_), man_(std::make_shared<Compiled>()),
         page_(eb, Addr{"127.0.0.1", st.innerFirst + 1}, 0.4, 2.0) {
+    self_ = this;
     front_ = evhttp_new(eb_);
     evhttp_set_allowed_methods(front_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
                                            EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
@@ -127,7 +128,7 @@
     evhttp_free(ready_);
   }
 
-  void drain() {
+  void term() {
     if (draining_) return;
     draining_ = true;
     drain_at_ = now_s();
@@ -806,23 +807,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
-  Settings st;
-  if (auto const rc = open_program({"circulation", "dockbend's proxy"}, argc, argv, st)) return *rc;
-  event_base* eb = event_base_new();
-  try {
-    Proxy px(eb, st);
-    Proxy::self_ = &px;
-    Watch w(eb);
-    w.on_term.connect([&] { px.drain(); });
-    w.on_settings.connect([&](Settings const& s) { px.settings(s); });
-    event_base_dispatch(eb);
-    _exit(0);  // nothing is left to unwind, and log threads need not be waited for
-  } catch (BadSetting const& e) {
-    std::fprintf(stderr, "circulation: settings: %s\n", e.what());
-    return 2;
-  } catch (std::exception const& e) {
-    std::fprintf(stderr, "circulation: %s\n", e.what());
-    return 1;
-  }
-}
+int main(int argc, char** argv) { return run_daemon<Proxy>({"circulation", "dockbend's proxy", false, {"front", "ready"}}, argc, argv); }
--- a/programs/page.cpp
+++ b/programs/page.cpp
@@ -567,22 +567,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
-  Settings st;
-  if (auto const rc = open_program({"page", "dockbend's agent beside the proxy"}, argc, argv, st)) return *rc;
-  event_base* eb = event_base_new();
-  try {
-    Agent a(eb, st);
-    Watch w(eb);
-    w.on_term.connect([&] { a.term(); });
-    w.on_settings.connect([&](Settings const& s) { a.settings(s); });
-    event_base_dispatch(eb);
-    _exit(0);  // nothing is left to unwind, and log threads need not be waited for
-  } catch (BadSetting const& e) {
-    std::fprintf(stderr, "page: settings: %s\n", e.what());
-    return 2;
-  } catch (std::exception const& e) {
-    std::fprintf(stderr, "page: %s\n", e.what());
-    return 1;
-  }
-}
+int main(int argc, char** argv) { return run_daemon<Agent>({"page", "dockbend's agent beside the proxy"}, argc, argv); }
