Kept answers give way long before the disk is full

An answer may be 64 KiB; at 180 keyed errands a second a 256 MB disk would be full within 25 s of the horizon's 80, and a full disk does not vote.

--- a/packages/register/include/register/vellum.hpp
+++ b/packages/register/include/register/vellum.hpp
@@ -42,7 +42,7 @@
   std::string meta(std::string const& k) const;  // only before the first submit
   std::vector<DiskKey> keys() const;             // only before the first submit
   std::vector<std::string> rows() const;          // only before the first submit
-  std::vector<std::string> ret_keys() const;      // only before the first submit
+  std::vector<std::pair<std::string, std::size_t>> ret_sizes() const;  // only before the first submit
   // Looks a kept answer up; "" if there is none. Seen after all submits before it.
   void find_ret(std::string const& k, Found f);
   void submit(std::vector<Op> ops, Done done);
--- a/packages/register/vellum.cpp
+++ b/packages/register/vellum.cpp
@@ -112,7 +112,15 @@
   return out;
 }
 std::vector<std::string> Vellum::rows() const { return column("SELECT v FROM server"); }
-std::vector<std::string> Vellum::ret_keys() const { return column("SELECT k FROM ret"); }
+std::vector<std::pair<std::string, std::size_t>> Vellum::ret_sizes() const {
+  std::vector<std::pair<std::string, std::size_t>> out;
+  sqlite3_stmt* s = db_->prep("SELECT k,length(v) FROM ret");
+  while (sqlite3_step(s) == SQLITE_ROW)
+    out.emplace_back(std::string(static_cast<char const*>(sqlite3_column_blob(s, 0)), static_cast<std::size_t>(sqlite3_column_bytes(s, 0))),
+                     static_cast<std::size_t>(sqlite3_column_int64(s, 1)));
+  sqlite3_finalize(s);
+  return out;
+}
 
 std::string Vellum::lookup(std::string const& k) {
   sqlite3_stmt* s = db_->find;
--- a/packages/stacks/include/stacks/settings.hpp
+++ b/packages/stacks/include/stacks/settings.hpp
@@ -51,7 +51,7 @@
   bool bootstrap = false;
   bool lossCounted = false;
   double beatPeriodS = 1.5;
-  double memoryMb = 256, fdLimit = 1024, cpuShare = 1;
+  double memoryMb = 256, fdLimit = 1024, cpuShare = 1, diskMb = 0;
   Bounds bounds;
 
   // The region of a zone, "" if the settings do not name it.
--- a/packages/stacks/settings.cpp
+++ b/packages/stacks/settings.cpp
@@ -73,6 +73,7 @@
   known["lossCounted"] = [&](auto const& f, auto const& v) { st.lossCounted = boolean(f, v); };
   num("beatPeriodS", st.beatPeriodS, 0.01, 3600);
   num("limits.memoryMb", st.memoryMb);
+  num("limits.diskMb", st.diskMb);
   num("limits.fdLimit", st.fdLimit);
   num("limits.cpuShare", st.cpuShare);
   Bounds& b = st.bounds;
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -145,7 +145,10 @@
     proposer_.saw(promised);
     if (first.empty() && s) durable_ = s->bal;
     for (std::string const& r : vellum_->rows()) roll_.load(codec::unpack<Row>(r), now_s());
-    for (std::string const& k : vellum_->ret_keys()) ret_order_.emplace_back(k, now_s());
+    for (auto const& [k, n] : vellum_->ret_sizes()) {
+      ret_order_.push_back({k, now_s(), n});
+      ret_bytes_ += n;
+    }
     if (std::string const v = vellum_->meta("sites"); !v.empty())
       for (ZoneCount const& z : codec::unpack<News>(v).sites) counts_[z.zone] = Counted{z.n, now_s()};
     if (!first.empty()) {
@@ -725,12 +728,17 @@
     o.v.assign(body);
     vellum_->submit_lazy({o});
     Secs const now = now_s();
-    ret_order_.emplace_back(r.key, now);
+    ret_order_.push_back({r.key, now, body.size()});
+    ret_bytes_ += body.size();
     std::vector<Vellum::Op> old;
-    while (!ret_order_.empty() && now - ret_order_.front().second > st_.bounds.keyHorizonS * 1.25 + 5) {
+    // Answers are a convenience, votes are not: answers give way long before the
+    // disk is full.
+    double const most = (st_.diskMb > 0 ? st_.diskMb : 256) * 0.3e6;
+    while (!ret_order_.empty() && (now - ret_order_.front().at > st_.bounds.keyHorizonS * 1.25 + 5 || static_cast<double>(ret_bytes_) > most)) {
       Vellum::Op d;
       d.what = Vellum::Op::What::drop_ret;
-      d.k = ret_order_.front().first;
+      d.k = ret_order_.front().key;
+      ret_bytes_ -= ret_order_.front().bytes;
       old.push_back(std::move(d));
       ret_order_.pop_front();
     }
@@ -1424,7 +1432,13 @@
   std::deque<Call> calls_;
   std::vector<Call> batch_;
   std::set<std::string> rebuild_heard_;
-  std::deque<std::pair<std::string, Secs>> ret_order_;
+  struct Kept {
+    std::string key;
+    Secs at = 0;
+    std::size_t bytes = 0;
+  };
+  std::deque<Kept> ret_order_;  // oldest first
+  std::size_t ret_bytes_ = 0;   // of all in it
   struct Counted {
     u32 n = 0;
     Secs seen = 0;
