--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -1017,10 +1017,12 @@
     return standing && join(items, a, f) == Joined::changed;
   }
 
-  std::map<std::string, std::string> in_touch() const {
+  // Nodes whose last two keepalives did not both fail: a frozen one must not use up
+  // the time that a rollout has.
+  std::map<std::string, std::string> in_touch(Secs now) const {
     std::map<std::string, std::string> m;
     for (auto const& [f, s] : catalog_.rows())
-      if (peers_.count(s.channel) > 0) m[f] = s.zone;
+      if (peers_.count(s.channel) > 0 && now - s.heard < 1.3) m[f] = s.zone;
     return m;
   }
 
@@ -1030,7 +1032,7 @@
       std::string f;
       if (join(items, g.a, f) != Joined::changed) g.ro.overtaken();
     }
-    Rollout::Step const st = g.ro.step(now, in_touch());
+    Rollout::Step const st = g.ro.step(now, in_touch(now));
     if (!st.send.empty()) {
       Hold h;
       h.id = g.ro.id();
