--- a/packages/assign/assign.cpp
+++ b/packages/assign/assign.cpp
@@ -187,6 +187,7 @@
     if (!out.ix || est < best) {
       best = est;
       out.ix = ServerIx(i);
+      out.est = est;
     }
   }
   if (!out.ix) out.no = any ? No::full : No::none;
--- a/packages/assign/include/assign/assign.hpp
+++ b/packages/assign/include/assign/assign.hpp
@@ -45,12 +45,20 @@
   Secs setpoint = 0.5;
 };
 
+// Under load, what would come late anyway makes way early, the lowest ranks first:
+// rank 0 never, rank 1 at three times its aim, rank 2 at twice, and so on down to
+// once its aim.
+inline bool make_way(u32 rank, Secs expected, Secs setpoint) {
+  return rank > 0 && expected > setpoint * (1.0 + 2.0 / rank);
+}
+
 class Assign {
  public:
   enum class No { none, full };
   struct Choice {
     std::optional<ServerIx> ix;
     No no = No::none;
+    Secs est = 0;  // when an answer is likely, if ix
   };
 
   Assign(Settings const& st);
--- a/packages/rollout/include/rollout/rollout.hpp
+++ b/packages/rollout/include/rollout/rollout.hpp
@@ -67,6 +67,21 @@
   std::map<std::string, Secs> sent_;
 };
 
+// A node's side: what it holds, and until when. Invariant: without a word from the
+// one who leads, nothing is held past its time, so a dead leader leaves nothing.
+class Holder {
+ public:
+  void hold(u64 id, Secs until) { m_[id] = until; }
+  void drop(u64 id) { m_.erase(id); }
+  bool holds(u64 id) const { return m_.count(id) > 0; }
+  void expire(Secs now) {
+    std::erase_if(m_, [now](auto const& x) { return x.second < now; });
+  }
+
+ private:
+  std::map<u64, Secs> m_;
+};
+
 // An order of the sites in which every prefix is spread over the zones.
 std::vector<std::string> spread_order(std::map<std::string, std::string> const& site_zone);
 
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -225,17 +225,14 @@
   // held changes nothing of how errands are handled; in force is only what the
   // register has committed.
   void hold(Hold const& h) {
-    if (h.drop) {
-      held_.erase(h.id);
-      return;
-    }
+    if (h.drop) return held_.drop(h.id);
     std::size_t lanes = 0;
     for (Item const& i : h.items) lanes += !i.gone && i.key[0] == 'r' ? 1 : 0;
     HoldR r;
     r.id = h.id;
     r.holds = Compiled::from(h.items).lanes() == lanes;
     r.front = at("front").str();
-    if (r.holds) held_[h.id] = now_s() + h.for_ms / 1000.0;
+    if (r.holds) held_.hold(h.id, now_s() + h.for_ms / 1000.0);
     page_.send(Kind::holdR, 0, r);
   }
 
@@ -502,7 +499,7 @@
     w.bulky = e.body > 16384 || e.lane->kind == LaneKind::inflow;
     w.setpoint = e.lane->setpoint;
     Assign::Choice const c = as_.choose(w, now);
-    if (!c.ix) return give_up(e);
+    if (!c.ix || (e.tries == 0 && make_way(e.lane->rank, c.est, e.lane->setpoint))) return give_up(e);
     send(e, *c.ix, now);
   }
 
@@ -763,7 +760,7 @@
   void tick() {
     Secs const now = now_s();
     page_.tick(now);
-    for (auto it = held_.begin(); it != held_.end();) it = it->second < now ? held_.erase(it) : std::next(it);
+    held_.expire(now);
     for (auto& [s, l] : idle_) {
       std::vector<Chan*> old;
       for (Chan* c : l)
@@ -794,7 +791,7 @@
   std::unordered_map<u32, std::vector<Chan*>> idle_;
   std::unordered_map<u32, Handle> asks_;
   std::set<std::string> pool_names_, evac_;
-  std::map<u64, Secs> held_;  // rollouts whose change is held here, and until when
+  Holder held_;  // rollouts whose change is held here
   u32 next_tag_ = 0;
   bool have_state_ = false, draining_ = false;
   Ballot bal_;
--- a/tests/assign_test.cpp
+++ b/tests/assign_test.cpp
@@ -131,6 +131,49 @@
   cr_assert(tries.size() > 100);
 }
 
+// Channels of all proxies together stay under a server's limit, also when some
+// know of fewer proxies than there are.
+Test(assign, channel_shares_stay_under_the_limit) {
+  Settings const st = settings();
+  for (u32 n : {4u, 9u, 40u}) {
+    u32 sum = 0;
+    for (u32 i = 0; i < n; ++i) {
+      Assign a(st);
+      a.rule(a.pool("p"), PoolRule{110, 10, 3});
+      a.sites({{"n1", i == 0 ? n - 1 : n}});
+      a.table({seen("z", "n1")}, 0);
+      sum += a.chan_share(*a.choose(wish(a), 0).ix);
+    }
+    cr_assert(sum <= 110, "%u proxies hold %u", n, sum);
+  }
+}
+
+Test(assign, lower_ranks_make_way_first) {
+  cr_assert_not(make_way(0, 100, 0.3));
+  for (u32 r = 1; r < 6; ++r) {
+    cr_assert_not(make_way(r, 0.3, 0.3), "what comes in time is never refused");
+    cr_assert(make_way(r, 1.0, 0.3));
+  }
+  cr_assert_not(make_way(1, 0.7, 0.3));
+  cr_assert(make_way(2, 0.7, 0.3));
+}
+
+// A full server and one that resets are left alone for a moment, then tried again.
+Test(assign, passive_health_shuns_and_forgives) {
+  Settings const st = settings();
+  Assign a(st);
+  a.table({seen("z", "n1")}, 0);
+  ServerIx const z = *a.choose(wish(a), 0).ix;
+  a.shun(z, 0.1, 0);
+  cr_assert_not(a.choose(wish(a), 0.01).ix.has_value());
+  cr_assert(a.choose(wish(a), 0.2).ix.has_value());
+  a.shun(z, 0.1, 0.2);
+  cr_assert_not(a.choose(wish(a), 0.33).ix.has_value(), "longer the second time");
+  a.full(z, 1);
+  cr_assert_not(a.choose(wish(a), 1.01).ix.has_value());
+  cr_assert(a.choose(wish(a), 1.2).ix.has_value());
+}
+
 Test(settings, bad_ones_are_named_and_unknown_ones_ignored) {
   std::string const ok = "ip=10.0.0.1\nzone=a\nzones.a=r\ninnerPorts=7000,7010\nnew.field=x\nseedAddrs=10.0.0.2:80\n";
   cr_assert_eq(parse_settings(ok).seeds.size(), 1u);
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -177,3 +177,18 @@
     }
   }
 }
+
+// The leader dies in the middle: what was held expires everywhere, and a second
+// leader's rollout of the same change begins anew.
+Test(rollout, a_dead_leader_leaves_nothing_held) {
+  Holder h;
+  h.hold(1, 5);
+  h.expire(4);
+  cr_assert(h.holds(1));
+  h.hold(2, 9);
+  h.expire(6);
+  cr_assert_not(h.holds(1));
+  cr_assert(h.holds(2));
+  h.drop(2);
+  cr_assert_not(h.holds(2));
+}
