One draw of random numbers, one table of reasons; dead state gone

The generator's arrivals drew with a copy of random64; both programs had a table of reason phrases; the proposer kept a set only to ask whether it had just put something in; two fields of an errand and one question of assign were never read.

--- a/packages/assign/include/assign/assign.hpp
+++ b/packages/assign/include/assign/assign.hpp
@@ -95,7 +95,6 @@
   RetryBudget& budget(PoolIx p) { return budgets_.at(p.v); }
   std::size_t live() const;
   double lat_of(PoolIx p) const { return pool_lat_[p.v]; }
-  bool is_evacuated(PlaceIx z) const { return evac_.count(z.v) > 0; }
   std::vector<ServerIx> gone_idle() const;
 
  private:
--- a/packages/errand/heads.cpp
+++ b/packages/errand/heads.cpp
@@ -49,6 +49,22 @@
 
 bool surely_not_run(End e) { return e == End::not_run || e == End::misdirected || e == End::unsent; }
 
+char const* reason_of(int code) {
+  switch (code) {
+    case 200: return "OK";
+    case 400: return "Bad Request";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 409: return "Conflict";
+    case 413: return "Content Too Large";
+    case 431: return "Request Header Fields Too Large";
+    case 502: return "Bad Gateway";
+    case 503: return "Service Unavailable";
+    case 504: return "Gateway Timeout";
+    default: return "Answer";
+  }
+}
+
 bool promise_code(int code) { return code == 429 || code == 503 || code == 408 || code == 421; }
 
 End judge(Reply const& r, std::string_view attempt_id) {
--- a/packages/errand/include/errand/heads.hpp
+++ b/packages/errand/include/errand/heads.hpp
@@ -52,5 +52,6 @@
 // May a server's code go to the client as it is? 429, 503, 408 and 421 promise
 // that nothing ran; without X-Not-Run the server promised no such thing.
 bool promise_code(int code);
+char const* reason_of(int code);
 
 }  // namespace dockbend
--- a/packages/patron/tally.cpp
+++ b/packages/patron/tally.cpp
@@ -43,12 +43,7 @@
 }
 
 Secs Arrivals::next() {
-  s_ += 0x9e3779b97f4a7c15ULL;
-  u64 z = s_;
-  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-  z ^= z >> 31;
-  double const u = (static_cast<double>(z >> 11) + 0.5) * 0x1.0p-53;
+  double const u = (static_cast<double>(next64(s_) >> 11) + 0.5) * 0x1.0p-53;
   at_ += -std::log(u) / rate_;
   return at_;
 }
--- a/packages/register/include/register/proposer.hpp
+++ b/packages/register/include/register/proposer.hpp
@@ -54,7 +54,6 @@
   std::set<std::string> asked_;       // "ip/life" asked for a promise
   std::set<std::string> promised_;    // "ip/life" that promised bal_
   std::set<std::string> accepted_;    // "ip/life" that accepted bal_
-  std::set<std::string> refused_;
 };
 
 }  // namespace dockbend
--- a/packages/register/proposer.cpp
+++ b/packages/register/proposer.cpp
@@ -34,7 +34,6 @@
   asked_.clear();
   promised_.clear();
   accepted_.clear();
-  refused_.clear();
   std::vector<Out> out;
   for (Member const& m : best_.roster) {
     asked_.insert(id_of(m));
@@ -50,8 +49,7 @@
   if (phase_ != Phase::preparing || r.bal != bal_) return {};
   saw(r.promised);
   if (!r.ok) {
-    if (r.promised >= bal_) refused_.insert(from);
-    if (refused_.size() >= 1 && r.promised > bal_) {  // someone else is ahead: give way
+    if (r.promised > bal_) {  // someone else is ahead: give way
       phase_ = Phase::idle;
       done_ = true;
     }
--- a/packages/register/state.cpp
+++ b/packages/register/state.cpp
@@ -22,14 +22,15 @@
     ++n;
     whole += m.whole ? 1 : 0;
   }
+  bool const must_wait = !me.whole && whole < n / 2 + 1;
   for (Member& m : roster) {
     if (m.ip != me.ip) continue;
-    if (!m.same_disk(me) && !me.whole && whole < n / 2 + 1) return false;
+    if (!m.same_disk(me) && must_wait) return false;
     if (m.same_disk(me) && m.zone == me.zone && m.region == me.region && m.control == me.control && m.whole == me.whole) return false;
     m = me;
     return true;
   }
-  if (!me.whole && whole < n / 2 + 1) return false;
+  if (must_wait) return false;
   roster.push_back(me);
   std::sort(roster.begin(), roster.end(), [](Member const& a, Member const& b) { return a.ip < b.ip; });
   return true;
--- a/packages/stacks/base.cpp
+++ b/packages/stacks/base.cpp
@@ -25,6 +25,14 @@
   return h;
 }
 
+u64 next64(u64& state) {
+  state += 0x9e3779b97f4a7c15ULL;
+  u64 z = state;
+  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+  return z ^ (z >> 31);
+}
+
 u64 random64() {
   static u64 s = [] {
     u64 x = 0;
@@ -37,11 +45,7 @@
     clock_gettime(CLOCK_REALTIME, &ts);
     return x ^ (static_cast<u64>(ts.tv_nsec) << 20) ^ static_cast<u64>(ts.tv_sec) ^ (static_cast<u64>(::getpid()) << 48);
   }();
-  s += 0x9e3779b97f4a7c15ULL;
-  u64 z = s;
-  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-  return z ^ (z >> 31);
+  return next64(s);
 }
 
 double random01() { return static_cast<double>(random64() >> 11) * 0x1.0p-53; }
--- a/packages/stacks/include/stacks/types.hpp
+++ b/packages/stacks/include/stacks/types.hpp
@@ -38,6 +38,7 @@
 Secs now_s();
 
 u64 hash64(std::string_view s, u64 seed = 0);
+u64 next64(u64& state);  // the next draw of a sequence that `state` stands for
 u64 random64();
 double random01();
 
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -14,6 +14,7 @@
 #include <set>
 
 #include "catalog/catalog.hpp"
+#include "errand/heads.hpp"
 #include "gossip/roll.hpp"
 #include "keys/ledger.hpp"
 #include "manifest/manifest.hpp"
@@ -40,18 +41,6 @@
   return {code, json::render(f)};
 }
 
-char const* reason_of(int code) {
-  switch (code) {
-    case 200: return "OK";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 409: return "Conflict";
-    case 503: return "Service Unavailable";
-    default: return "Answer";
-  }
-}
-
 struct Mate {
   std::unique_ptr<Link> link;
   int off = 0;
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -67,8 +67,7 @@
   Chan* chan = nullptr;
   ServerIx server;
   u64 holder = 0;
-  bool asking = false, granted = false, maybe_run = false, waiting = false;
-  bool shed_seen = false;
+  bool asking = false, granted = false, maybe_run = false;
   event* timer = nullptr;
   std::size_t body = 0;
   bool repeatable() const { return lane->kind == LaneKind::idempotent || (lane->kind == LaneKind::keyed && dedupes); }
@@ -83,21 +82,6 @@
   return h;
 }
 
-char const* reason_of(int code) {
-  switch (code) {
-    case 200: return "OK";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 409: return "Conflict";
-    case 413: return "Content Too Large";
-    case 431: return "Request Header Fields Too Large";
-    case 502: return "Bad Gateway";
-    case 503: return "Service Unavailable";
-    case 504: return "Gateway Timeout";
-    default: return "Answer";
-  }
-}
-
 class Proxy {
  public:
   Proxy(event_base* eb, Settings const& st)
@@ -698,7 +682,6 @@
       case End::misdirected: as_.misdirected(s); break;
       case End::not_run:
         as_.full(s, now);
-        e.shed_seen = true;
         break;
       case End::broken: as_.shun(s, now - e.try_at > 0.2 ? 0.4 : 0.1, now); break;
       case End::silent: as_.shun(s, 0.1, now); break;
