--- a/packages/assign/assign.cpp
+++ b/packages/assign/assign.cpp
@@ -166,6 +166,12 @@
 double const liking_weight = 0.08, fresh_weight = 0.05;
 }
 
+namespace {
+bool at_home(Wish const& w, Target const& t) {
+  return w.homes == nullptr || w.homes->empty() || std::find(w.homes->begin(), w.homes->end(), t.region) != w.homes->end();
+}
+}  // namespace
+
 Assign::Choice Assign::choose(Wish const& w, Secs now) {
   Choice out;
   double best = 0;
@@ -174,12 +180,12 @@
   bool any = false, any_region = false;
   for (u32 const i : members_[w.pool.v]) {
     Target const& t = t_[i];
-    if (t.ready && !t.misdirected && near(t) != Near::far && evac_.count(t.zone.v) == 0 && t.shun_until <= now) any_region = true;
+    if (t.ready && !t.misdirected && near(t) != Near::far && evac_.count(t.zone.v) == 0 && t.shun_until <= now && at_home(w, t)) any_region = true;
   }
   for (u32 const i : members_[w.pool.v]) {
     Target& t = t_[i];
     if (!t.ready || t.misdirected || evac_.count(t.zone.v) > 0) continue;
-    if (w.homes != nullptr && !w.homes->empty() && std::find(w.homes->begin(), w.homes->end(), t.region) == w.homes->end()) continue;
+    if (!at_home(w, t)) continue;
     if (w.tried != nullptr && std::find(w.tried->begin(), w.tried->end(), ServerIx(i)) != w.tried->end()) continue;
     if (t.shun_until > now) continue;
     any = true;
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -409,6 +409,7 @@
     }
     // Homes of the lane and of its partner that have no region in common: nobody may
     // ever run it.
+    if (homeless) ++given_up_["homes have nothing in common"];
     if (homeless) return write(r, own(503, false, 1.0), id);
     e.timer = event_new(eb_, -1, 0, timer_cb, &e);
     e.h = slab_.add(std::move(up));
@@ -518,7 +519,8 @@
   }
 
   // Nobody can take it: it has not run, so the client is told when to come back.
-  void give_up(Errand& e) {
+  void give_up(Errand& e, char const* why) {
+    ++given_up_[why];
     if (e.course.maybe_run()) {
       finish(e, own(e.deadline() - now_s() < 0.01 ? 504 : 502));
     } else {
@@ -576,7 +578,10 @@
       }
       case Leave::at_work: finish(*e, own(409, false, 0.1 + 0.3 * e->lane->setpoint)); break;
       case Leave::lost: finish(*e, own(502)); break;
-      case Leave::unavailable: finish(*e, own(503, false, 0.2 + 0.2 * random01())); break;
+      case Leave::unavailable:
+        ++given_up_["key not granted"];
+        finish(*e, own(503, false, 0.2 + 0.2 * random01()));
+        break;
     }
   }
 
@@ -593,9 +598,10 @@
 
   void attempt(Errand& e) {
     Secs const now = now_s();
-    if (e.deadline() - now < 0.002) return give_up(e);
+    if (e.deadline() - now < 0.002) return give_up(e, "no time left");
     Assign::Choice const c = as_.choose(wish_of(e), now);
-    if (!c.ix || (e.course.tries() == 0 && make_way(e.rank, c.est, e.lane->setpoint))) return give_up(e);
+    if (!c.ix) return give_up(e, c.no == Assign::No::none ? "nobody may take it" : "all full");
+    if (e.course.tries() == 0 && make_way(e.rank, c.est, e.lane->setpoint)) return give_up(e, "made way");
     send(e, *c.ix, now);
   }
 
@@ -739,7 +745,7 @@
       case End::silent: as_.shun(s, 0.1, now); break;
       case End::whole: break;
     }
-    if (!e.course.may_try_again(now) || (e.course.costs_budget() && !as_.budget(e.pool).take(now, as_.part()))) return give_up(e);
+    if (!e.course.may_try_again(now) || (e.course.costs_budget() && !as_.budget(e.pool).take(now, as_.part()))) return give_up(e, "tries used up");
     attempt(e);
   }
 
@@ -840,6 +846,13 @@
     tell_tally(now);
     lend(now);
     shelf_.sweep(now);
+    if (now - said_at_ > 10 && !given_up_.empty()) {
+      said_at_ = now;
+      std::string line;
+      for (auto const& [why, n] : given_up_) line += (line.empty() ? "" : ", ") + std::string(why) + " " + std::to_string(n);
+      given_up_.clear();
+      LOG4CPLUS_INFO(lg_, "Gave up: " << line << ".");
+    }
     if (!draining_) return;
     Secs const g = st_.bounds.gracePeriodS;
     Secs const t = now - drain_at_;
@@ -882,6 +895,8 @@
   std::vector<Handle> parked_;  // errands that wait for the lender's answer
   Observer atlas_;
   u64 to_fix_ = 0;
+  std::map<std::string, u64> given_up_;  // by reason, since it was last logged
+  Secs said_at_ = 0;
   u32 next_tag_ = 0;
   bool have_state_ = false, draining_ = false, tally_all_ = false;
   Ballot bal_;
