--- a/packages/allowance/allowance.cpp
+++ b/packages/allowance/allowance.cpp
@@ -15,7 +15,7 @@
   Cut c;
   double own = own_share;
   // Less than one token each is worth nothing to anyone; then all of it is lent.
-  if (r.burst * own / n < 1) own = 0;
+  if (proxies <= 0 || r.burst * own / n < 1) own = 0;
   c.own_rate = r.rate * own / n;
   c.own_depth = r.burst * own / n;
   c.lent_rate = r.rate * (1 - own);
@@ -57,6 +57,7 @@
 LoanRet Lender::ask(LoanAsk const& a, Secs now) {
   LoanRet r;
   r.life = a.life;
+  r.seq = a.seq;
   r.lender = true;
   for (Want const& w : a.wants) {
     Loan l;
@@ -105,6 +106,7 @@
     }
     double const got = l.high + l.low;
     if (got > 0) g.out.push_back(Out{got, now + p.cut.lease});
+    l.proxies = p.proxies;
     l.for_ms = static_cast<u32>(p.cut.lease * 1000);
     double const short_of = w.high + w.low - got;
     if (short_of > 0) {
@@ -146,10 +148,10 @@
   for (Lot const& x : l) n += x.n;
   return n;
 }
-bool Borrower::pop(std::deque<Lot>& l, Secs now) {
-  if (sum(l, now) < 1) return false;
+Secs Borrower::pop(std::deque<Lot>& l, Secs now) {
+  if (sum(l, now) < 1) return -1;
   l.front().n -= 1;
-  return true;
+  return l.front().until;
 }
 
 void Borrower::rule(std::string const& tenant, BudgetRule r, double proxies, Secs now) {
@@ -158,7 +160,7 @@
   if (!fresh && p.rule == r && p.proxies == proxies) return;
   p.rule = r;
   p.proxies = proxies;
-  p.cut = cut_of(r, proxies);
+  p.cut = cut_of(r, p.said > 0 ? std::max(proxies, p.said) : 0);
   p.own = fresh ? 0 : std::min(p.own, p.cut.own_depth);
   p.own_at = now;
   if (fresh) p.rate_at = now;
@@ -170,40 +172,43 @@
   return v;
 }
 
-Borrower::Take Borrower::take(std::string const& tenant, bool high, Secs now) {
+Borrower::Token Borrower::take(std::string const& tenant, bool high, Secs now) {
   auto const it = m_.find(tenant);
-  if (it == m_.end()) return Take::own;
+  if (it == m_.end()) return {Take::own, now};
   Purse& p = it->second;
   p.used_at = now;
   (high ? p.want_high : p.want_low) += 1;
   p.own = std::min(p.cut.own_depth, p.own + (now - p.own_at) * p.cut.own_rate);
   p.own_at = now;
   // What is borrowed goes first, for it ends; what is set aside stays for a time alone.
-  Take t = Take::no;
-  if (high && pop(p.high, now)) t = Take::lent_high;
-  else if (pop(p.low, now)) t = Take::lent_low;
-  else if (p.own >= 1) {
+  Token t;
+  if (high)
+    if (t.until = pop(p.high, now); t.until > 0) t.from = Take::lent_high;
+  if (!t)
+    if (t.until = pop(p.low, now); t.until > 0) t.from = Take::lent_low;
+  if (!t && p.own >= 1) {
     p.own -= 1;
-    t = Take::own;
+    t.from = Take::own;
   }
-  if (t != Take::no) {
+  if (t) {
     ++p.spent;
     p.told = false;
   }
   return t;
 }
 
-void Borrower::give_back(std::string const& tenant, Take what, Secs now) {
+void Borrower::give_back(std::string const& tenant, Token const& t, Secs now) {
   auto const it = m_.find(tenant);
-  if (it == m_.end() || what == Take::no) return;
+  if (it == m_.end() || !t) return;
   Purse& p = it->second;
   if (p.spent > 0) --p.spent;
-  if (what == Take::own) {
+  if (t.from == Take::own) {
     p.own = std::min(p.cut.own_depth, p.own + 1);
-  } else {
-    auto& l = what == Take::lent_high ? p.high : p.low;
-    // Only into a lot whose lease still runs; else the token is gone.
-    if (sum(l, now) > 0) l.front().n += 1;
+  } else if (t.until > now) {
+    // It keeps the end of its own lease, whatever was borrowed since.
+    auto& l = t.from == Take::lent_high ? p.high : p.low;
+    auto const at = std::find_if(l.begin(), l.end(), [&](Lot const& x) { return x.until > t.until; });
+    l.insert(at, Lot{1, t.until});
   }
 }
 
@@ -238,6 +243,7 @@
 LoanAsk Borrower::ask(Secs now) {
   LoanAsk a;
   a.life = life_;
+  a.seq = ++seq_;
   a.front = front_;
   asked_ = now;
   asking_ = true;
@@ -281,7 +287,7 @@
 }
 
 void Borrower::got(LoanRet const& r, Secs now) {
-  if (r.life != life_ || !asking_) return;
+  if (r.life != life_ || r.seq != seq_ || !asking_) return;
   asking_ = false;
   for (Loan const& l : r.loans) {
     auto const it = m_.find(l.tenant);
@@ -294,6 +300,12 @@
       if (l.low >= 1) p.low.push_back(Lot{l.low, until});
     }
     p.wait = l.wait > 0 ? l.wait : 0.1;
+    if (l.proxies > 0 && l.proxies != p.said) {
+      p.said = l.proxies;
+      p.cut = cut_of(p.rule, std::max(p.proxies, p.said));
+      p.own = std::min(p.own, p.cut.own_depth);
+      p.own_at = now;
+    }
   }
 }
 
--- a/packages/allowance/include/allowance/allowance.hpp
+++ b/packages/allowance/include/allowance/allowance.hpp
@@ -33,13 +33,13 @@
   DB_RECORD(Want, (std::string, tenant), (double, high), (double, low), (double, back), (u64, spent), (u64, refused));
 };
 struct LoanAsk {
-  DB_RECORD(LoanAsk, (u64, life), (std::string, front), (std::vector<Want>, wants));
+  DB_RECORD(LoanAsk, (u64, life), (u64, seq), (std::string, front), (std::vector<Want>, wants));
 };
 struct Loan {
-  DB_RECORD(Loan, (std::string, tenant), (double, high), (double, low), (double, wait), (u32, for_ms));
+  DB_RECORD(Loan, (std::string, tenant), (double, high), (double, low), (double, wait), (u32, for_ms), (double, proxies));
 };
 struct LoanRet {
-  DB_RECORD(LoanRet, (u64, life), (bool, lender), (std::vector<Loan>, loans));
+  DB_RECORD(LoanRet, (u64, life), (u64, seq), (bool, lender), (std::vector<Loan>, loans));
 };
 
 // The lender's side. Invariants: a token is granted once; one that comes back is lent
@@ -92,21 +92,28 @@
 };
 
 // A proxy's side. Invariants: a token is spent once; a borrowed one not after its
-// lease ended, counted from before it was asked for; a token given back by an errand
+// lease ended, counted from before it was asked for; an answer is taken once, and only
+// to the newest ask; a token given back by an errand
 // that never ran may be spent again in its lease.
 class Borrower {
  public:
   explicit Borrower(u64 life, std::string front) : life_(life), front_(std::move(front)) {}
   void front(std::string f) { front_ = std::move(f); }
-  // Sets or changes a tenant's budget; a changed one begins with nothing.
+  // Sets or changes a tenant's budget; a new one begins with nothing, and has nothing
+  // of its own before a lender said how many share.
   void rule(std::string const& tenant, BudgetRule r, double proxies, Secs now);
   void drop(std::string const& tenant) { m_.erase(tenant); }
   bool has(std::string const& tenant) const { return m_.count(tenant) > 0; }
   std::vector<std::string> tenants() const;
 
   enum class Take { own, lent_high, lent_low, no };
-  Take take(std::string const& tenant, bool high, Secs now);
-  void give_back(std::string const& tenant, Take what, Secs now);
+  struct Token {
+    Take from = Take::no;
+    Secs until = 0;  // of its lease; a token given back ends with it
+    explicit operator bool() const { return from != Take::no; }
+  };
+  Token take(std::string const& tenant, bool high, Secs now);
+  void give_back(std::string const& tenant, Token const& t, Secs now);
   // An errand waits for the next answer.
   void waits(std::string const& tenant, bool high, Secs now);
   void refused(std::string const& tenant);
@@ -127,7 +134,7 @@
   };
   struct Purse {
     BudgetRule rule;
-    double proxies = 1;
+    double proxies = 0, said = 0;  // how many share, as known here and as the lender says
     Cut cut;
     double own = 0;
     Secs own_at = 0;
@@ -139,12 +146,13 @@
     bool told = true;
   };
   static double sum(std::deque<Lot>& l, Secs now);
-  static bool pop(std::deque<Lot>& l, Secs now);
+  static Secs pop(std::deque<Lot>& l, Secs now);  // the lease's end; < 0: none left
   double room(Purse const& p) const;
   u64 life_;
   std::string front_;
   Secs asked_ = -1e9;
   bool asking_ = false, eager_ = false;
+  u64 seq_ = 0;
   std::map<std::string, Purse> m_;
 };
 
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -426,6 +426,7 @@
         Duty const& d = duties_.at("allowance");
         LoanRet r;
         r.life = a.life;
+        r.seq = a.seq;
         if (d.may_act(now, 0)) r = lender_.ask(a, now);
         p.ch->send(Kind::loanR, l.tag, r);
         break;
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -61,7 +61,7 @@
   ServerIx server;
   u64 holder = 0;
   bool asking = false, granted = false, parked = false;
-  Borrower::Take token = Borrower::Take::no;
+  Borrower::Token token;
   u32 counted = 0;  // tries that the tally has
   event* timer = nullptr;
   std::size_t body = 0;
@@ -446,7 +446,7 @@
     std::string const& t = e.tenant->name;
     bool const high = is_high(e);
     e.token = borrower_.take(t, high, now);
-    if (e.token != Borrower::Take::no) return go(e);
+    if (e.token) return go(e);
     // The lender may have some. It is asked at once and waited for as long as that is
     // of use; nothing is held back after its answer.
     if (!e.parked && page_.up()) {
@@ -483,13 +483,13 @@
     std::vector<Handle> l;
     l.swap(parked_);
     for (Handle const h : l)
-      if (Errand* const e = slab_.get(h); e != nullptr && e->parked && e->token == Borrower::Take::no) admit(*e, now);
+      if (Errand* const e = slab_.get(h); e != nullptr && e->parked && !e->token) admit(*e, now);
   }
 
   void refund(Errand& e) {
-    if (e.token == Borrower::Take::no || !e.tenant) return;
+    if (!e.token || !e.tenant) return;
     borrower_.give_back(e.tenant->name, e.token, now_s());
-    e.token = Borrower::Take::no;
+    e.token = {};
   }
 
   void set_timer(Errand& e, Secs at) {
@@ -752,7 +752,7 @@
   void timer(Errand* ep) {
     Errand& e = *ep;
     Secs const now = now_s();
-    if (e.parked && e.token == Borrower::Take::no) {  // the lender kept us waiting
+    if (e.parked && !e.token) {  // the lender kept us waiting
       borrower_.refused(e.tenant->name);
       return finish(e, own(429, false, borrower_.wait_of(e.tenant->name)));
     }
--- a/tests/assign_test.cpp
+++ b/tests/assign_test.cpp
@@ -192,3 +192,65 @@
     }
   }
 }
+
+// Servers that turn errands away or fail them while their health is good get fewer,
+// and are tried again after a while.
+Test(assign, what_errands_show_outweighs_health) {
+  Settings const st = settings();
+  Assign a(st);
+  a.table({seen("grey", "n1"), seen("good", "n1"), seen("fine", "n1")}, 0);
+  a.sites({{"n1", 1}});
+  std::map<std::string, int> n;
+  Secs t = 0;
+  for (int i = 0; i < 600; ++i) {
+    t += 0.02;
+    auto const c = a.choose(wish(a), t);
+    if (!c.ix) continue;
+    a.took(*c.ix, t);
+    ++n[a.at(*c.ix).id];
+    a.gave(*c.ix, 0.02, true, t + 0.01);
+    if (a.at(*c.ix).id == "grey" && i % 2 == 0) a.failed(*c.ix, t + 0.01);
+  }
+  cr_assert_lt(n["grey"], 60, "%d", n["grey"]);
+  cr_assert_gt(n["grey"], 0, "but it is tried");
+}
+
+// Each proxy keeps to its own few servers while they suffice, and those differ.
+Test(assign, proxies_keep_to_their_own_servers) {
+  std::map<std::string, int> all;
+  for (int p = 0; p < 10; ++p) {
+    Settings st = settings();
+    st.nodeName = "edge-" + std::to_string(p);
+    Assign a(st);
+    std::vector<Assign::Seen> rows;
+    for (int i = 0; i < 40; ++i) rows.push_back(seen("s" + std::to_string(i), "n1"));
+    a.table(rows, 0);
+    a.sites({{"n1", 10}});
+    std::map<std::string, int> mine;
+    for (int i = 0; i < 400; ++i) {
+      Secs const t = i * 0.05;
+      auto const c = a.choose(wish(a), t);
+      a.took(*c.ix, t);
+      a.at(*c.ix).idle = 1;
+      ++mine[a.at(*c.ix).id];
+      ++all[a.at(*c.ix).id];
+      a.gave(*c.ix, 0.05, true, t + 0.04);
+    }
+    cr_assert_lt(mine.size(), 15u, "%zu of 40", mine.size());
+  }
+  cr_assert_gt(all.size(), 15u, "%zu", all.size());
+}
+
+// A reset of an idle channel is believed for a while, of all a pool's servers where an
+// errand may not repeat.
+Test(assign, idle_channels_found_reset_are_not_trusted) {
+  Settings const st = settings();
+  Assign a(st);
+  a.table({seen("x", "n1"), seen("y", "n1")}, 0);
+  ServerIx const x = *a.choose(wish(a), 0).ix, y(1 - x.v);
+  a.idle_lost(x, 0.4, 10);
+  cr_assert_lt(a.idle_safe(x, true, 11), 0.4);
+  cr_assert_gt(a.idle_safe(y, true, 11), 10);
+  cr_assert_lt(a.idle_safe(y, false, 11), 0.4);
+  cr_assert_gt(a.idle_safe(y, false, 40), 10);
+}
--- /dev/null
+++ b/tests/course_test.cpp
@@ -0,0 +1,49 @@
+#include <criterion/criterion.h>
+
+#include "errand/course.hpp"
+
+using namespace dockbend;
+
+// Each way that a try may end, for an errand that may repeat and for one that may not.
+Test(course, only_a_proof_lets_what_may_not_repeat_go_again) {
+  struct Case {
+    End end;
+    bool repeat, effect;
+  };
+  for (Case const c : {Case{End::not_run, true, true}, {End::misdirected, true, true}, {End::unsent, true, true}, {End::broken, true, false}, {End::silent, true, false}}) {
+    for (bool const rep : {true, false}) {
+      Course e(rep, 3, 10);
+      e.began(0, 1, 0.25);
+      e.ended(c.end);
+      cr_assert_eq(e.may_try_again(1), rep ? c.repeat : c.effect, "end %d", static_cast<int>(c.end));
+      cr_assert_eq(e.costs_budget(), c.end != End::unsent);
+    }
+  }
+}
+
+Test(course, once_maybe_run_always_so) {
+  Course e(false, 5, 10);
+  e.began(0, 1, 0.25);
+  e.ended(End::broken);
+  e.ended(End::not_run);
+  cr_assert(e.maybe_run());
+  cr_assert_not(e.may_try_again(1));
+}
+
+// A silent server, a late one, one whose machine is not there; draining breaks off none.
+Test(course, timers_mean_what_the_try_came_to) {
+  using D = Course::Due;
+  Course e(true, 2, 10);
+  e.began(0, 2, 0.25);
+  cr_assert(e.due(0.2, true, false, false) == D::wait);
+  cr_assert(e.due(0.25, true, false, false) == D::unsent);
+  cr_assert(e.due(1.9, true, true, false) == D::wait);
+  cr_assert(e.due(2.0, true, true, false) == D::late);
+  cr_assert(e.due(2.0, true, true, true) == D::wait);
+  cr_assert(e.due(10, true, true, true) == D::expired);
+  cr_assert(e.due(5, false, false, false) == D::wait, "waits for its key");
+  Course once(false, 2, 10);
+  once.began(0, 2, 0.25);
+  cr_assert(once.due(5, true, true, false) == D::wait, "what may not repeat is waited for");
+  cr_assert_float_eq(once.next(5, true, true), 10, 1e-9);
+}
--- a/tests/manifest_test.cpp
+++ b/tests/manifest_test.cpp
@@ -122,3 +122,83 @@
   Item const zero{};
   cr_assert(codec::unpack<Item>("") == zero, "what is not said is zero");
 }
+
+namespace {
+std::string const partners = R"({"upsert":{"customers":[{"name":"ada","keys":["k1","k2"],"rank":1,"homeRegions":["north"],"generation":"00000005"},
+ {"name":"bob","keys":["k3"],"allowance":{"rate":10,"burst":20,"reserve":0.2},"generation":"00000005"}]}})";
+Compiled compiled(std::vector<std::string> const& calls) {
+  std::map<std::string, Item> items;
+  std::string f;
+  for (auto const& c : calls) join(items, read_amend(c), f);
+  Compiled out;
+  for (auto const& [k, i] : items) out.put(i);
+  return out;
+}
+}  // namespace
+
+Test(partners, keys_name_them_and_go_with_their_items) {
+  Compiled const c = compiled({partners});
+  cr_assert_str_eq(c.tenant_of("k2")->name.c_str(), "ada");
+  cr_assert_eq(*c.tenant_of("k1")->rank, 1);
+  cr_assert(c.tenant_of("k4") == nullptr);
+  Compiled const d = compiled({partners, R"({"upsert":{"customers":[{"name":"ada","keys":["k2","k9"],"generation":"00000007"}]},"remove":{"customers":[{"name":"bob","generation":"00000006"}]}})"});
+  cr_assert(d.tenant_of("k1") == nullptr, "taken away");
+  cr_assert(d.tenant_of("k9") != nullptr);
+  cr_assert(d.tenant_of("k3") == nullptr, "dropped with its partner");
+  // A key passed on: the newer item holds it, whichever came first.
+  Compiled const e = compiled({R"({"upsert":{"customers":[{"name":"bob","keys":["k1"],"generation":"00000008"}]}})", partners});
+  cr_assert_str_eq(e.tenant_of("k1")->name.c_str(), "bob");
+}
+
+// One message at a time is spoiled; each refusal names the partner and the field.
+Test(partners, a_spoiled_customer_is_refused_by_name) {
+  struct Case {
+    char const *from, *to, *named;
+  };
+  for (Case const c : {Case{"\"rate\":10", "\"rate\":0", "rate"}, Case{"\"rate\":10", "\"rate\":-1", "rate"}, Case{"\"rate\":10", "\"rate\":\"x\"", "rate"},
+                       Case{"\"burst\":20", "\"burst\":0", "burst"}, Case{"\"burst\":20", "\"burst\":null", "burst"}, Case{"\"reserve\":0.2", "\"reserve\":1", "reserve"},
+                       Case{"[\"k3\"]", "[\"k1\"]", "keys"}, Case{"[\"k3\"]", "\"k3\"", "keys"}}) {
+    std::string s = partners;
+    s.replace(s.find(c.from), std::string(c.from).size(), c.to);
+    try {
+      read_amend(s);
+      cr_assert(false, "%s -> %s was taken", c.from, c.to);
+    } catch (json::Fault const& f) {
+      std::string const w = f.what();
+      cr_assert(w.find("bob") != std::string::npos && w.find(c.named) != std::string::npos, "%s", w.c_str());
+    }
+  }
+}
+
+// A change put alone gives what the whole manifest compiled anew gives.
+Test(manifest, changes_put_one_by_one_equal_the_whole) {
+  std::map<std::string, Item> items;
+  Compiled c;
+  u64 seed = 9;
+  for (int i = 0; i < 400; ++i) {
+    u64 const x = next64(seed);
+    Item it;
+    it.key = "r/r" + std::to_string(x % 17);
+    it.gen = Gen(1 + next64(seed) % 50);
+    it.gone = next64(seed) % 4 == 0;
+    if (!it.gone)
+      it.body = "{\"host\":\"h.example\",\"policy\":{\"name\":\"r" + std::to_string(x % 17) + "\",\"kind\":\"idempotent\",\"generation\":\"" + json::gen_str(it.gen) +
+                "\",\"rank\":" + std::to_string(x % 3) + ",\"selector\":{\"pathPrefix\":\"/p" + std::to_string(next64(seed) % 6) +
+                (x % 5 == 0 ? "\"" : "/\"") + "},\"actuation\":{\"service\":\"s\",\"deadlineS\":1}}}";
+    auto const cur = items.find(it.key);
+    if (cur == items.end() || it.gen > cur->second.gen) items[it.key] = it;
+    else continue;
+    c.put(it);
+    std::vector<Item> v;
+    for (auto const& [k, y] : items) v.push_back(y);
+    Compiled const whole = Compiled::from(v);
+    cr_assert_eq(c.lanes(), whole.lanes());
+    cr_assert_eq(c.lowest_rank(), whole.lowest_rank());
+    for (int p = 0; p < 6; ++p) {
+      std::string const path = "/p" + std::to_string(p) + "/x/y";
+      LaneP const a = c.find("h.example", path), b = whole.find("h.example", path);
+      cr_assert_eq(a == nullptr, b == nullptr, "step %d", i);
+      if (a) cr_assert(a->prefix == b->prefix && a->gen == b->gen, "step %d path %s", i, path.c_str());
+    }
+  }
+}
--- a/tests/roll_test.cpp
+++ b/tests/roll_test.cpp
@@ -93,3 +93,16 @@
   c.expire(9);
   cr_assert(c.resolve({"n1", "north"}).empty());
 }
+
+// News on its way makes two rolls differ for a moment; only a lasting difference counts.
+Test(roll, a_passing_difference_is_no_mismatch) {
+  Mismatch m;
+  for (u64 i = 0; i < 7; ++i) cr_assert_not(m.hear(i, i + 1), "both move");
+  cr_assert_not(m.hear(9, 9));
+  cr_assert_not(m.hear(9, 8));
+  cr_assert(m.hear(9, 8), "both stand still and differ");
+  Mismatch n;
+  bool told = false;
+  for (u64 i = 0; i < 9; ++i) told = n.hear(i, i + 1) || told;
+  cr_assert(told, "or differ for long");
+}
