--- a/packages/patron/include/patron/tally.hpp
+++ b/packages/patron/include/patron/tally.hpp
@@ -9,12 +9,14 @@
 
 namespace dockbend {
 
-// One kind of errand: NAME:METHOD:PATH:RATE[:BODYBYTES[:keyed]].
+// One kind of errand: NAME:METHOD:PATH:RATE[:BODYBYTES[:keyed[:TOKEN]]]. An empty
+// field is its default.
 struct LoadKind {
   std::string name, method, path;
   double rate = 0;  // a second
   std::size_t body = 0;
   bool keyed = false;
+  std::string token;  // the partner's key, if the lane wants one
 };
 struct BadLoad : std::runtime_error {
   using std::runtime_error::runtime_error;
@@ -51,6 +53,20 @@
   Secs most_ = 0;
 };
 
+// What a partner got against its budget. Invariant: worst() is the most, over every
+// span so far, by which what was granted exceeded rate x span; a budget with a burst
+// of at least that much would have held.
+class Granted {
+ public:
+  explicit Granted(double rate) : rate_(rate) {}
+  void add(Secs at);
+  double worst() const { return worst_; }
+
+ private:
+  double rate_, level_ = 0, worst_ = 0;
+  Secs at_ = -1;
+};
+
 struct Tally {
   Times times;              // of the successes
   u64 due = 0, late = 0;    // late: sent over 10 ms after it was due
--- a/packages/patron/tally.cpp
+++ b/packages/patron/tally.cpp
@@ -17,7 +17,7 @@
     else
       p.back() += c;
   }
-  if (p.size() < 4 || p.size() > 6) throw BadLoad("--kind: wants NAME:METHOD:PATH:RATE[:BODYBYTES[:keyed]], not '" + s + "'");
+  if (p.size() < 4 || p.size() > 7) throw BadLoad("--kind: wants NAME:METHOD:PATH:RATE[:BODYBYTES[:keyed[:TOKEN]]], not '" + s + "'");
   LoadKind k;
   k.name = p[0];
   k.method = p[1];
@@ -33,9 +33,10 @@
   if (k.path.empty() || k.path[0] != '/') throw BadLoad("--kind: PATH: wants a slash at its start");
   k.rate = number(p[3], "RATE");
   if (k.rate <= 0) throw BadLoad("--kind: RATE: wants more than 0");
-  if (p.size() > 4) k.body = static_cast<std::size_t>(number(p[4], "BODYBYTES"));
+  if (p.size() > 4 && !(p.size() > 5 && p[4].empty())) k.body = static_cast<std::size_t>(number(p[4], "BODYBYTES"));
   if (k.body > 0 && k.method == "GET") throw BadLoad("--kind: BODYBYTES: a GET carries none");
-  if (p.size() > 5) {
+  if (p.size() > 6) k.token = p[6];
+  if (p.size() > 5 && !(p.size() > 6 && p[5].empty())) {
     if (p[5] != "keyed") throw BadLoad("--kind: the sixth part can only be 'keyed'");
     k.keyed = true;
   }
@@ -75,4 +76,11 @@
   if (code >= 200 && code < 300) times.add(due_at, done_at);
 }
 
+void Granted::add(Secs at) {
+  if (at_ >= 0 && at > at_) level_ = std::max(0.0, level_ - (at - at_) * rate_);
+  at_ = std::max(at_, at);
+  level_ += 1;
+  worst_ = std::max(worst_, level_);
+}
+
 }  // namespace dockbend
--- a/packages/stacks/include/stacks/settings.hpp
+++ b/packages/stacks/include/stacks/settings.hpp
@@ -49,6 +49,7 @@
   std::map<std::string, std::string> zones;  // zone -> region
   std::map<std::string, Addr> bind;
   u32 innerFirst = 0, innerLast = 0;
+  u32 agentPort = 0;  // on 127.0.0.1, between proxy and agent; 0: the second inner port
   std::vector<Addr> seeds;
   // The platform that some duties call. No address: there are none.
   std::optional<Addr> cloud;
@@ -60,6 +61,7 @@
   double memoryMb = 256, fdLimit = 1024, cpuShare = 1, diskMb = 0;
   Bounds bounds;
 
+  u32 agent() const { return agentPort > 0 ? agentPort : innerFirst + 1; }
   // The region of a zone, "" if the settings do not name it.
   std::string region_of(std::string const& z) const {
     auto const it = zones.find(z);
--- a/packages/stacks/program.cpp
+++ b/packages/stacks/program.cpp
@@ -47,7 +47,7 @@
         staged = true;
         break;
       case 'h': usage(cli, stdout); return 0;
-      case 'v': std::printf("%s (dockbend) 0.1.0\n", cli.name); return 0;
+      case 'v': std::printf("%s (dockbend) 0.2.0\n", cli.name); return 0;
       default: usage(cli, stderr); return 2;
     }
   }
--- a/packages/stacks/settings.cpp
+++ b/packages/stacks/settings.cpp
@@ -123,6 +123,7 @@
     st.innerLast = static_cast<u32>(number(f, p[1], 1, 65535));
     if (st.innerLast < st.innerFirst + 1) throw BadSetting(f, "needs at least two ports");
   };
+  known["agentPort"] = [&](auto const& f, auto const& v) { st.agentPort = static_cast<u32>(number(f, v, 1, 65535)); };
   known["seedAddrs"] = [&](auto const& f, auto const& v) {
     st.seeds.clear();
     for (auto const& s : split(v, ','))
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -1480,10 +1480,8 @@
     if (!n.rows.empty()) it->second.link->send(Kind::tally, 0, n);
   }
 
-  std::string duty_status() const {
-    rapidjson::StringBuffer sb;
-    rapidjson::Writer<rapidjson::StringBuffer> w(sb);
-    w.StartObject();
+  template <class W>
+  void write_duties(W& w) const {
     w.Key("duties");
     w.StartArray();
     if (committed_)
@@ -1500,10 +1498,8 @@
           w.String(t.next.c_str());
         }
         if (t.duty == "usage") {
-          w.Key("nextWindow");
-          w.Uint64(committed_->to_fix);
-          w.Key("lastWindow");
           u64 const first = committed_->fixed.empty() ? committed_->to_fix : committed_->fixed.front().window;
+          w.Key("lastWindow");  // the newest that the platform acknowledged
           w.Uint64(first == 0 ? 0 : first - 1);
           w.Key("outstanding");
           w.Uint64(committed_->fixed.size());
@@ -1511,6 +1507,13 @@
         w.EndObject();
       }
     w.EndArray();
+  }
+
+  std::string duty_status() const {
+    rapidjson::StringBuffer sb;
+    rapidjson::Writer<rapidjson::StringBuffer> w(sb);
+    w.StartObject();
+    write_duties(w);
     w.EndObject();
     return std::string(sb.GetString(), sb.GetSize());
   }
@@ -1840,20 +1843,7 @@
         w.EndObject();
       }
     w.EndArray();
-    w.Key("duties");
-    w.StartArray();
-    if (committed_)
-      for (Term const& t : committed_->duties) {
-        w.StartObject();
-        w.Key("duty");
-        w.String(t.duty.c_str());
-        w.Key("holder");
-        w.String(t.holder.c_str());
-        w.Key("fence");
-        w.Uint64(t.fence);
-        w.EndObject();
-      }
-    w.EndArray();
+    write_duties(w);
     w.Key("evacuations");
     w.StartArray();
     if (committed_)
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -93,7 +93,7 @@
 class Proxy {
  public:
   Proxy(event_base* eb, Settings const& st)
-      : eb_(eb), st_(st), as_(st_), shelf_(eb, as_), page_(eb, Addr{"127.0.0.1", st.innerFirst + 1}, 0.4, 2.0),
+      : eb_(eb), st_(st), as_(st_), shelf_(eb, as_), page_(eb, Addr{"127.0.0.1", st.agent()}, 0.4, 2.0),
         life_(random64() | 1), counter_(life_), borrower_(life_, "") {
     self_ = this;
     shelf_.on_return.connect([this](Chan& c, evhttp_request* r) { returned(c, r); });
--- a/programs/dockbend.cpp
+++ b/programs/dockbend.cpp
@@ -2,6 +2,7 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 #include <getopt.h>
 
 #include <cstdio>
@@ -10,8 +11,10 @@
 #include <iostream>
 #include <iterator>
 #include <memory>
+#include <set>
 #include <sstream>
 
+#include "atlas/forecast.hpp"
 #include "manifest/json.hpp"
 #include "stacks/settings.hpp"
 
@@ -20,7 +23,7 @@
 
 namespace {
 
-int const rc_ok = 0, rc_failed = 1, rc_usage = 2;
+int const rc_ok = 0, rc_failed = 1, rc_usage = 2, rc_unfit = 3;
 
 void usage(FILE* f) {
   std::fprintf(f,
@@ -31,6 +34,12 @@
                "  manifest amend FILE       sends a change; - reads standard input\n"
                "  evacuation begin ZONE     nothing more goes to the zone's servers\n"
                "  evacuation finish ZONE    takes that back\n"
+               "  evacuation preview ZONE.. who would take over; changes nothing\n"
+               "  evacuation compare FILE   a saved preview against what the sites receive now\n"
+               "  duty status               who carries out what only one node does\n"
+               "  duty hand-over DUTY NODE  moves a duty\n"
+               "  allowance list            the partners' budgets\n"
+               "  allowance show TENANT     one of them, with what each gateway has borrowed\n"
                "  rollout status            the rollouts under way\n"
                "  rollout pause ID          settles no further stage\n"
                "  rollout resume ID         goes on\n"
@@ -38,14 +47,19 @@
                "  --at HOST:PORT  a control address (default: the settings' own, then its seeds)\n"
                "  --json          print the answer as JSON\n"
                "  --timeout S     how long to wait for an answer (default 5)\n"
+               "  --save FILE     keep a preview for a later compare\n"
+               "  --if-fits       with evacuation begin: only if the preview fits\n"
+               "  --tolerance X   with evacuation compare: the share that may differ (default 0.15)\n"
                "  --help          this text\n"
                "  --version       the version\n\n"
-               "exit codes: 0 done, 1 not reached or refused, 2 wrong usage\n");
+               "exit codes: 0 done (a preview: fits), 1 not reached or refused, 2 wrong usage,\n"
+               "3 a preview that would overload something or leave it homeless, or a compare that\n"
+               "is off by more than the tolerance\n");
 }
 
 struct Got {
   int code = 0;  // 0: not reached
-  std::string body;
+  std::string body, location;
 };
 
 Got call(Addr const& at, evhttp_cmd_type cmd, std::string const& path, std::string const& body, int timeout) {
@@ -58,6 +72,7 @@
         if (q == nullptr || evhttp_request_get_response_code(q) == 0) return;
         Got& out = *static_cast<Got*>(p);
         out.code = evhttp_request_get_response_code(q);
+        if (char const* l = evhttp_find_header(evhttp_request_get_input_headers(q), "Location"); l != nullptr) out.location = l;
         evbuffer* b = evhttp_request_get_input_buffer(q);
         out.body.resize(evbuffer_get_length(b));
         evbuffer_copyout(b, out.body.data(), out.body.size());
@@ -100,23 +115,160 @@
   }
 }
 
+// What the command line says, apart from the command itself.
+struct Options {
+  std::vector<Addr> at;
+  bool as_json = false, if_fits = false;
+  int timeout = 5;
+  std::string save;
+  double tolerance = 0.15;
+};
+
+// Asks one node after the other, and goes where they send us.
+Got ask(Options const& o, evhttp_cmd_type cmd, std::string const& path, std::string const& body) {
+  Got g;
+  for (Addr const& a : o.at) {
+    g = call(a, cmd, path, body, o.timeout);
+    for (int hops = 0; g.code == 307 && hops < 2; ++hops) {
+      std::string const pre = "http://";
+      if (g.location.rfind(pre, 0) != 0) break;
+      auto const slash = g.location.find('/', pre.size());
+      if (slash == std::string::npos) break;
+      try {
+        Addr const next = parse_addr(g.location.substr(pre.size(), slash - pre.size()), "Location");
+        g = call(next, cmd, g.location.substr(slash), body, o.timeout);
+      } catch (BadSetting const&) {
+        break;
+      }
+    }
+    if (g.code != 0 && g.code < 500) break;
+  }
+  return g;
+}
+
+// 0, or the exit code after the one line that says why.
+int complain(Options const& o, Got const& g) {
+  if (g.code == 0) {
+    std::fprintf(stderr, "dockbend: no answer from %s\n", o.at.empty() ? "anywhere" : o.at.back().str().c_str());
+    return rc_failed;
+  }
+  if (g.code == 200) return rc_ok;
+  std::string why = g.body;
+  try {
+    rapidjson::Document const d = json::parse(g.body);
+    if (auto const it = d.FindMember("fault"); it != d.MemberEnd()) why = text_of(it->value);
+  } catch (json::Fault const&) {
+  }
+  std::fprintf(stderr, "dockbend: refused with %d: %s\n", g.code, why.c_str());
+  return rc_failed;
+}
+
+int survey(Options const& o, Capture& c) {
+  Got const g = ask(o, EVHTTP_REQ_GET, "/-/Survey", "");
+  if (int const rc = complain(o, g)) return rc;
+  try {
+    c = json::parse_as<Capture>(g.body);
+  } catch (json::Fault const& e) {
+    std::fprintf(stderr, "dockbend: an answer that can't be read: %s\n", e.what());
+    return rc_failed;
+  }
+  return rc_ok;
+}
+
+void print(Forecast const& f) {
+  std::string zones;
+  for (std::string const& z : f.gone) zones += (zones.empty() ? "" : ", ") + z;
+  std::printf("without: %s\nproxies heard: %u\n", zones.c_str(), f.proxiesHeard);
+  std::printf("age: %.1f s\n", std::max(0.0, wall_s() - f.takenAt));
+  for (std::string const& s : f.silent) std::printf("  not heard: %s\n", s.c_str());
+  if (f.partial) std::printf("PARTIAL: some proxies were not heard, or the node asked is out of touch\n");
+  std::printf("%-16s %-16s %-11s %10s %10s\n", "zone", "route", "kind", "now /s", "after /s");
+  for (LaneFlow const& l : f.flows) std::printf("%-16s %-16s %-11s %10.1f %10.1f\n", l.zone.c_str(), l.lane.c_str(), l.kind.c_str(), l.now, l.after);
+  std::printf("%-16s %-16s %8s %8s %9s %9s\n", "zone", "service", "servers", "slots", "used now", "after");
+  for (ZoneLoad const& z : f.loads)
+    std::printf("%-16s %-16s %8u %8.0f %8.0f%% %8.0f%%%s\n", z.zone.c_str(), z.service.c_str(), z.servers, z.slots, 100 * z.usedNow / z.slots,
+                100 * z.usedAfter / z.slots, z.overloaded ? "  OVERLOADED" : "");
+  for (Unserved const& u : f.unserved)
+    std::printf("%s %s: %.1f /s %s\n", u.lane.c_str(), u.kind.c_str(), u.rate, u.homeless ? "HOMELESS: no server may take them" : "would be turned away");
+  std::printf("fits: %s\n", f.fits ? "yes" : "no");
+}
+
+int preview(Options const& o, std::set<std::string> const& zones, bool quiet) {
+  Capture c;
+  if (int const rc = survey(o, c)) return rc;
+  for (std::string const& z : zones)
+    if (std::none_of(c.zones.begin(), c.zones.end(), [&](CapZone const& x) { return x.zone == z; })) {
+      std::fprintf(stderr, "dockbend: no such zone: %s\n", z.c_str());
+      return rc_failed;
+    }
+  Forecast const f = forecast(c, zones, ForecastPlan{});
+  std::string const text = json::render(f);
+  if (!o.save.empty()) {
+    std::ofstream out(o.save);
+    out << text << "\n";
+    if (!out) {
+      std::fprintf(stderr, "dockbend: can't write %s\n", o.save.c_str());
+      return rc_failed;
+    }
+  }
+  if (o.as_json && !quiet) std::printf("%s\n", text.c_str());
+  else print(f);
+  return f.fits ? rc_ok : rc_unfit;
+}
+
+int compare_with(Options const& o, std::string const& file) {
+  std::ifstream in(file);
+  std::string const text{std::istreambuf_iterator<char>(in), {}};
+  Forecast f;
+  try {
+    f = json::parse_as<Forecast>(text);
+  } catch (json::Fault const& e) {
+    std::fprintf(stderr, "dockbend: %s is no preview: %s\n", file.c_str(), e.what());
+    return rc_usage;
+  }
+  Capture c;
+  if (int const rc = survey(o, c)) return rc;
+  std::vector<Difference> d;
+  double const off = compare(f, c, d);
+  bool const good = off <= o.tolerance;
+  if (o.as_json) {
+    struct Out {
+      DB_RECORD(Out, (double, off), (double, tolerance), (bool, within), (std::vector<Difference>, differences));
+    } out;
+    out.off = off;
+    out.tolerance = o.tolerance;
+    out.within = good;
+    out.differences = d;
+    std::printf("%s\n", json::render(out).c_str());
+  } else {
+    std::printf("%-16s %-16s %10s %10s %10s\n", "zone", "route", "predicted", "received", "difference");
+    for (Difference const& x : d) std::printf("%-16s %-16s %10.1f %10.1f %+10.1f\n", x.zone.c_str(), x.lane.c_str(), x.predicted, x.received, x.difference);
+    for (std::string const& s : c.silent) std::printf("  not heard: %s\n", s.c_str());
+    std::printf("off by %.0f%% of all that was predicted; tolerance %.0f%%: %s\n", 100 * off, 100 * o.tolerance, good ? "within" : "outside");
+  }
+  return good ? rc_ok : rc_unfit;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-  static option const opts[] = {{"at", required_argument, nullptr, 'a'},      {"json", no_argument, nullptr, 'j'},
-                                {"timeout", required_argument, nullptr, 't'}, {"help", no_argument, nullptr, 'h'},
-                                {"version", no_argument, nullptr, 'v'},       {nullptr, 0, nullptr, 0}};
-  std::vector<Addr> at;
-  bool as_json = false;
-  int timeout = 5;
+  static option const opts[] = {{"at", required_argument, nullptr, 'a'},        {"json", no_argument, nullptr, 'j'},
+                                {"timeout", required_argument, nullptr, 't'},   {"help", no_argument, nullptr, 'h'},
+                                {"version", no_argument, nullptr, 'v'},         {"save", required_argument, nullptr, 's'},
+                                {"if-fits", no_argument, nullptr, 'f'},         {"tolerance", required_argument, nullptr, 'T'},
+                                {nullptr, 0, nullptr, 0}};
+  Options op;
   try {
     for (int o = 0; (o = getopt_long(argc, argv, "a:jt:hv", opts, nullptr)) != -1;) {
       switch (o) {
-        case 'a': at.push_back(parse_addr(optarg, "--at")); break;
-        case 'j': as_json = true; break;
-        case 't': timeout = std::atoi(optarg); break;
+        case 'a': op.at.push_back(parse_addr(optarg, "--at")); break;
+        case 'j': op.as_json = true; break;
+        case 't': op.timeout = std::atoi(optarg); break;
+        case 's': op.save = optarg; break;
+        case 'f': op.if_fits = true; break;
+        case 'T': op.tolerance = std::atof(optarg); break;
         case 'h': usage(stdout); return rc_ok;
-        case 'v': std::printf("dockbend 0.1.0\n"); return rc_ok;
+        case 'v': std::printf("dockbend 0.2.0\n"); return rc_ok;
         default: usage(stderr); return rc_usage;
       }
     }
@@ -124,22 +276,29 @@
     std::fprintf(stderr, "dockbend: %s\n", e.what());
     return rc_usage;
   }
-  if (timeout < 1) {
+  if (op.timeout < 1) {
     std::fprintf(stderr, "dockbend: --timeout: wants a whole number of seconds above 0\n");
     return rc_usage;
   }
+  if (!(op.tolerance > 0)) {
+    std::fprintf(stderr, "dockbend: --tolerance: wants a share above 0\n");
+    return rc_usage;
+  }
   std::vector<std::string> w(argv + optind, argv + argc);
   auto is = [&](std::size_t n, char const* a, char const* b = nullptr) { return w.size() == n && w[0] == a && (b == nullptr || w[1] == b); };
 
   evhttp_cmd_type cmd = EVHTTP_REQ_POST;
   std::string path, body;
-  if (is(1, "status")) {
+  bool const previews = w.size() >= 3 && w[0] == "evacuation" && w[1] == "preview", compares = is(3, "evacuation", "compare");
+  if (previews || compares) {
+    path = "/-/Survey";
+  } else if (is(1, "status")) {
     cmd = EVHTTP_REQ_GET;
     path = "/-/Status";
   } else if (is(2, "manifest", "read")) {
     cmd = EVHTTP_REQ_GET;
     path = "/-/Config.Read";
-    as_json = true;
+    op.as_json = true;
   } else if (is(3, "manifest", "amend")) {
     path = "/-/Config.Amend";
     if (w[2] == "-") {
@@ -156,6 +315,17 @@
     path = "/-/Evacuation.Begin/" + w[2];
   } else if (is(3, "evacuation", "finish")) {
     path = "/-/Evacuation.Finish/" + w[2];
+  } else if (is(2, "duty", "status")) {
+    cmd = EVHTTP_REQ_GET;
+    path = "/-/Duty.Status";
+  } else if (is(4, "duty", "hand-over")) {
+    path = "/-/Duty.HandOver/" + w[2] + "/" + w[3];
+  } else if (is(2, "allowance", "list")) {
+    cmd = EVHTTP_REQ_GET;
+    path = "/-/Allowance.List";
+  } else if (is(3, "allowance", "show")) {
+    cmd = EVHTTP_REQ_GET;
+    path = "/-/Allowance.Show/" + w[2];
   } else if (is(2, "rollout", "status")) {
     cmd = EVHTTP_REQ_GET;
     path = "/-/Rollout.Status";
@@ -169,36 +339,27 @@
     usage(stderr);
     return rc_usage;
   }
-  if (at.empty()) {
+  if (op.if_fits && !is(3, "evacuation", "begin")) {
+    std::fprintf(stderr, "dockbend: --if-fits goes with evacuation begin\n");
+    return rc_usage;
+  }
+  if (op.at.empty()) {
     try {
       Settings const st = load_settings(settings_path());
-      if (auto const it = st.bind.find("control"); it != st.bind.end()) at.push_back(it->second);
-      at.insert(at.end(), st.seeds.begin(), st.seeds.end());
+      if (auto const it = st.bind.find("control"); it != st.bind.end()) op.at.push_back(it->second);
+      op.at.insert(op.at.end(), st.seeds.begin(), st.seeds.end());
     } catch (BadSetting const& e) {
       std::fprintf(stderr, "dockbend: settings: %s (or give --at)\n", e.what());
       return rc_usage;
     }
   }
-  Got g;
-  for (Addr const& a : at) {
-    g = call(a, cmd, path, body, timeout);
-    if (g.code != 0 && g.code < 500) break;
-  }
-  if (g.code == 0) {
-    std::fprintf(stderr, "dockbend: no answer from %s\n", at.empty() ? "anywhere" : at.back().str().c_str());
-    return rc_failed;
-  }
-  if (g.code != 200) {
-    std::string why = g.body;
-    try {
-      rapidjson::Document const d = json::parse(g.body);
-      if (auto const it = d.FindMember("fault"); it != d.MemberEnd()) why = text_of(it->value);
-    } catch (json::Fault const&) {
-    }
-    std::fprintf(stderr, "dockbend: refused with %d: %s\n", g.code, why.c_str());
-    return rc_failed;
-  }
-  if (as_json) {
+  if (previews) return preview(op, {w.begin() + 2, w.end()}, false);
+  if (compares) return compare_with(op, w[2]);
+  if (op.if_fits)
+    if (int const rc = preview(op, {w[2]}, true)) return rc;
+  Got const g = ask(op, cmd, path, body);
+  if (int const rc = complain(op, g)) return rc;
+  if (op.as_json) {
     std::printf("%s\n", g.body.c_str());
     return rc_ok;
   }
--- a/programs/page.cpp
+++ b/programs/page.cpp
@@ -61,7 +61,7 @@
 
 class Agent {
  public:
-  Agent(event_base* eb, Settings const& st) : eb_(eb), st_(st), door_(eb, Addr{"127.0.0.1", st.innerFirst + 1}) {
+  Agent(event_base* eb, Settings const& st) : eb_(eb), st_(st), door_(eb, Addr{"127.0.0.1", st.agent()}) {
     door_.on_channel.connect([this](ChannelP c) { took(std::move(c)); });
     for (Addr const& s : st_.seeds) mate(s.ip);
     tick_ = std::make_unique<Ticker>(eb, 0.08, [this] { tick(); });
--- a/programs/patron.cpp
+++ b/programs/patron.cpp
@@ -10,7 +10,9 @@
 #include <cstdio>
 #include <cstring>
 #include <deque>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "manifest/json.hpp"
@@ -26,10 +28,13 @@
 void usage(FILE* f) {
   std::fprintf(f,
                "patron: an open-loop load generator for dockbend\n\n"
-               "usage: patron --to HOST:PORT --host NAME --kind KIND [--kind KIND...] [options]\n"
+               "usage: patron --to HOST:PORT [--to ...] --host NAME --kind KIND [--kind KIND...] [options]\n"
                "       patron serve --at HOST:PORT [options]\n\n"
-               "  --kind NAME:METHOD:PATH:RATE[:BODYBYTES[:keyed]]\n"
-               "                     errands of one kind, RATE a second\n"
+               "  --to               a gateway; errands go to those given in turn\n"
+               "  --kind NAME:METHOD:PATH:RATE[:BODYBYTES[:keyed[:TOKEN]]]\n"
+               "                     errands of one kind, RATE a second; TOKEN is the partner's key\n"
+               "  --budget TOKEN=RATE:BURST\n"
+               "                     set what a partner got against this budget, over every span\n"
                "  --for S            how long errands arrive (default 10)\n"
                "  --time-left S      what each errand says it will wait (default 2)\n"
                "  --seed N           the same seed draws the same arrivals (default 1)\n"
@@ -56,17 +61,30 @@
   Run* run = nullptr;
   std::size_t kind = 0;
   Secs due = 0, sent = 0;
+  std::size_t gate = 0;
   evhttp_connection* ec = nullptr;
 };
 
+struct Gate {
+  Addr to;
+  std::deque<evhttp_connection*> idle;
+  Secs down_until = 0;
+};
+
+struct Budget {
+  double rate = 0, burst = 0;
+  Granted got{0};
+};
+
 struct Run {
   event_base* eb = nullptr;
-  Addr to;
+  std::vector<Gate> gates;
+  std::size_t turn = 0;
+  std::map<std::string, Budget> budgets;  // by token
   std::string host;
   Secs time_left = 2, start = 0, span = 10;
   u64 seed = 1, ids = 0;
   std::vector<std::unique_ptr<Kind_>> kinds;
-  std::deque<evhttp_connection*> idle;
   std::size_t open = 0, at_work = 0, arriving = 0;
 
   void arm(std::size_t i) {
@@ -88,6 +106,13 @@
     c->kind = i;
     c->due = due;
     c->sent = now_s();
+    // The next gateway in turn that did not fail a moment ago.
+    for (std::size_t n = 0; n < gates.size(); ++n) {
+      c->gate = turn++ % gates.size();
+      if (gates[c->gate].down_until <= c->sent) break;
+    }
+    auto& idle = gates[c->gate].idle;
+    Addr const& to = gates[c->gate].to;
     if (idle.empty()) {
       c->ec = evhttp_connection_base_new(eb, nullptr, to.ip.c_str(), static_cast<ev_uint16_t>(to.port));
       evhttp_connection_set_timeout(c->ec, static_cast<int>(time_left) + 2);
@@ -103,6 +128,7 @@
     char id[40];
     std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(hash64("patron", seed + ++ids) ^ random64()));
     evhttp_add_header(h, "X-Attempt-Id", id);
+    if (!k.token.empty()) evhttp_add_header(h, "Authorization", ("Token " + k.token).c_str());
     if (k.keyed) evhttp_add_header(h, "X-Operation-Key", (std::string("k-") + id).c_str());
     evhttp_add_header(h, "X-Time-Left", std::to_string(static_cast<long>(time_left * 1000)).c_str());
     if (k.body > 0) {
@@ -125,9 +151,13 @@
   }
 
   void finish(Call* c, int code, bool keep) {
-    kinds[c->kind]->t.add(c->due, c->sent, now_s(), code);
+    Secs const now = now_s();
+    kinds[c->kind]->t.add(c->due, c->sent, now, code);
+    if (code == 0) gates[c->gate].down_until = now + 1;
+    if (code >= 200 && code < 300)
+      if (auto const b = budgets.find(kinds[c->kind]->k.token); b != budgets.end()) b->second.got.add(now);
     if (keep) {
-      idle.push_back(c->ec);
+      gates[c->gate].idle.push_back(c->ec);
     } else {
       evhttp_connection* const ec = c->ec;
       after(eb, 0, [ec] { evhttp_connection_free(ec); });
@@ -180,6 +210,21 @@
       w.EndObject();
     }
     w.EndArray();
+    w.Key("budgets");
+    w.StartArray();
+    for (auto const& [t, b] : budgets) {
+      if (!as_json)
+        std::printf("budget %s: at most %.0f over rate x time; the burst is %.0f: %s\n", t.c_str(), b.got.worst(), b.burst, b.got.worst() <= b.burst ? "held" : "BROKEN");
+      w.StartObject();
+      w.Key("token");
+      w.String(t.c_str());
+      w.Key("mostOverRate");
+      w.Double(b.got.worst());
+      w.Key("burst");
+      w.Double(b.burst);
+      w.EndObject();
+    }
+    w.EndArray();
     w.EndObject();
     if (as_json) std::printf("%s\n", sb.GetString());
     return good > 0;
@@ -193,7 +238,8 @@
   Addr at;
   Secs work = 0.02;
   u32 capacity = 4, busy = 0;
-  u64 seq = 0, run = 0;
+  u64 seq = 0, run = 0, twice = 0;
+  std::set<std::string> keys;  // of keyed errands run
   std::deque<evhttp_request*> waiting;
 
   static void head(evhttp_request* r, char const* k, std::string const& v) { evhttp_add_header(evhttp_request_get_output_headers(r), k, v.c_str()); }
@@ -205,6 +251,14 @@
       evhttp_send_reply(r, 200, "OK", nullptr);
       return;
     }
+    if (std::strcmp(evhttp_request_get_uri(r), "/counts") == 0) {
+      evbuffer* b = evbuffer_new();
+      evbuffer_add_printf(b, "{\"id\":\"%s\",\"runs\":%llu,\"keys\":%zu,\"keysRunTwice\":%llu}\n", id.c_str(), static_cast<unsigned long long>(run), keys.size(),
+                          static_cast<unsigned long long>(twice));
+      evhttp_send_reply(r, 200, "OK", b);
+      evbuffer_free(b);
+      return;
+    }
     char const* a = evhttp_find_header(in, "X-Attempt-Id");
     if (a != nullptr) head(r, "X-Attempt-Id", a);
     char const* t = evhttp_find_header(in, "X-Target-Server");
@@ -223,6 +277,7 @@
 
   void begin(evhttp_request* r) {
     ++busy;
+    if (char const* k = evhttp_find_header(evhttp_request_get_input_headers(r), "X-Operation-Key"); k != nullptr) twice += keys.insert(k).second ? 0 : 1;
     after(eb, work, [this, r] {
       --busy;
       head(r, "X-Server-Seal", id + "." + std::to_string(++run));
@@ -285,17 +340,26 @@
                                 {"id", required_argument, nullptr, 'i'},      {"work-ms", required_argument, nullptr, 'w'},
                                 {"capacity", required_argument, nullptr, 'c'}, {"beat", required_argument, nullptr, 'b'},
                                 {"service", required_argument, nullptr, 'S'}, {"zone", required_argument, nullptr, 'z'},
+                                {"budget", required_argument, nullptr, 'B'},
                                 {"help", no_argument, nullptr, 'h'},          {"version", no_argument, nullptr, 'v'},
                                 {nullptr, 0, nullptr, 0}};
   Run run;
   Server sv;
-  std::optional<Addr> to, at, beat;
+  std::optional<Addr> at, beat;
   std::vector<LoadKind> kinds;
   bool as_json = false;
   try {
     for (int o = 0; (o = getopt_long(argc, argv, "hv", opts, nullptr)) != -1;) {
       switch (o) {
-        case 't': to = parse_addr(optarg, "--to"); break;
+        case 't': run.gates.push_back(Gate{parse_addr(optarg, "--to"), {}, 0}); break;
+        case 'B': {
+          std::string const v = optarg;
+          auto const e = v.find('='), c = v.find(':', e == std::string::npos ? 0 : e);
+          if (e == std::string::npos || c == std::string::npos) throw BadLoad("--budget: wants TOKEN=RATE:BURST, not '" + v + "'");
+          double const rate = number(v.substr(e + 1, c - e - 1).c_str(), "--budget: RATE", 0.001, 1e9);
+          run.budgets.insert_or_assign(v.substr(0, e), Budget{rate, number(v.substr(c + 1).c_str(), "--budget: BURST", 1, 1e9), Granted(rate)});
+          break;
+        }
         case 'o': run.host = optarg; break;
         case 'k': kinds.push_back(parse_kind(optarg)); break;
         case 'f': run.span = number(optarg, "--for", 0.01, 86400); break;
@@ -310,7 +374,7 @@
         case 'S': sv.service = optarg; break;
         case 'z': sv.zone = optarg; break;
         case 'h': usage(stdout); return rc_ok;
-        case 'v': std::printf("patron (dockbend) 0.1.0\n"); return rc_ok;
+        case 'v': std::printf("patron (dockbend) 0.2.0\n"); return rc_ok;
         default: usage(stderr); return rc_usage;
       }
     }
@@ -338,12 +402,11 @@
     event_base_dispatch(eb);
     return rc_ok;
   }
-  if (serve || optind < argc || !to || run.host.empty() || kinds.empty()) {
+  if (serve || optind < argc || run.gates.empty() || run.host.empty() || kinds.empty()) {
     usage(stderr);
     return rc_usage;
   }
   run.eb = eb;
-  run.to = *to;
   for (std::size_t i = 0; i < kinds.size(); ++i) run.kinds.push_back(std::make_unique<Kind_>(Kind_{kinds[i], Arrivals(kinds[i].rate, run.seed * 1000 + i), {}}));
   run.arriving = kinds.size();
   run.start = now_s();
--- a/tests/patron_test.cpp
+++ b/tests/patron_test.cpp
@@ -55,3 +55,16 @@
     cr_assert(threw, "%s", bad);
   }
 }
+
+Test(patron, the_most_over_rate_is_found_in_any_span) {
+  Granted g(10);
+  for (int i = 0; i < 100; ++i) g.add(i * 0.1);
+  cr_assert_float_eq(g.worst(), 1, 0.01);
+  for (int i = 0; i < 5; ++i) g.add(20);
+  cr_assert_float_eq(g.worst(), 5, 0.01);
+  g.add(20.1);
+  cr_assert_float_eq(g.worst(), 5, 0.01);
+  LoadKind const k = parse_kind("a:GET:/x:5:::key-1");
+  cr_assert_str_eq(k.token.c_str(), "key-1");
+  cr_assert_not(k.keyed);
+}
