--- a/packages/assign/assign.cpp
+++ b/packages/assign/assign.cpp
@@ -58,6 +58,7 @@
     t_[i].zone = zone(r.zone);
     t_[i].region = region(st_.region_of(r.zone));
     t_[i].liking = static_cast<double>(hash64(r.id + "|" + st_.nodeName) >> 11) / 9007199254740992.0;
+    t_[i].warming = static_cast<double>(hash64("warm|" + r.id + "|" + st_.nodeName) >> 11) / 9007199254740992.0;
     by_id_[r.id] = i;
     members_[p.v].push_back(i);
   } else {
@@ -159,11 +160,19 @@
 }
 
 // The rate of a cold server is kept by the proxies of its own zone; where there
-// are none, by those of its region. Half of it is given out: a proxy that holds
-// an older view of the others then still keeps the sum below the bound.
+// are none, by those of its region; of many, by the few that a draw names. Part of it
+// is given out: a proxy that holds an older view of the others then still keeps the sum
+// below the bound.
 namespace {
 double const cold_part = 0.6;
 double const liking_weight = 0.08, fresh_weight = 0.05;
+double const most_warmers = 3;
+}
+
+double Assign::warmers(Target const& t, Near n) const {
+  double const ns = sharers(t, n);
+  if (ns <= most_warmers) return ns;
+  return t.warming < most_warmers / ns ? most_warmers : 0;
 }
 
 namespace {
@@ -199,7 +208,8 @@
       auto const zs = zone_sites_.find(t.zone.v);
       bool const zone_has = zs != zone_sites_.end() && zs->second > 0;
       if (n == Near::far || (n == Near::region && zone_has)) continue;
-      if (rule.cold_rate > 0 && !t.cold.has(now, rule.cold_rate * cold_part / ns, 1.0)) continue;
+      double const wn = warmers(t, n);
+      if (rule.cold_rate > 0 && (wn == 0 || !t.cold.has(now, rule.cold_rate * cold_part / wn, 1.0))) continue;
     }
     // The time an answer is likely to take: what was seen, stretched by our own
     // share of its slots in use. What was seen long ago fades to the pool's mean.
@@ -230,9 +240,9 @@
   Target& t = t_[s.v];
   ++t.out;
   if (t.cold_until > now) {
-    double const ns = sharers(t, near(t));
+    double const wn = warmers(t, near(t));
     double const r = rules_[t.pool.v].cold_rate;
-    if (r > 0) t.cold.take(now, r * cold_part / ns, 1.0);
+    if (r > 0 && wn > 0) t.cold.take(now, r * cold_part / wn, 1.0);
   }
 }
 
--- a/packages/assign/include/assign/assign.hpp
+++ b/packages/assign/include/assign/assign.hpp
@@ -28,6 +28,7 @@
   ColdBucket cold;
   u32 out = 0, chans = 0, idle = 0;
   double liking = 0;   // 0..1, by rendezvous: each proxy has its own few
+  double warming = 0;  // 0..1, by another draw: who warms it while it is cold
   double bad = 0;      // smoothed share of errands here that came to nothing
   Secs bad_at = 0;
   Secs idle_safe = 60;  // channels idle for longer were found reset
@@ -121,6 +122,9 @@
   void mark(Target& t, double x, Secs now);
   Near near(Target const& t) const;
   double sharers(Target const& t, Near n) const;
+  // How many proxies warm a cold server: few, so that each one's part is worth something
+  // and their first errands together stay far below what it bears. 0: not we.
+  double warmers(Target const& t, Near n) const;
   Settings const& st_;
   std::vector<Target> t_;
   std::vector<u32> free_;
--- a/packages/catalog/include/catalog/catalog.hpp
+++ b/packages/catalog/include/catalog/catalog.hpp
@@ -14,7 +14,7 @@
 struct Site {
   std::string front, zone, region;  // static
   bool ready = false;               // dynamic
-  double load = 0;                  // dynamic: share of its processor in use, 0..1
+  double load = 0;                  // dynamic: share of its processor or link in use, 0..1
   Secs heard = 0;
   u64 channel = 0;   // of the site's own registration here; 0: told by a mate
   std::string via;   // the directory that is the site's primary; empty: this one
@@ -33,6 +33,7 @@
 // all good enough, and chance breaks ties so that no herd runs to the lightest.
 struct NearSelector {
   std::size_t most = 3;
+  double pressed = 0.5;  // a zone over this on the whole sends more to its region
   double busy = 0.8;  // a site over this is good enough only if no other is
   std::vector<Site const*> choose(std::vector<Site const*> const& table, Consumer const& c) const;
 };
--- a/packages/duty/include/duty/reporter.hpp
+++ b/packages/duty/include/duty/reporter.hpp
@@ -9,7 +9,8 @@
 
 struct ReportPlan {
   double period = 5;    // reportPeriodS
-  Secs settle = 3;      // after a window's end its counts are taken as whole
+  Secs settle = 1.5;    // after a window's end, if every proxy has gone on to the next
+  Secs late = 6;        // else: those that are cut off may come back until then
   Secs call = 1.0;      // a call's whole deadline
   Secs gap = 0.05;      // least time between two calls
   Secs back_first = 0.4, back_most = 3.0;
--- a/packages/duty/reporter.cpp
+++ b/packages/duty/reporter.cpp
@@ -9,7 +9,8 @@
   if (held_for < 1.2 || now - asked_ < 0.5) return std::nullopt;
   u64 const w = s.to_fix != 0 ? s.to_fix : t.first().v;
   if (w == 0) return std::nullopt;  // nothing was ever counted
-  if (true_now < static_cast<double>(w + 1) * p_.period + p_.settle) return std::nullopt;
+  double const end = static_cast<double>(w + 1) * p_.period;
+  if (true_now < end + (t.complete(Window(w)) ? p_.settle : p_.late)) return std::nullopt;
   asked_ = now;
   FixedWindow f;
   f.window = w;
--- a/packages/gossip/include/gossip/roll.hpp
+++ b/packages/gossip/include/gossip/roll.hpp
@@ -86,7 +86,7 @@
 };
 struct SiteBeatR {
   DB_RECORD(SiteBeatR, (std::vector<ZoneCount>, sites), (Ballot, bal), (u64, digest), (bool, settled),
-            (double, wall));
+            (double, wall), (std::vector<std::string>, relays));
 };
 // True time, as the agent knows it, for its proxy.
 struct ClockSaid {
--- a/packages/stacks/courier.cpp
+++ b/packages/stacks/courier.cpp
@@ -232,23 +232,53 @@
 Link::Link(event_base* eb, Addr const& to, Secs ping_s, Secs quiet_s) : eb_(eb), to_(to), ping_s_(ping_s), quiet_s_(quiet_s) {}
 Link::~Link() {
   if (ch_) ch_->close();
+  if (probe_) probe_->close();
 }
 
 void Link::dial() {
   if (ch_) ch_->close();
-  ch_ = Channel::dial(eb_, to_);
+  // The direct way first; relays in turn once it failed twice, with the direct way
+  // between them.
+  std::vector<Addr> const r = relays_ && fails_ >= 2 && fails_ % 3 != 0 ? relays_() : std::vector<Addr>();
+  via_ = waiting_ = !r.empty();
+  ch_ = Channel::dial(eb_, via_ ? r[turn_++ % r.size()] : to_);
   dialled_ = now_s();
-  ch_->on_up.connect([this](Channel&) {
+  wire();
+}
+
+void Link::wire() {
+  ch_->on_up.connect([this](Channel& c) {
+    if (via_) {
+      ViaAsk a;
+      a.ip = to_.ip;
+      c.send(Kind::via, 0, a);
+      return;
+    }
     back_ = 0.1;
     wait_ = 0.4;
+    fails_ = 0;
     on_up.emit(*this);
   });
-  ch_->on_down.connect([this](Channel&) {
-    next_ = now_s() + back_ * (0.5 + random01());
-    back_ = std::min(back_ * 1.5, 0.3);
-    on_down.emit(*this);
+  ch_->on_down.connect([this](Channel&) { gone(); });
+  ch_->on_letter.connect([this](Channel&, Letter const& l) {
+    if (waiting_) {
+      if (l.kind != Kind::viaR) return;
+      waiting_ = false;
+      back_ = 0.1;
+      wait_ = 0.4;
+      probed_ = now_s();
+      on_up.emit(*this);
+      return;
+    }
+    on_letter.emit(*this, l);
   });
-  ch_->on_letter.connect([this](Channel&, Letter const& l) { on_letter.emit(*this, l); });
+}
+
+void Link::gone() {
+  ++fails_;
+  next_ = now_s() + back_ * (0.5 + random01());
+  back_ = std::min(back_ * 1.5, 0.3);
+  on_down.emit(*this);
 }
 
 void Link::tick(Secs now) {
@@ -256,15 +286,37 @@
     if (now >= next_) dial();
     return;
   }
-  if (!ch_->up()) {
+  if (!up()) {
     if (now - dialled_ > wait_) {
+      ++fails_;
       wait_ = std::min(wait_ * 1.5, 2.0);  // a far mate may need longer than we first give it
       dial();
     }
     return;
   }
+  if (via_ && now - probed_ > 2.0) {
+    probed_ = now;
+    if (probe_) probe_->close();
+    probe_ = Channel::dial(eb_, to_);
+    probe_->on_up.connect([this](Channel&) {
+      // Out of the probe's own callback: it becomes the channel.
+      after(eb_, 0, [this, p = probe_] {
+        if (!p || p != probe_ || !p->up() || !via_) return;
+        probe_.reset();
+        on_down.emit(*this);
+        ch_->close();
+        ch_ = p;
+        ch_->on_up.clear();
+        via_ = waiting_ = false;
+        fails_ = 0;
+        wire();
+        on_up.emit(*this);
+      });
+    });
+  }
   if (now - ch_->heard() > quiet_s_) {
     ch_->close();
+    ++fails_;
     next_ = now;
     on_down.emit(*this);
     return;
@@ -272,4 +324,57 @@
   if (now - ch_->sent() > ping_s_) ch_->send(Kind::ping, 0, std::string_view());
 }
 
+Relay::Relay(event_base* eb, Addr const& at, u32 port, std::function<bool(std::string const&)> known)
+    : eb_(eb), port_(port), known_(std::move(known)), door_(eb, at) {
+  door_.on_channel.connect([this](ChannelP c) { took(std::move(c)); });
+}
+
+void Relay::took(ChannelP c) {
+  u64 const id = c->id();
+  pipes_[id].down = c;
+  pipes_[id].since = now_s();
+  c->on_letter.connect([this, id](Channel& ch, Letter const& l) {
+    auto const it = pipes_.find(id);
+    if (it == pipes_.end()) return;
+    Pipe& p = it->second;
+    if (p.up) {
+      p.up->send(l.kind, l.tag, l.body);
+      return;
+    }
+    if (l.kind != Kind::via || !known_(l.as<ViaAsk>().ip)) {
+      shut(id);
+      return;
+    }
+    p.up = Channel::dial(eb_, Addr{l.as<ViaAsk>().ip, port_});
+    p.up->on_up.connect([w = ch.weak_from_this()](Channel&) {
+      ViaR r;
+      r.ok = true;
+      if (auto const d = w.lock()) d->send(Kind::viaR, 0, r);
+    });
+    p.up->on_letter.connect([w = ch.weak_from_this()](Channel&, Letter const& x) {
+      if (auto const d = w.lock()) d->send(x.kind, x.tag, x.body);
+    });
+    p.up->on_down.connect([this, id](Channel&) { shut(id); });
+  });
+  c->on_down.connect([this, id](Channel&) { shut(id); });
+}
+
+void Relay::shut(u64 id) {
+  after(eb_, 0, [this, id] {
+    auto const it = pipes_.find(id);
+    if (it == pipes_.end()) return;
+    it->second.down->close();
+    if (it->second.up) it->second.up->close();
+    pipes_.erase(it);
+  });
+}
+
+void Relay::tick(Secs now) {
+  for (auto& [id, p] : pipes_) {
+    bool const dead = p.up ? (p.up->up() ? now - p.up->heard() > 1.5 : now - p.since > 2.5) : now - p.since > 2.0;
+    if (dead || now - p.down->heard() > 3.0) shut(id);
+    else if (p.up && p.up->up() && now - p.up->sent() > 0.5) p.up->send(Kind::ping, 0, std::string_view());
+  }
+}
+
 }  // namespace dockbend
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -25,6 +25,7 @@
   ask = 40, askR = 41, done = 42, load = 43, leaving = 44,
   hold = 50, holdR = 51, rollNote = 52, rollCmd = 53, holdFor = 54,
   sites = 60, clock = 61, tally = 62, loan = 63, loanR = 64, dutyCmd = 65, survey = 66, surveyR = 67,
+  via = 70, viaR = 71,
   zipped = 255,
 };
 
@@ -106,8 +107,18 @@
   evconnlistener* ls_;
 };
 
+// Asks a relay to pass all further letters to a core node, and its answer once it can.
+struct ViaAsk {
+  DB_RECORD(ViaAsk, (std::string, ip));
+};
+struct ViaR {
+  DB_RECORD(ViaR, (bool, ok));
+};
+
 // Keeps one mate dialled. Silence of quiet_s ends the channel; silence of ours
-// is broken by a ping every ping_s.
+// is broken by a ping every ping_s. Where the mate can't be reached directly and there
+// are relays, it is reached through one of them, and directly again once that works.
+// Invariant: up only while letters get through to the mate itself, as far as is known.
 class Link {
  public:
   sigc::signal<void(Link&)> on_up;
@@ -117,7 +128,10 @@
   ~Link();
   Link(Link const&) = delete;
 
-  bool up() const { return ch_ && ch_->up(); }
+  bool up() const { return ch_ && ch_->up() && !waiting_; }
+  bool relayed() const { return up() && via_; }
+  // Where else to try; asked anew each time.
+  void relays(std::function<std::vector<Addr>()> f) { relays_ = std::move(f); }
   Channel* ch() { return up() ? ch_.get() : nullptr; }
   Addr const& to() const { return to_; }
   template <codec::Record T>
@@ -131,13 +145,43 @@
 
  private:
   void dial();
+  void wire();
+  void gone();
   event_base* eb_;
   Addr to_;
   Secs ping_s_, quiet_s_;
-  ChannelP ch_;
+  ChannelP ch_, probe_;  // probe_: tries the direct way while a relay serves
+  std::function<std::vector<Addr>()> relays_;
+  bool via_ = false, waiting_ = false;  // waiting_: for the relay's word
+  u32 fails_ = 0, turn_ = 0;
+  Secs probed_ = 0;
   Secs next_ = 0, dialled_ = 0, back_ = 0.1, wait_ = 0.4;
 };
 
+// Passes letters between a node that is cut off from the core and the core nodes it
+// names. Invariants: a pipe joins one channel to one core node that we know ourselves;
+// when either side ends, so does the other.
+class Relay {
+ public:
+  Relay(event_base* eb, Addr const& at, u32 port, std::function<bool(std::string const&)> known);
+  Relay(Relay const&) = delete;
+  void tick(Secs now);
+  std::size_t pipes() const { return pipes_.size(); }
+
+ private:
+  struct Pipe {
+    ChannelP down, up;
+    Secs since = 0;
+  };
+  void took(ChannelP c);
+  void shut(u64 id);
+  event_base* eb_;
+  u32 port_;
+  std::function<bool(std::string const&)> known_;
+  std::unordered_map<u64, Pipe> pipes_;
+  Door door_;
+};
+
 void tune_socket(evutil_socket_t fd, int user_timeout_ms);
 
 }  // namespace dockbend
--- a/packages/stacks/include/stacks/settings.hpp
+++ b/packages/stacks/include/stacks/settings.hpp
@@ -58,9 +58,10 @@
   bool bootstrap = false;
   bool lossCounted = false;
   double beatPeriodS = 1.5;
-  double memoryMb = 256, fdLimit = 1024, cpuShare = 1, diskMb = 0;
+  double linkMbps = 0, memoryMb = 256, fdLimit = 1024, cpuShare = 1, diskMb = 0;
   Bounds bounds;
 
+  u32 relay() const { return innerFirst + 2 <= innerLast ? innerFirst + 2 : 0; }  // where agents relay; 0: nowhere
   u32 agent() const { return agentPort > 0 ? agentPort : innerFirst + 1; }
   // The region of a zone, "" if the settings do not name it.
   std::string region_of(std::string const& z) const {
--- a/packages/stacks/settings.cpp
+++ b/packages/stacks/settings.cpp
@@ -74,6 +74,7 @@
   num("beatPeriodS", st.beatPeriodS, 0.01, 3600);
   num("limits.memoryMb", st.memoryMb);
   num("limits.diskMb", st.diskMb);
+  num("limits.linkMbps", st.linkMbps);
   num("limits.fdLimit", st.fdLimit);
   num("limits.cpuShare", st.cpuShare);
   Bounds& b = st.bounds;
--- a/packages/tally/include/tally/totals.hpp
+++ b/packages/tally/include/tally/totals.hpp
@@ -48,6 +48,8 @@
   // True if the row brought news.
   bool join(TallyRow const& r);
   std::map<std::string, u64> sum(Window w) const;
+  // Has every proxy that counted in w, or just before it, gone on to a later window?
+  bool complete(Window w) const;
   bool empty() const { return m_.empty(); }
   Window first() const { return m_.empty() ? Window() : m_.begin()->first; }
   Window last() const { return m_.empty() ? Window() : m_.rbegin()->first; }
@@ -61,6 +63,7 @@
   Window floor_;
   std::map<Window, std::unordered_map<u64, Row>> m_;
   std::set<std::pair<Window, u64>> dirty_;
+  std::unordered_map<u64, Window> newest_;  // by life; kept for a while after the rows
 };
 
 // The body of a window's report. The same totals give the same bytes.
--- a/packages/tally/totals.cpp
+++ b/packages/tally/totals.cpp
@@ -50,6 +50,8 @@
 bool Totals::join(TallyRow const& r) {
   if (r.window < floor_ || r.tenants.size() != r.counts.size()) return false;
   Row& row = m_[r.window][r.life];
+  Window& last = newest_[r.life];
+  last = std::max(last, r.window);
   bool news = false;
   for (std::size_t i = 0; i < r.tenants.size(); ++i) {
     u64& n = row[r.tenants[i]];
@@ -70,6 +72,12 @@
   return out;
 }
 
+bool Totals::complete(Window w) const {
+  for (auto const& [life, last] : newest_)
+    if (last.v + 1 >= w.v && last <= w) return false;
+  return true;
+}
+
 TallyNote Totals::take(bool all) {
   TallyNote n;
   if (all) {
@@ -87,6 +95,7 @@
   floor_ = before;
   m_.erase(m_.begin(), m_.lower_bound(before));
   dirty_.erase(dirty_.begin(), dirty_.lower_bound({before, 0}));
+  std::erase_if(newest_, [&](auto const& x) { return x.second.v + 10 < before.v; });
 }
 
 std::size_t Totals::rows() const {
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -61,7 +61,7 @@
   ChannelP ch;
   Hello hello;
   bool feeding = false, primary = false;
-  u64 counts_told = 0;
+  u64 counts_told = 0, beats = 0;
 };
 
 class Archivist {
@@ -81,7 +81,8 @@
     for (char const* d : {"usage", "allowance"}) duties_.emplace(d, Duty(d, st.nodeName, st.ip, dp, start_));
     ReportPlan rp;
     rp.period = st.bounds.reportPeriodS;
-    rp.settle = std::min(3.0, 0.3 * st.bounds.usageDelayS);
+    rp.settle = 0.15 * st.bounds.usageDelayS;
+    rp.late = 0.6 * st.bounds.usageDelayS;
     rp.call = std::min(1.0, 0.35 * st.bounds.leaseTermS);
     if (st.dutyPerS > 0) rp.gap = std::max(rp.gap, 2.0 / st.dutyPerS);
     reporter_ = Reporter(rp);
@@ -399,6 +400,7 @@
         r.digest = told_digest_;
         r.settled = settled() && committed_;
         r.wall = wall_s();
+        if (p.beats++ % 8 == 0 && !b.front.empty()) r.relays = relays_for(b);
         if (p.counts_told != counts_turn_) {
           p.counts_told = counts_turn_;
           r.sites = counted();
@@ -1919,6 +1921,19 @@
     return v;
   }
 
+  // A few sites that a site may reach the core through when it is cut off: of its
+  // region first, by chance.
+  std::vector<std::string> relays_for(SiteBeat const& b) const {
+    std::vector<std::pair<double, std::string>> v;
+    for (auto const& [f, s] : catalog_.rows())
+      if (f != b.front) v.emplace_back(random01() + (s.region == b.region ? 0 : 1), f.substr(0, f.find(':')));
+    std::size_t const n = std::min<std::size_t>(6, v.size());
+    std::partial_sort(v.begin(), v.begin() + static_cast<long>(n), v.end());
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < n; ++i) out.push_back(v[i].second);
+    return out;
+  }
+
   Digest own_digest(bool with_mates) const {
     Digest d;
     d.digest = told_digest_;
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -295,7 +295,14 @@
     double const cpu = static_cast<double>(ru.ru_utime.tv_sec + ru.ru_stime.tv_sec) + static_cast<double>(ru.ru_utime.tv_usec + ru.ru_stime.tv_usec) * 1e-6;
     Secs const now = now_s();
     if (now - cpu_at_ > 0.3) {
-      if (cpu_at_ > 0) load_ = (cpu - cpu_) / (now - cpu_at_) / std::max(0.01, st_.cpuShare);
+      // The busier of processor and link, smoothed a little.
+      if (cpu_at_ > 0) {
+        double const d = now - cpu_at_;
+        double const x = (cpu - cpu_) / d / std::max(0.01, st_.cpuShare);
+        double const y = st_.linkMbps > 0 ? std::max(bytes_in_, bytes_out_) / d / (st_.linkMbps * 125e3) : 0;
+        load_ += 0.5 * (std::max(x, y) - load_);
+      }
+      bytes_in_ = bytes_out_ = 0;
       cpu_ = cpu;
       cpu_at_ = now;
     }
@@ -356,6 +363,7 @@
     if (wrong || hosts != 1) return write(r, own(400, true), id);
     LimitsDef const& lim = man_.limits();
     std::string const uri = evhttp_request_get_uri(r);
+    bytes_in_ += static_cast<double>(body + hb) + 150;
     if (hb + uri.size() > lim.header_bytes) return write(r, own(431, true), id);
     if (body > lim.body_bytes) return write(r, own(413, true), id);
     char const* host = evhttp_find_header(in, "Host");
@@ -640,6 +648,7 @@
     // for giving up on it helps nobody.
     bool const far = !(t.region == as_.region(st_.region));
     if (!shelf_.send(c, u, e.cmd, e.uri.c_str(), rep ? (far ? 600 : 250) : 2000)) return ended(e, End::unsent);
+    bytes_out_ += static_cast<double>(e.body) + 600;
     if (e.tenant) uncounted_.push_back({e.h, e.course.tries(), now});
     set_timer(e, e.course.next(now, true, false));
   }
@@ -660,6 +669,8 @@
     rep.heads = heads_of(evhttp_request_get_input_headers(r));
     evbuffer* body = evhttp_request_get_input_buffer(r);
     rep.body = evbuffer_get_length(body);
+    bytes_in_ += static_cast<double>(rep.body) + 400;
+    bytes_out_ += static_cast<double>(rep.body) + 400;
     End const en = judge(rep, e->attempt_id);
     bufferevent* bev = evhttp_connection_get_bufferevent(c.ec);
     bool const surplus = evbuffer_get_length(bufferevent_get_input(bev)) > 0;
@@ -902,6 +913,7 @@
   Ballot bal_;
   Secs drain_at_ = 0, closed_at_ = 0, cpu_at_ = 0, tallied_ = 0;
   double cpu_ = 0, load_ = 0;
+  double bytes_in_ = 0, bytes_out_ = 0;  // about what went over the link since load was told
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("circulation");
 };
 
--- a/programs/page.cpp
+++ b/programs/page.cpp
@@ -64,6 +64,13 @@
   Agent(event_base* eb, Settings const& st) : eb_(eb), st_(st), door_(eb, Addr{"127.0.0.1", st.agent()}) {
     door_.on_channel.connect([this](ChannelP c) { took(std::move(c)); });
     for (Addr const& s : st_.seeds) mate(s.ip);
+    if (st_.relay() != 0) {
+      try {
+        relay_ = std::make_unique<Relay>(eb, Addr{st_.ip, st_.relay()}, st_.innerFirst, [this](std::string const& ip) { return mates_.count(ip) > 0; });
+      } catch (std::exception const& e) {
+        LOG4CPLUS_WARN(lg_, "Relays for nobody: " << e.what() << ".");
+      }
+    }
     tick_ = std::make_unique<Ticker>(eb, 0.08, [this] { tick(); });
   }
 
@@ -87,6 +94,7 @@
     if (it != mates_.end()) return it->second;
     Mate& m = mates_[ip];
     m.link = std::make_unique<Link>(eb_, Addr{ip, st_.innerFirst}, 1.0, 1.5);  // our keepalives are answered, so pings are rare
+    m.link->relays([this] { return relays_; });
     m.link->on_up.connect([this, ip](Link& l) {
       Hello h;
       h.role = 2;
@@ -184,6 +192,10 @@
           for (ZoneCount const& z : r.sites) m.sites[z.zone] = z.n;
           tell_sites();
         }
+        if (!r.relays.empty() && !m.link->relayed()) {
+          relays_.clear();
+          for (std::string const& x : r.relays) relays_.push_back(Addr{x, st_.relay()});
+        }
         // News comes by itself. Only who stays behind asks, for what it lacks.
         bool const late = r.bal > (have_ ? state_.bal : Ballot()) || (!have_ && r.settled);
         if (!late) {
@@ -569,6 +581,7 @@
     last_tick_ = now;
     clock_.own(now, wall_s());
     for (auto& [ip, m] : mates_) m.link->tick(now);
+    if (relay_) relay_->tick(now);
     tell_rows(now);
     tell_clock(now);
     tell_tally(now);
@@ -635,6 +648,8 @@
   std::set<std::string> rows_dirty_;     // rows that the proxy has yet to hear of
   std::optional<Ballot> told_bal_;       // what the proxy has on this channel
   std::string primary_, surveyor_;
+  std::unique_ptr<Relay> relay_;         // for mates that are cut off from the core
+  std::vector<Addr> relays_;             // mates that would do as much for us
   TrueClock clock_;
   Totals totals_;                        // what our proxy counted and nobody reported yet
   Secs clock_told_ = 0, tallied_ = 0;
@@ -647,6 +662,7 @@
   std::map<u64, Held> held_;
   std::map<u64, std::pair<std::string, Secs>> held_by_;  // rollouts held: who asked, until when
   u32 next_ = 0;
+  log4cplus::Logger lg_ = log4cplus::Logger::getInstance("page");
 };
 
 }  // namespace
--- a/tests/assign_test.cpp
+++ b/tests/assign_test.cpp
@@ -58,11 +58,14 @@
 // All proxies of a zone together, two of them with an old view, keep a cold
 // server below its bound in every second.
 Test(assign, cold_rate_holds_summed_over_proxies) {
-  for (u32 n : {1u, 3u, 8u}) {
+  for (u32 n : {1u, 3u, 8u, 30u}) {
     Settings const st = settings();
+    std::vector<std::unique_ptr<Settings>> sts;
     std::vector<std::unique_ptr<Assign>> ps;
     for (u32 i = 0; i < n; ++i) {
-      ps.push_back(std::make_unique<Assign>(st));
+      sts.push_back(std::make_unique<Settings>(st));
+      sts.back()->nodeName = "edge-" + std::to_string(i);
+      ps.push_back(std::make_unique<Assign>(*sts.back()));
       ps[i]->rule(ps[i]->pool("p"), PoolRule{100, 10, 3});
       ps[i]->sites({{"n1", i == 0 && n > 2 ? n - 1 : n}});
       ps[i]->table({seen("z", "n1", 30)}, 0);
--- a/tests/duty_test.cpp
+++ b/tests/duty_test.cpp
@@ -48,7 +48,7 @@
   void born(int i) {
     Node& x = nodes[static_cast<std::size_t>(i)];
     x.duty = std::make_unique<Duty>("usage", name(i), "10.0.0." + std::to_string(i), DutyPlan{3, 0.4, 1.0}, now);
-    x.rep = std::make_unique<Reporter>(ReportPlan{5, 3, 1.0, 0.05, 0.4, 3.0});
+    x.rep = std::make_unique<Reporter>(ReportPlan{5, 3, 3, 1.0, 0.05, 0.4, 3.0});
     x.known = State();
     x.totals = Totals();
     ++x.life;
@@ -306,7 +306,7 @@
 
 // One body a window for ever; refusals, silence and 429 are heeded.
 Test(reporter, fixes_once_sends_in_order_and_repeats_byte_for_byte) {
-  Reporter r(ReportPlan{5, 3, 1, 0.05, 0.4, 3});
+  Reporter r(ReportPlan{5, 1.5, 6, 1, 0.05, 0.4, 3});
   State s;
   Totals t;
   TallyRow row;
@@ -315,9 +315,12 @@
   row.tenants = {"a"};
   row.counts = {7};
   t.join(row);
-  cr_assert_not(r.to_fix(s, t, 57.9, 100, 50).has_value(), "counts settle first");
-  cr_assert_not(r.to_fix(s, t, 58.1, 100, 0.5).has_value(), "a new holder waits for others' counts");
-  auto const f = r.to_fix(s, t, 58.1, 100, 50);
+  cr_assert_not(r.to_fix(s, t, 60.9, 100, 50).has_value(), "a proxy that has not gone on may be cut off");
+  cr_assert_not(r.to_fix(s, t, 61.1, 100, 0.5).has_value(), "a new holder waits for others' counts");
+  row.window = Window(11);
+  t.join(row);
+  cr_assert_not(r.to_fix(s, t, 56.4, 100, 50).has_value(), "counts settle first");
+  auto const f = r.to_fix(s, t, 56.6, 100, 50);
   cr_assert(f && Reporter::fix(s, *f));
   FixedWindow other = *f;
   other.body = "{}";
