A loser's release no longer frees a sealed key that another had run

Cause: seal() kept the first holder copied and ignored others; the loser's release then erased it. Ruled out: unsynced disks, epochs, partner's name in the key. Small test added.

--- a/packages/keys/include/keys/ledger.hpp
+++ b/packages/keys/include/keys/ledger.hpp
@@ -42,7 +42,8 @@
 
 // Invariants: a key has one holder until released by that holder or forgotten
 // after the horizon; a sealed entry (copied from others) is never granted again,
-// not even to its own holder; nothing is granted before the ledger is whole.
+// not even to its own holder; one that was copied with two holders is nobody's, and no
+// holder's release frees it, for the other may have run; nothing is granted before the ledger is whole.
 class Ledger {
  public:
   struct Entry {
@@ -58,7 +59,9 @@
   // The write of this holder's entry came to its end.
   void written(std::string const& key, u64 holder, bool ok);
   bool release(Release const& r);
-  void seal(std::string const& key, u64 holder, Secs now);
+  static constexpr u64 nobody = 0;
+  // The holder to keep on disk.
+  u64 seal(std::string const& key, u64 holder, Secs now);
   // Drops what is older than the horizon; the names dropped are returned.
   std::vector<std::string> forget(Secs horizon, Secs now, std::size_t most);
   void load(std::string const& key, u64 holder, bool sealed, Secs now);
--- a/packages/keys/ledger.cpp
+++ b/packages/keys/ledger.cpp
@@ -33,18 +33,23 @@
 
 bool Ledger::release(Release const& r) {
   auto const it = m_.find(r.key);
-  if (it == m_.end() || it->second.holder != r.holder) return false;
+  if (it == m_.end() || it->second.holder != r.holder || r.holder == nobody) return false;
   m_.erase(it);
   return true;
 }
 
-void Ledger::seal(std::string const& key, u64 holder, Secs now) {
+u64 Ledger::seal(std::string const& key, u64 holder, Secs now) {
   auto const [it, fresh] = m_.try_emplace(key);
-  if (!fresh) return;
-  it->second.holder = holder;
-  it->second.sealed = true;
-  it->second.durable = true;
-  it->second.since = now;
+  Entry& e = it->second;
+  if (fresh) {
+    e.holder = holder;
+    e.since = now;
+  } else if (e.holder != holder) {
+    e.holder = nobody;
+  }
+  e.sealed = true;
+  e.durable = true;
+  return e.holder;
 }
 
 void Ledger::load(std::string const& key, u64 holder, bool sealed, Secs now) {
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -763,8 +763,8 @@
     Secs const now = now_s();
     std::vector<Vellum::Op> ops;
     for (HeldKey const& k : r.keys) {
-      ledger_->seal(k.key, k.holder, now);
-      ops.push_back(key_op(k.key, k.holder, true));
+      u64 const holder = ledger_->seal(k.key, k.holder, now);
+      ops.push_back(key_op(k.key, holder, true));
     }
     if (rebuild_heard_.size() >= committed_->majority()) {
       ops.push_back(meta("whole", "1"));
--- a/tests/keys_test.cpp
+++ b/tests/keys_test.cpp
@@ -128,3 +128,35 @@
     cr_assert(won.size() <= 1, "seed %u: both hold the key", seed);
   }
 }
+
+// A new disk copied a key from one who held it for a moment, then from those whose
+// holder ran it. The first one's release must not free what the other ran.
+Test(keys, a_losers_release_frees_no_sealed_key_of_another) {
+  for (bool const loser_first : {true, false}) {
+    Ledger l(false);
+    u64 const ran = 7, loser = 9;
+    l.seal("k", loser_first ? loser : ran, 1);
+    l.seal("k", loser_first ? ran : loser, 1);
+    l.set_whole();
+    Release r;
+    r.key = "k";
+    for (u64 const h : {loser, ran, Ledger::nobody}) {
+      r.holder = h;
+      cr_assert_not(l.release(r));
+    }
+    Claim c;
+    c.key = "k";
+    c.holder = 11;
+    c.epoch = Epoch(3);
+    ClaimR a;
+    cr_assert(l.claim(c, Epoch(3), 2, a) == Say::held);
+  }
+  // With one holder only, its release frees it.
+  Ledger l(false);
+  l.seal("k", 5, 1);
+  l.seal("k", 5, 1);
+  Release r;
+  r.key = "k";
+  r.holder = 5;
+  cr_assert(l.release(r));
+}
