--- /dev/null
+++ b/packages/desks/include/desks/house.hpp
@@ -0,0 +1,95 @@
+// What the desks of one core node share: its channels, its disk, the value in force.
+#pragma once
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "errand/heads.hpp"
+#include "gossip/roll.hpp"
+#include "register/acceptor.hpp"
+#include "register/vellum.hpp"
+#include "stacks/log.hpp"
+#include "stacks/program.hpp"
+
+namespace dockbend {
+
+// What a call is answered with. One place writes it.
+struct CallRet {
+  int code = 200;
+  std::string body;
+};
+
+inline CallRet fault(int code, std::string const& what) {
+  schema::FaultRet f;
+  f.fault = what;
+  return {code, json::render(f)};
+}
+
+struct Mate {
+  std::unique_ptr<Link> link;  // null: ourselves
+  Mismatch off;
+  Secs pulled = 0, digest_sent = 0;
+  bool fit = false;  // may take a duty over at once
+  std::string node;
+  Secs heard = 0;
+  Life life;         // of the disk that said so
+  Ballot accepted;   // the newest value it says it holds on disk
+};
+
+struct Peer {  // an incoming channel
+  ChannelP ch;
+  Hello hello;
+  bool feeding = false, primary = false;
+  u64 counts_told = 0, beats = 0;
+};
+
+// Invariants: committed is the newest value known to stand on a majority; view is its
+// part that proxies and agents go by; partners has that view's customers. Desks read
+// them; only the node's own loop changes them.
+struct House {
+  event_base* eb = nullptr;
+  Settings st;
+  std::unique_ptr<Vellum> vellum;
+  std::unique_ptr<Acceptor> acceptor;
+  std::optional<State> committed;
+  State view;
+  Compiled partners;
+  std::map<std::string, Mate> mates;
+  std::map<u64, Peer> peers;
+  bool born = false;  // our disk's life is on disk
+  Secs leaving = 0;   // since when; 0: we stay
+  // Brings a change to the register; done gets the value, or null if it is not known
+  // to stand.
+  std::function<void(std::function<bool(State&)>, std::function<void(State const*)>, Secs)> submit;
+  std::function<Mate&(std::string const&)> mate;  // made if new
+
+  bool up(std::string const& ip) const {
+    if (ip == st.ip) return true;
+    auto const it = mates.find(ip);
+    return it != mates.end() && it->second.link && it->second.link->up();
+  }
+  // In touch with a majority of the roster, ourselves counted.
+  bool settled() const {
+    if (!committed) return false;
+    std::size_t n = 0;
+    for (Member const& m : committed->roster) n += up(m.ip) ? 1 : 0;
+    return n >= committed->majority();
+  }
+  Secs patience() const { return std::max(0.5, st.bounds.ackBoundS * 0.8); }
+  void write(evhttp_request* r, CallRet const& c) const {
+    evkeyvalq* out = evhttp_request_get_output_headers(r);
+    evhttp_add_header(out, "Content-Type", "application/json");
+    if (leaving > 0) evhttp_add_header(out, "Connection", "close");
+    if (c.code == 503) evhttp_add_header(out, "Retry-After", "0.3");
+    evbuffer* b = evbuffer_new();
+    evbuffer_add(b, c.body.data(), c.body.size());
+    evhttp_send_reply(r, c.code, reason_of(c.code), b);
+    evbuffer_free(b);
+  }
+};
+
+}  // namespace dockbend
--- /dev/null
+++ b/packages/desks/include/desks/servers.hpp
@@ -0,0 +1,163 @@
+// The desk of the servers: their beats, and the roll that is passed on.
+#pragma once
+
+#include "desks/house.hpp"
+
+namespace dockbend {
+
+class ServerDesk {
+ public:
+  explicit ServerDesk(House& h) : h_(h) {}
+
+  // News of servers goes to the proxies we feed and to a few mates; whoever finds
+  // it new passes it on.
+  void spread(std::vector<Row> const& v, std::string const& from) {
+    if (v.empty()) return;
+    // On disk too, so that after a loss of all power the servers are known before
+    // their next beats. Nobody waits for it: the beats set right what it lacks.
+    std::vector<Vellum::Op> ops;
+    for (Row const& r : v) {
+      Vellum::Op o;
+      o.what = r.state == Standing::gone ? Vellum::Op::What::drop_row : Vellum::Op::What::put_row;
+      o.k = r.id;
+      if (r.state != Standing::gone) o.v = codec::pack(r);
+      ops.push_back(std::move(o));
+    }
+    h_.vellum->submit_lazy(std::move(ops));
+    for (Row const& r : v) pending_[r.id] = from;
+    if (flushing_) return;
+    flushing_ = true;
+    // Changes that come together go out together.
+    after(h_.eb, 0.04, [this] { flush_rows(); });
+  }
+
+  void rows(std::vector<Row> const& v, std::string const& from) {
+    Secs const now = now_s();
+    std::vector<Row> news, back;
+    for (Row const& r : v) {
+      if (roll_.join(r, now)) news.push_back(*roll_.get(r.id, now));
+      else if (auto const mine = roll_.get(r.id, now); mine && mine->seq > r.seq && mine->state != r.state) back.push_back(*mine);
+    }
+    spread(news, from);
+    auto const it = h_.mates.find(from);
+    if (!back.empty() && it != h_.mates.end() && it->second.link) spread_to(*it->second.link, back);
+  }
+
+  CallRet heartbeat(std::string const& id, schema::Heartbeat const& b) {
+    if (id.empty()) return fault(400, "id: empty");
+    if (b.state != "ready" && b.state != "draining") return fault(400, "state: neither ready nor draining");
+    if (b.service.empty()) return fault(400, "service: empty");
+    if (!h_.settled()) return fault(503, "not in touch with a majority");
+    try {
+      parse_addr(b.address, "address");
+    } catch (BadSetting const& e) {
+      return fault(400, e.what());
+    }
+    Row r;
+    r.id = id;
+    r.service = b.service;
+    r.address = b.address;
+    r.zone = b.zone;
+    r.capacity = b.capacity;
+    r.state = b.state == "ready" ? Standing::ready : Standing::draining;
+    r.seq = b.callSeq;
+    r.cold_left = b.coldLeftS.value_or(0);
+    Secs const now = now_s();
+    if (roll_.beat(r, h_.st.ip, now)) spread({*roll_.get(id, now)}, "");
+    schema::HeartbeatRet ret;
+    std::string const t = beat_target(b.zone);
+    if (!t.empty()) ret.beatTarget = t;
+    return {200, json::render(ret)};
+  }
+
+  CallRet leave(std::string const& id) {
+    Secs const now = now_s();
+    if (!h_.settled()) return fault(503, "not in touch with a majority");
+    auto cur = roll_.get(id, now);
+    Row r;
+    if (cur) r = *cur;
+    r.id = id;
+    r.state = Standing::gone;
+    r.seq = left_seq;
+    if (roll_.join(r, now)) spread({r}, "");
+    return {200, "{}"};
+  }
+
+  // To a mate whose roll differs from ours, or that may have begun anew.
+  void spread_all(Link& l) { spread_to(l, roll_.all(now_s())); }
+  void tick(Secs now) {
+    spread(roll_.expire(h_.st.ip, 3 * h_.st.beatPeriodS, now), "");
+    for (auto& [ip, m] : h_.mates)
+      if (m.link && m.heard > 0 && now - m.heard > 12) {
+        std::vector<Row> const gone = roll_.expire_of(ip, now);
+        m.heard = now;
+        spread(gone, ip);
+      }
+  }
+  Roll& roll() { return roll_; }
+  Roll const& roll() const { return roll_; }
+  u64 told_digest() const { return told_digest_; }  // of the roll as others were told of it
+
+ private:
+  void spread_to(Link& l, std::vector<Row> const& v) {
+    if (v.empty()) return;
+    News n;
+    n.rows = v;
+    l.send(Kind::rows, 0, n);
+  }
+
+  void flush_rows() {
+    flushing_ = false;
+    Secs const now = now_s();
+    News all, ours;  // ours: what mates have not heard from anyone
+    std::size_t links = 0;
+    for (auto& [ip, m] : h_.mates) links += m.link && m.link->up() ? 1 : 0;
+    std::size_t const few = 8;
+    for (auto const& [id, from] : pending_) {
+      auto r = roll_.get(id, now);
+      if (!r) continue;
+      // With few mates the first teller reached everyone itself.
+      if (from.empty() || links > few) ours.rows.push_back(*r);
+      all.rows.push_back(std::move(*r));
+    }
+    pending_.clear();
+    told_digest_ = roll_.digest();
+    if (all.rows.empty()) return;
+    Parcel const pc = parcel(Kind::news, codec::pack(all));
+    for (auto& [id, p] : h_.peers)
+      if (p.feeding) p.ch->send(pc);
+    if (ours.rows.empty()) return;
+    std::vector<Link*> ls;
+    for (auto& [ip, m] : h_.mates)
+      if (m.link && m.link->up()) ls.push_back(m.link.get());
+    if (ls.size() > few) {
+      for (std::size_t i = 0; i < few; ++i) std::swap(ls[i], ls[i + random64() % (ls.size() - i)]);
+      ls.resize(few);
+    }
+    Parcel const pm = parcel(Kind::rows, codec::pack(ours));
+    for (Link* l : ls) l->send(pm);
+  }
+
+  std::string beat_target(std::string const& zone) const {
+    if (!h_.committed || h_.leaving > 0) return "";
+    Member const* best = nullptr;
+    int best_tier = 9;
+    std::string const region = h_.st.region_of(zone);
+    for (Member const& m : h_.committed->roster) {
+      int const t = m.zone == zone ? 0 : m.region == region ? 1 : 2;
+      if (t < 2 && t < best_tier && h_.up(m.ip) && m.control > 0) {
+        best = &m;
+        best_tier = t;
+      }
+    }
+    return best == nullptr ? std::string() : Addr{best->ip, best->control}.str();
+  }
+
+  House& h_;
+  Roll roll_;
+  std::map<std::string, std::string> pending_;  // rows to pass on: id -> the mate that told us
+  bool flushing_ = false;
+  u64 told_digest_ = 0;
+};
+
+}  // namespace dockbend
--- a/packages/register/include/register/vellum.hpp
+++ b/packages/register/include/register/vellum.hpp
@@ -31,6 +31,12 @@
     u64 holder = 0;
     bool sealed = false;
   };
+  static Op put_meta(std::string k, std::string v) {
+    Op o;
+    o.k = std::move(k);
+    o.v = std::move(v);
+    return o;
+  }
   using Done = std::function<void(bool)>;
   using Found = std::function<void(std::string const&)>;
 
