--- a/packages/stacks/courier.cpp
+++ b/packages/stacks/courier.cpp
@@ -237,11 +237,10 @@
 
 void Link::dial() {
   if (ch_) ch_->close();
-  // The direct way first; relays in turn once it failed twice, with the direct way
-  // between them.
-  std::vector<Addr> const r = relays_ && fails_ >= 2 && fails_ % 3 != 0 ? relays_() : std::vector<Addr>();
-  via_ = waiting_ = !r.empty();
-  ch_ = Channel::dial(eb_, via_ ? r[turn_++ % r.size()] : to_);
+  std::vector<Addr> const r = relays_ ? relays_() : std::vector<Addr>();
+  std::optional<std::size_t> const relay = ways_.next(r.size());
+  via_ = waiting_ = relay.has_value();
+  ch_ = Channel::dial(eb_, relay ? r[*relay] : to_);
   dialled_ = now_s();
   wire();
 }
@@ -256,7 +255,7 @@
     }
     back_ = 0.1;
     wait_ = 0.4;
-    fails_ = 0;
+    ways_.direct();
     on_up.emit(*this);
   });
   ch_->on_down.connect([this](Channel&) { gone(); });
@@ -275,7 +274,7 @@
 }
 
 void Link::gone() {
-  ++fails_;
+  ways_.failed();
   next_ = now_s() + back_ * (0.5 + random01());
   back_ = std::min(back_ * 1.5, 0.3);
   on_down.emit(*this);
@@ -288,7 +287,7 @@
   }
   if (!up()) {
     if (now - dialled_ > wait_) {
-      ++fails_;
+      ways_.failed();
       wait_ = std::min(wait_ * 1.5, 2.0);  // a far mate may need longer than we first give it
       dial();
     }
@@ -308,7 +307,7 @@
         ch_ = p;
         ch_->on_up.clear();
         via_ = waiting_ = false;
-        fails_ = 0;
+        ways_.direct();
         wire();
         on_up.emit(*this);
       });
@@ -316,7 +315,7 @@
   }
   if (now - ch_->heard() > quiet_s_) {
     ch_->close();
-    ++fails_;
+    ways_.failed();
     next_ = now;
     on_down.emit(*this);
     return;
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -8,6 +8,7 @@
 #include <sigc++/sigc++.h>
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 #include "stacks/codec.hpp"
@@ -115,6 +116,23 @@
   DB_RECORD(ViaR, (bool, ok));
 };
 
+// Which way to dial next: directly; once that failed twice, through relays in turn, with
+// the direct way tried again between them. Invariant: of any three dials that failed one
+// after the other, one was direct, and no relay is tried twice before each was tried once.
+class Ways {
+ public:
+  // The relay's place among n; none: directly.
+  std::optional<std::size_t> next(std::size_t n) {
+    if (n == 0 || fails_ < 2 || fails_ % 3 == 0) return std::nullopt;
+    return turn_++ % n;
+  }
+  void failed() { ++fails_; }
+  void direct() { fails_ = 0; }  // the direct way is up
+
+ private:
+  std::size_t fails_ = 0, turn_ = 0;
+};
+
 // Keeps one mate dialled. Silence of quiet_s ends the channel; silence of ours
 // is broken by a ping every ping_s. Where the mate can't be reached directly and there
 // are relays, it is reached through one of them, and directly again once that works.
@@ -153,7 +171,7 @@
   ChannelP ch_, probe_;  // probe_: tries the direct way while a relay serves
   std::function<std::vector<Addr>()> relays_;
   bool via_ = false, waiting_ = false;  // waiting_: for the relay's word
-  u32 fails_ = 0, turn_ = 0;
+  Ways ways_;
   Secs probed_ = 0;
   Secs next_ = 0, dialled_ = 0, back_ = 0.1, wait_ = 0.4;
 };
