--- a/packages/catalog/include/catalog/catalog.hpp
+++ b/packages/catalog/include/catalog/catalog.hpp
@@ -41,10 +41,14 @@
 template <Selector S>
 class Catalog {
  public:
-  explicit Catalog(Secs life, S sel = S()) : life_(life), sel_(sel) {}
+  // settle: how long a table that began empty is left to fill. Lists made of the first few
+  // rows would send everybody to the same few sites; clients keep what they had meanwhile.
+  explicit Catalog(Secs life, Secs settle = 0, S sel = S()) : life_(life), settle_(settle), sel_(sel) {}
+  bool settled(Secs now) const { return first_ >= 0 && now - first_ >= settle_; }
 
   // What was heard last holds, from whomever.
   void keep(Site s) {
+    if (first_ < 0) first_ = s.heard;
     auto const [it, fresh] = rows_.try_emplace(s.front);
     if (fresh || s.heard >= it->second.heard) it->second = std::move(s);
   }
@@ -64,7 +68,7 @@
   std::unordered_map<std::string, Site> const& rows() const { return rows_; }
 
  private:
-  Secs life_;
+  Secs life_, settle_, first_ = -1;
   S sel_;
   std::unordered_map<std::string, Site> rows_;
 };
--- a/packages/desks/include/desks/sites.hpp
+++ b/packages/desks/include/desks/sites.hpp
@@ -65,6 +65,7 @@
     if (char const* g = evhttp_find_header(&q, "region"); g != nullptr) c.region = g;
     evhttp_clear_headers(&q);
     if (c.region.empty()) c.region = h_.st.region_of(c.zone);
+    if (!catalog_.settled(now_s())) return h_.write(r, fault(503, "the table is still filling"));
     auto const l = catalog_.resolve(c);
     if (l.empty()) return h_.write(r, fault(503, "no site is ready"));
     schema::ResolveRet ret;
@@ -161,7 +162,7 @@
   };
 
   House& h_;
-  Catalog<NearSelector> catalog_{1.9};
+  Catalog<NearSelector> catalog_{1.9, 1.2};
   std::set<std::string> fresh_sites_;  // heard since mates were last told
   std::map<std::string, Counted> counts_;  // proxies by zone
   u64 counts_turn_ = 1;
--- a/tests/roll_test.cpp
+++ b/tests/roll_test.cpp
@@ -2,6 +2,8 @@
 
 #include <random>
 
+#include <set>
+
 #include "catalog/catalog.hpp"
 #include "gossip/roll.hpp"
 
@@ -106,3 +108,25 @@
   for (u64 i = 0; i < 9; ++i) told = n.hear(i, i + 1) || told;
   cr_assert(told, "or differ for long");
 }
+
+// All power was lost and the table begins empty: nobody is sent to the first few rows.
+Test(catalog, a_table_that_fills_names_nobody_yet) {
+  Catalog<NearSelector> c(1.9, 1.2);
+  cr_assert_not(c.settled(100));
+  for (int i = 0; i < 30; ++i) {
+    Site s;
+    s.front = "10.0.0." + std::to_string(i) + ":80";
+    s.zone = s.region = "z";
+    s.ready = true;
+    s.heard = 100 + i * 0.03;
+    c.keep(s);
+    if (i < 29) cr_assert_not(c.settled(s.heard));
+  }
+  cr_assert(c.settled(101.2));
+  Consumer who;
+  who.zone = who.region = "z";
+  std::set<std::string> named;
+  for (int i = 0; i < 200; ++i)
+    for (Site const* s : c.resolve(who)) named.insert(s->front);
+  cr_assert_gt(named.size(), 25u);
+}
