--- a/packages/manifest/manifest.cpp
+++ b/packages/manifest/manifest.cpp
@@ -359,7 +359,7 @@
 
 void Compiled::put(Item const& it) {
   auto const [g, fresh] = gens_.try_emplace(it.key, it.gen);
-  if (!fresh && it.gen < g->second) return;
+  if (!fresh && it.gen <= g->second) return;  // one body a generation: nothing new
   g->second = it.gen;
   drop(it.key);
   if (it.gone) return;
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -541,10 +541,13 @@
   }
 
   // What a node that has the view of `have` lacks of ours.
-  Parcel lacking(Ballot have) const {
+  Parcel lacking(Ballot have) {
+    bool const some = have.v != 0 && have >= changed_since_ && have < h_.view.bal;
+    // After a loss of power everybody lacks all of it: it is made ready once.
+    if (!some && whole_of_ == h_.view.bal && !whole_.body.empty()) return whole_;
     Commit c;
     c.bal = h_.view.bal;
-    if (have.v != 0 && have >= changed_since_ && have < h_.view.bal) {
+    if (some) {
       Delta d;
       d.base = have;
       d.bal = d.open = h_.view.bal;
@@ -560,7 +563,12 @@
     } else {
       c.state = codec::pack(h_.view);
     }
-    return parcel(Kind::commitR, codec::pack(c));
+    Parcel p = parcel(Kind::commitR, codec::pack(c));
+    if (!some) {
+      whole_ = p;
+      whole_of_ = h_.view.bal;
+    }
+    return p;
   }
 
   void see_partner(Item const& i) {
@@ -885,6 +893,8 @@
   std::vector<Call> batch_;
   evhttp *control_ = nullptr, *directory_ = nullptr;
   std::unique_ptr<Ticker> tick_;
+  Parcel whole_;                           // the whole view, ready to send
+  Ballot whole_of_;
   Ballot changed_since_;                   // from here on `changed_` is whole
   std::map<std::string, Ballot> changed_;  // item -> view that last changed it
   Ballot durable_;  // of the newest value on our own disk
