--- a/packages/atlas/forecast.cpp
+++ b/packages/atlas/forecast.cpp
@@ -162,10 +162,8 @@
     std::vector<PlaceIx> homes;
     Wish w;
     w.pool = p.as->pool(l.pool);
-    if (def != nullptr) {
-      for (std::string const& h : def->homes) homes.push_back(p.as->region(h));
-      w.setpoint = def->setpointS;
-    }
+    for (std::string const& h : l.homes) homes.push_back(p.as->region(h));
+    if (def != nullptr) w.setpoint = def->setpointS;
     w.homes = &homes;
     w.bulky = u01() < l.bulky;
     Assign::Choice const ch = p.as->choose(w, e.at);
--- a/packages/atlas/include/atlas/survey.hpp
+++ b/packages/atlas/include/atlas/survey.hpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "stacks/codec.hpp"
@@ -13,8 +14,10 @@
 struct SurveyAsk {
   DB_RECORD(SurveyAsk, (u64, id));
 };
-struct LaneRate {  // errands a second that came in for a lane, by the service they drew
-  DB_RECORD(LaneRate, (std::string, lane), (std::string, pool), (double, rate), (double, bulky));
+// Errands a second that came in for a lane, by the service they drew and the homes that
+// bind them (their lane's and their partner's; none: any region).
+struct LaneRate {
+  DB_RECORD(LaneRate, (std::string, lane), (std::string, pool), (double, rate), (double, bulky), (std::vector<std::string>, homes));
 };
 struct SentRate {  // tries a second that went to servers of a zone
   DB_RECORD(SentRate, (std::string, lane), (std::string, zone), (double, rate));
@@ -32,7 +35,7 @@
 class Observer {
  public:
   static constexpr std::size_t seconds = 10;
-  void errand(std::string const& lane, std::string const& pool, bool bulky, Secs now);
+  void errand(std::string const& lane, std::string const& pool, std::vector<std::string> const& homes, bool bulky, Secs now);
   void sent(std::string const& lane, std::string const& zone, Secs now);
   void fill(Survey& s, Secs now) const;
 
@@ -57,7 +60,8 @@
   };
   using Key = std::pair<std::string, std::string>;
   Secs first_ = -1;
-  std::map<Key, std::pair<Ring, Ring>> came_;  // (lane, pool): all, bulky ones
+  using CameKey = std::tuple<std::string, std::string, std::vector<std::string>>;
+  std::map<CameKey, std::pair<Ring, Ring>> came_;  // (lane, pool, homes): all, bulky ones
   std::map<Key, Ring> went_;                   // (lane, zone)
 };
 
--- a/packages/atlas/survey.cpp
+++ b/packages/atlas/survey.cpp
@@ -8,9 +8,9 @@
 u64 second_of(Secs now) { return static_cast<u64>(std::max(0.0, now)) + 1; }
 }  // namespace
 
-void Observer::errand(std::string const& lane, std::string const& pool, bool bulky, Secs now) {
+void Observer::errand(std::string const& lane, std::string const& pool, std::vector<std::string> const& homes, bool bulky, Secs now) {
   if (first_ < 0) first_ = now;
-  auto& [all, big] = came_[{lane, pool}];
+  auto& [all, big] = came_[{lane, pool, homes}];
   all.add(second_of(now));
   if (bulky) big.add(second_of(now));
 }
@@ -27,8 +27,9 @@
     double const n = r.first.sum(sec, span);
     if (n <= 0) continue;
     LaneRate l;
-    l.lane = k.first;
-    l.pool = k.second;
+    l.lane = std::get<0>(k);
+    l.pool = std::get<1>(k);
+    l.homes = std::get<2>(k);
     l.rate = n / d;
     l.bulky = r.second.sum(sec, span) / n;
     s.lanes.push_back(std::move(l));
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -422,7 +422,7 @@
     e.timer = event_new(eb_, -1, 0, timer_cb, &e);
     e.h = slab_.add(std::move(up));
     as_.budget(e.pool).errand(now);
-    atlas_.errand(lane->name, as_.pool_name(e.pool), e.body > 16384 || lane->kind == LaneKind::inflow, now);
+    atlas_.errand(lane->name, as_.pool_name(e.pool), e.home_names, e.body > 16384 || lane->kind == LaneKind::inflow, now);
     admit(e, now);
   }
 
--- a/tests/atlas_test.cpp
+++ b/tests/atlas_test.cpp
@@ -40,6 +40,7 @@
       l.lane = lane;
       l.pool = "p";
       l.rate = z.rate * part * scale;
+      if (std::string(lane) == "home") l.homes = {"south"};
       v.lanes.push_back(l);
     }
     for (auto const& s : c.servers) {
@@ -99,6 +100,23 @@
   cr_assert(calm.fits);
 }
 
+// A partner whose home is the zone's region alone is homeless without it, on a lane
+// that others may use anywhere.
+Test(atlas, partners_homes_bind_too) {
+  Capture c = town(1);
+  LaneRate l;
+  l.lane = "read";
+  l.pool = "p";
+  l.rate = 5;
+  l.homes = {"south"};
+  c.surveys[0].lanes.push_back(l);
+  Forecast const f = forecast(c, {"s1"}, ForecastPlan{});
+  bool read = false;
+  for (Unserved const& u : f.unserved) read = read || (u.lane == "read" && u.homeless);
+  cr_assert(read);
+  cr_assert(forecast(c, {"n2"}, ForecastPlan{}).fits);
+}
+
 Test(atlas, a_partial_capture_is_said_so) {
   Capture c = town(1);
   c.silent = {"front-x"};
@@ -132,7 +150,7 @@
 
 Test(atlas, rates_are_of_whole_seconds_and_fade) {
   Observer o;
-  for (int i = 0; i < 300; ++i) o.errand("l", "p", i % 3 == 0, 100 + i * 0.1);
+  for (int i = 0; i < 300; ++i) o.errand("l", "p", {}, i % 3 == 0, 100 + i * 0.1);
   Survey s;
   o.fill(s, 130);
   cr_assert_float_eq(s.lanes[0].rate, 10, 0.2);
