--- a/packages/atlas/forecast.cpp
+++ b/packages/atlas/forecast.cpp
@@ -53,7 +53,6 @@
     Settings st;
     std::unique_ptr<Assign> as;
     Survey const* sv = nullptr;
-    std::map<std::size_t, ServerIx> unused;
   };
   struct Event {
     Secs at = 0;
--- a/packages/desks/include/desks/duties.hpp
+++ b/packages/desks/include/desks/duties.hpp
@@ -303,8 +303,7 @@
     }
     auto const s = reporter_.to_send(*h_.committed, now);
     if (!s || !d.may_act(now, reporter_.call_s())) return;
-    d.acted(now);
-    reporter_.sent(*s, now);
+    reporter_.sent(now);
     envoy_->post("/usage", {{"X-Duty-Holder", h_.st.nodeName}, {"X-Fence-Number", std::to_string(d.fence())}}, s->body, reporter_.call_s(),
                  [this, w = s->window](int code, Secs wait) {
                    reporter_.answered(w, code, wait, now_s());
--- a/packages/desks/include/desks/sites.hpp
+++ b/packages/desks/include/desks/sites.hpp
@@ -41,13 +41,7 @@
       auto const it = catalog_.rows().find(r.front);
       // Who registered here is known first-hand.
       if (it != catalog_.rows().end() && it->second.channel != 0 && now - it->second.heard < 1.0) continue;
-      Site s;
-      s.front = r.front;
-      s.zone = r.zone;
-      s.region = r.region;
-      s.ready = r.ready;
-      s.load = r.load;
-      s.heard = now - r.age;
+      Site s = site_of(r, now - r.age);
       s.via = from;
       catalog_.keep(std::move(s));
     }
@@ -126,13 +120,7 @@
   // place in its region is declined.
   void beat(SiteBeat const& b, Peer& p, Secs now) {
     if (b.front.empty() || h_.st.region_of(b.zone) != b.region) return;
-    Site s;
-    s.front = b.front;
-    s.zone = b.zone;
-    s.region = b.region;
-    s.ready = b.ready;
-    s.load = b.load;
-    s.heard = now;
+    Site s = site_of(b, now);
     s.channel = p.ch->id();
     if (b.primary) fresh_sites_.insert(b.front);
     p.primary = b.primary;
@@ -156,6 +144,18 @@
   Catalog<NearSelector> const& catalog() const { return catalog_; }
 
  private:
+  // The columns that a keepalive and a mate's word of it have in common.
+  template <class T>
+  static Site site_of(T const& said, Secs heard) {
+    Site s;
+    s.front = said.front;
+    s.zone = said.zone;
+    s.region = said.region;
+    s.ready = said.ready;
+    s.load = said.load;
+    s.heard = heard;
+    return s;
+  }
   struct Counted {
     u32 n = 0;
     Secs seen = 0;
--- a/packages/duty/include/duty/duty.hpp
+++ b/packages/duty/include/duty/duty.hpp
@@ -49,19 +49,16 @@
 
   // Gives it to `next` (a node's name); false if this node does not hold it.
   bool hand_over(std::string const& next);
-  // Leaving: names no one in particular if there is nobody to name.
+  // Between hand_over() and the register's word.
   bool handing() const { return handing_; }
-  bool handed() const { return handed_; }
 
   // May a call that ends within `need` be sent now?
   bool may_act(Secs now, Secs need) const;
-  void acted(Secs now) { acted_ = now; }
   // Would it be let act at once if the duty were handed to it?
   bool free(Secs now) const { return now - left_ >= still() && now - born_ >= still(); }
   bool holds() const { return held_ && !handing_; }
   u64 fence() const { return fence_; }
   std::string const& name() const { return duty_; }
-  Term const& term() const { return term_; }
   Secs since() const { return held_since_; }
 
  private:
@@ -73,7 +70,6 @@
   Secs born_, wait_ = 0, asked_ = -1e9, held_since_ = 0;
   Secs until_ = 0;       // acts until then
   Secs left_ = -1e9;     // when it last ceased to hold
-  Secs acted_ = -1e9;
   Secs renewed_ = -1e9;  // when the newest renewal that stood was asked
   u64 fence_ = 0;
   bool held_ = false, handing_ = false, handed_ = false, asking_ = false, first_ = false;
--- a/packages/duty/include/duty/reporter.hpp
+++ b/packages/duty/include/duty/reporter.hpp
@@ -37,7 +37,7 @@
 
   // What to send now, if a call may be sent at all.
   std::optional<Send> to_send(State const& s, Secs now);
-  void sent(Send const& c, Secs now);
+  void sent(Secs now);
   // code 0: no answer in time. retry_after < 0: not said.
   void answered(u64 window, int code, Secs retry_after, Secs now);
   void forget();  // the duty was lost: whatever hangs is for the next holder
@@ -45,16 +45,12 @@
   std::optional<u64> acked() const { return acked_; }
   Secs call_s() const { return p_.call; }
 
-  u64 last_sent() const { return last_; }
-  u64 calls() const { return calls_; }
-  u64 failures() const { return fails_total_; }
 
  private:
   ReportPlan p_;
   bool calling_ = false;
   Secs next_ = 0, asked_ = -1e9;
   u32 fails_ = 0, refused_ = 0;
-  u64 last_ = 0, calls_ = 0, fails_total_ = 0;
   std::optional<u64> acked_;  // answered 200, not yet ticked off in the register
 };
 
--- a/packages/duty/reporter.cpp
+++ b/packages/duty/reporter.cpp
@@ -39,10 +39,8 @@
   return std::nullopt;
 }
 
-void Reporter::sent(Send const& c, Secs now) {
+void Reporter::sent(Secs now) {
   calling_ = true;
-  ++calls_;
-  last_ = c.window;
   next_ = now + p_.gap;
 }
 
@@ -58,7 +56,6 @@
     next_ = now + p_.gap;
     return;
   }
-  ++fails_total_;
   Secs const back = std::min(p_.back_most, p_.back_first * std::pow(2.0, std::min<u32>(fails_, 8)));
   ++fails_;
   next_ = now + std::max(retry_after, back * (0.9 + 0.2 * random01()));
--- a/packages/shelf/include/shelf/shelf.hpp
+++ b/packages/shelf/include/shelf/shelf.hpp
@@ -43,7 +43,6 @@
   void sweep(Secs now);
   // Closes what is idle to servers that take nothing more.
   void trim(std::vector<ServerIx> const& gone);
-  u64 opened() const { return opened_; }
 
  private:
   Chan& open(ServerIx s);
@@ -51,7 +50,6 @@
   event_base* eb_;
   Assign& as_;
   std::unordered_map<u32, std::vector<Chan*>> idle_;
-  u64 opened_ = 0;
 };
 
 }  // namespace dockbend
--- a/packages/shelf/shelf.cpp
+++ b/packages/shelf/shelf.cpp
@@ -68,7 +68,6 @@
   evhttp_connection_set_closecb(c->ec, close_cb, c);
   evbuffer_add_cb(bufferevent_get_output(bev), out_cb, c);
   ++t.chans;
-  ++opened_;
   return *c;
 }
 
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -184,7 +184,6 @@
   Relay(event_base* eb, Addr const& at, u32 port, std::function<bool(std::string const&)> known);
   Relay(Relay const&) = delete;
   void tick(Secs now);
-  std::size_t pipes() const { return pipes_.size(); }
 
  private:
   struct Pipe {
--- a/packages/tally/include/tally/totals.hpp
+++ b/packages/tally/include/tally/totals.hpp
@@ -50,13 +50,10 @@
   std::map<std::string, u64> sum(Window w) const;
   // Has every proxy that counted in w, or just before it, gone on to a later window?
   bool complete(Window w) const;
-  bool empty() const { return m_.empty(); }
   Window first() const { return m_.empty() ? Window() : m_.begin()->first; }
-  Window last() const { return m_.empty() ? Window() : m_.rbegin()->first; }
   // Rows changed since the last call; all rows if `all`.
   TallyNote take(bool all);
   void forget(Window before);
-  std::size_t rows() const;
 
  private:
   using Row = std::map<std::string, u64>;
--- a/packages/tally/totals.cpp
+++ b/packages/tally/totals.cpp
@@ -98,12 +98,6 @@
   std::erase_if(newest_, [&](auto const& x) { return x.second.v + 10 < before.v; });
 }
 
-std::size_t Totals::rows() const {
-  std::size_t n = 0;
-  for (auto const& [w, lives] : m_) n += lives.size();
-  return n;
-}
-
 std::string usage_body(Window w, std::map<std::string, u64> const& sum) {
   rapidjson::StringBuffer sb;
   rapidjson::Writer<rapidjson::StringBuffer> j(sb);
--- a/tests/duty_test.cpp
+++ b/tests/duty_test.cpp
@@ -146,7 +146,7 @@
       submit(i, [f](State& s) { return Reporter::fix(s, *f); }, [](bool) {});
     auto const s = x.rep->to_send(x.known, now);
     if (!s || !d.may_act(now, x.rep->call_s())) return;
-    x.rep->sent(*s, now);
+    x.rep->sent(now);
     // The connection is reset at the call's deadline: what has not arrived never will.
     Secs const way = u(0.001, platform_slow ? 3.0 : 0.3);
     bool const gone = now < x.deaf_until || way > x.rep->call_s();
@@ -327,17 +327,17 @@
   cr_assert_not(Reporter::fix(s, other), "a window is fixed once");
   auto c = r.to_send(s, 101);
   cr_assert(c && c->body == "{\"windowIndex\":10,\"tallies\":{\"a\":7}}");
-  r.sent(*c, 101);
+  r.sent(101);
   cr_assert_not(r.to_send(s, 101.5).has_value(), "one call at a time");
   r.answered(10, 429, 2.0, 101.2);
   cr_assert_not(r.to_send(s, 103.1).has_value(), "429's Retry-After");
   c = r.to_send(s, 103.3);
   cr_assert(c && c->body == f->body);
-  r.sent(*c, 103.3);
+  r.sent(103.3);
   r.answered(10, 0, -1, 104.3);
   cr_assert_not(r.to_send(s, 104.5).has_value(), "backs off");
   c = r.to_send(s, 106);
-  r.sent(*c, 106);
+  r.sent(106);
   r.answered(10, 200, -1, 106.1);
   cr_assert_not(r.to_send(s, 107).has_value(), "200 ends it");
   cr_assert(Reporter::tick_off(s, *r.acked()));
