Drains: passes in the register, who leaves next, the duty that moves them

Library drain (orders, steps of proxies and of servers), atlas/moves (waves, by the directory's own selector), the desk, what proxies say of open work. Inert while no pass is wanted: zeros are not sent.

--- a/packages/atlas/include/atlas/forecast.hpp
+++ b/packages/atlas/include/atlas/forecast.hpp
@@ -20,11 +20,14 @@
 struct CapLane {
   DB_RECORD(CapLane, (std::string, name), (std::string, kind), (u32, rank), (double, setpointS), (std::vector<std::string>, homes));
 };
+struct CapSite {  // a proxy as the directory has it
+  DB_RECORD(CapSite, (std::string, front), (std::string, node), (std::string, zone), (std::string, region), (bool, ready), (double, load));
+};
 // One look at the whole. silent: proxies that were known and did not answer.
 struct Capture {
   DB_RECORD(Capture, (double, takenAt), (std::string, node), (bool, settled), (double, beatPeriodS), (std::vector<CapZone>, zones),
             (std::vector<CapServer>, servers), (std::vector<CapPool>, pools), (std::vector<CapLane>, lanes),
-            (std::vector<Survey>, surveys), (std::vector<std::string>, silent));
+            (std::vector<Survey>, surveys), (std::vector<std::string>, silent), (std::vector<CapSite>, sites));
 };
 
 struct LaneFlow {  // tries a second that reach servers of a zone
--- a/packages/atlas/include/atlas/survey.hpp
+++ b/packages/atlas/include/atlas/survey.hpp
@@ -6,13 +6,15 @@
 #include <tuple>
 #include <vector>
 
+#include "drain/servers.hpp"
 #include "stacks/codec.hpp"
 #include "stacks/record.hpp"
 
 namespace dockbend {
 
 struct SurveyAsk {
-  DB_RECORD(SurveyAsk, (u64, id));
+  // held: only what is open at these servers is wanted, and nothing else.
+  DB_RECORD(SurveyAsk, (u64, id), (bool, held), (std::vector<std::string>, servers));
 };
 // Errands a second that came in for a lane, by the service they drew and the homes that
 // bind them (their lane's and their partner's; none: any region).
@@ -27,7 +29,8 @@
 };
 struct Survey {
   DB_RECORD(Survey, (u64, id), (std::string, front), (std::string, zone), (std::string, region), (double, span),
-            (std::vector<LaneRate>, lanes), (std::vector<SentRate>, sent), (std::vector<Speed>, speeds));
+            (std::vector<LaneRate>, lanes), (std::vector<SentRate>, sent), (std::vector<Speed>, speeds), (std::string, node),
+            (std::vector<Held>, held));
 };
 
 // Rates over the last whole seconds. Invariant: a rate counts each errand once, in
--- a/packages/catalog/include/catalog/catalog.hpp
+++ b/packages/catalog/include/catalog/catalog.hpp
@@ -3,6 +3,7 @@
 // replaceable selector that returns at most three sites, all good enough.
 #pragma once
 #include <concepts>
+#include <set>
 #include <unordered_map>
 
 #include "gossip/roll.hpp"
@@ -18,6 +19,8 @@
   Secs heard = 0;
   u64 channel = 0;   // of the site's own registration here; 0: told by a mate
   std::string via;   // the directory that is the site's primary; empty: this one
+  DrainWord drain;   // what it says of itself while it is being drained
+  bool current = false;  // it holds the configuration in force, as far as is known
 };
 
 struct Consumer {  // a client's context
@@ -59,10 +62,14 @@
   void forgive(Secs now) {
     for (auto& [f, s] : rows_) s.heard = now;
   }
-  std::vector<Site const*> resolve(Consumer const& c) const {
+  // cordoned: sites that get no new clients while another is left.
+  std::vector<Site const*> resolve(Consumer const& c, std::set<std::string> const& cordoned = {}) const {
     std::vector<Site const*> t;
     for (auto const& [f, s] : rows_)
-      if (s.ready) t.push_back(&s);
+      if (s.ready && cordoned.count(f) == 0) t.push_back(&s);
+    if (t.empty())
+      for (auto const& [f, s] : rows_)
+        if (s.ready) t.push_back(&s);
     return sel_.choose(t, c);
   }
   std::unordered_map<std::string, Site> const& rows() const { return rows_; }
--- a/packages/desks/include/desks/duties.hpp
+++ b/packages/desks/include/desks/duties.hpp
@@ -17,7 +17,7 @@
     Secs const now = now_s();
     DutyPlan dp;
     dp.lease = st.bounds.leaseTermS;
-    for (char const* d : {"usage", "allowance"}) duties_.emplace(d, Duty(d, st.nodeName, st.ip, dp, now));
+    for (char const* d : {"usage", "allowance", "drain"}) duties_.emplace(d, Duty(d, st.nodeName, st.ip, dp, now));
     ReportPlan rp;
     rp.period = st.bounds.reportPeriodS;
     rp.settle = 0.15 * st.bounds.usageDelayS;
@@ -215,6 +215,9 @@
     h_.write(r, CallRet{200, std::string(sb.GetString(), sb.GetSize())});
   }
 
+  // May this node act under that duty in a call that ends within `need`?
+  bool may(std::string const& duty, Secs now, Secs need) const { return duties_.at(duty).may_act(now, need); }
+  u64 fence(std::string const& duty) const { return duties_.at(duty).fence(); }
   void tick(Secs now) {
     clock_.own(now, wall_s());
     duties(now);
@@ -247,7 +250,11 @@
   }
 
  private:
-  bool wanted(std::string const& duty) const { return duty == "usage" ? reports() : lends(); }
+  bool wanted(std::string const& duty) const { return duty == "usage" ? reports() : duty == "drain" ? drains() : lends(); }
+  bool drains() const {
+    return std::any_of(h_.committed->passes.begin(), h_.committed->passes.end(),
+                       [](Pass const& p) { return p.state == PassState::running || p.state == PassState::paused; });
+  }
   bool fit() const { return h_.born && h_.leaving == 0 && h_.settled(); }
 
   bool reports() const {
@@ -282,7 +289,7 @@
     if (n == "usage") {
       if (envoy_) envoy_->reset();
       reporter_.forget();
-    } else {
+    } else if (n == "allowance") {
       lender_.open(1e18);
     }
   }
--- a/packages/desks/include/desks/house.hpp
+++ b/packages/desks/include/desks/house.hpp
@@ -60,6 +60,7 @@
   Compiled partners;
   std::map<std::string, Mate> mates;
   std::map<u64, Peer> peers;
+  std::map<std::string, Unit> out;  // units of passes that are cordoned or further, not back, by name
   bool born = false;  // our disk's life is on disk
   Secs leaving = 0;   // since when; 0: we stay
   // Brings a change to the register; done gets the value, or null if it is not known
--- a/packages/desks/include/desks/servers.hpp
+++ b/packages/desks/include/desks/servers.hpp
@@ -34,7 +34,8 @@
   void rows(std::vector<Row> const& v, std::string const& from) {
     Secs const now = now_s();
     std::vector<Row> news, back;
-    for (Row const& r : v) {
+    for (Row r : v) {
+      drained(r);
       if (roll_.join(r, now)) news.push_back(*roll_.get(r.id, now));
       else if (auto const mine = roll_.get(r.id, now); mine && mine->seq > r.seq && mine->state != r.state) back.push_back(*mine);
     }
@@ -62,6 +63,7 @@
     r.state = b.state == "ready" ? Standing::ready : Standing::draining;
     r.seq = b.callSeq;
     r.cold_left = b.coldLeftS.value_or(0);
+    drained(r);
     Secs const now = now_s();
     if (roll_.beat(r, h_.st.ip, now)) spread({*roll_.get(id, now)}, "");
     schema::HeartbeatRet ret;
@@ -83,6 +85,21 @@
     return {200, "{}"};
   }
 
+  // The operator's order binds whatever the server says of itself. Every directory applies it
+  // to its own rows as soon as it learns of it, so that nobody waits for the rows' owners.
+  void orders_changed() {
+    Secs const now = now_s();
+    std::vector<Row> news;
+    for (auto const& [name, u] : h_.out) {
+      auto const e = roll_.get(name, now);
+      if (!e || e->state != Standing::ready) continue;
+      Row r = *e;
+      r.state = Standing::draining;
+      if (roll_.join(r, now)) news.push_back(std::move(r));
+    }
+    spread(news, "");
+  }
+
   // To a mate whose roll differs from ours, or that may have begun anew.
   void spread_all(Link& l) { spread_to(l, roll_.all(now_s())); }
   void tick(Secs now) {
@@ -99,6 +116,9 @@
   u64 told_digest() const { return told_digest_; }  // of the roll as others were told of it
 
  private:
+  void drained(Row& r) const {
+    if (r.state == Standing::ready && h_.out.count(r.id) > 0) r.state = Standing::draining;
+  }
   void spread_to(Link& l, std::vector<Row> const& v) {
     if (v.empty()) return;
     News n;
--- a/packages/desks/include/desks/sites.hpp
+++ b/packages/desks/include/desks/sites.hpp
@@ -26,6 +26,8 @@
       r.ready = it->second.ready;
       r.load = it->second.load;
       r.age = now - it->second.heard;
+      r.drain = it->second.drain;
+      r.current = it->second.current;
       n.rows.push_back(std::move(r));
     }
     fresh_sites_.clear();
@@ -43,6 +45,7 @@
       if (it != catalog_.rows().end() && it->second.channel != 0 && now - it->second.heard < 1.0) continue;
       Site s = site_of(r, now - r.age);
       s.via = from;
+      s.current = r.current;
       catalog_.keep(std::move(s));
     }
     count_sites(now);
@@ -60,7 +63,9 @@
     evhttp_clear_headers(&q);
     if (c.region.empty()) c.region = h_.st.region_of(c.zone);
     if (!catalog_.settled(now_s())) return h_.write(r, fault(503, "the table is still filling"));
-    auto const l = catalog_.resolve(c);
+    std::set<std::string> cordoned;
+    for (auto const& [n, u] : h_.out) cordoned.insert(n);
+    auto const l = catalog_.resolve(c, cordoned);
     if (l.empty()) return h_.write(r, fault(503, "no site is ready"));
     schema::ResolveRet ret;
     for (Site const* s : l) ret.addresses.push_back(s->front);
@@ -122,11 +127,21 @@
     if (b.front.empty() || h_.st.region_of(b.zone) != b.region) return;
     Site s = site_of(b, now);
     s.channel = p.ch->id();
+    s.current = b.bal >= h_.view.bal;
     if (b.primary) fresh_sites_.insert(b.front);
     p.primary = b.primary;
     catalog_.keep(std::move(s));
     count_sites(now);
   }
+  // What a site is to be told: cordoned it only says who it is, draining it acts.
+  DrainSaid told(std::string const& front) const {
+    DrainSaid d;
+    if (auto const it = h_.out.find(front); it != h_.out.end()) {
+      d.stage = static_cast<u32>(it->second.stage);
+      d.life = it->second.life;
+    }
+    return d;
+  }
   void load(std::vector<ZoneCount> const& l, Secs now) {
     for (ZoneCount const& z : l) counts_[z.zone] = Counted{z.n, now};
   }
@@ -153,6 +168,7 @@
     s.region = said.region;
     s.ready = said.ready;
     s.load = said.load;
+    s.drain = said.drain;
     s.heard = heard;
     return s;
   }
--- a/packages/desks/include/desks/surveys.hpp
+++ b/packages/desks/include/desks/surveys.hpp
@@ -26,6 +26,19 @@
     if (q.waiting.empty()) after(h_.eb, 0, [this, id] { survey_over(id); });
   }
 
+  // What proxies hold open at some servers. Each answer is told on its own; who is silent is not.
+  void ask_held(std::vector<std::string> const& servers, std::function<void(Survey const&)> told) {
+    SurveyAsk a;
+    a.id = random64() >> 16 | 1;
+    a.held = true;
+    a.servers = servers;
+    held_id_ = a.id;
+    on_held_ = std::move(told);
+    survey_sites(a, "");
+    for (auto& [ip, m] : h_.mates)
+      if (m.link) m.link->send(Kind::survey, 0, a);
+  }
+
   void survey_sites(SurveyAsk const& a, std::string const& from) {
     if (!from.empty()) surveys_for_[a.id] = {from, now_s()};
     for (auto& [id, p] : h_.peers)
@@ -33,6 +46,7 @@
   }
 
   void heard_survey(Survey const& s, std::string_view body) {
+    if (s.id == held_id_ && on_held_) return on_held_(s);
     auto const it = asked_.find(s.id);
     if (it == asked_.end()) {
       if (auto const f = surveys_for_.find(s.id); f != surveys_for_.end() && h_.mate(f->second.first).link && h_.mate(f->second.first).link->up())
@@ -110,6 +124,18 @@
           }
       }
     }
+    std::map<std::string, std::string> node;
+    for (Survey const& s : q.got) node[s.front] = s.node;
+    for (auto const& [f, s] : sites_.catalog().rows()) {
+      CapSite x;
+      x.front = f;
+      x.node = node[f];
+      x.zone = s.zone;
+      x.region = s.region;
+      x.ready = s.ready;
+      x.load = s.load;
+      c.sites.push_back(std::move(x));
+    }
     c.surveys = q.got;
     c.silent.assign(q.waiting.begin(), q.waiting.end());
     h_.write(q.r, CallRet{200, json::render(c)});
@@ -120,6 +146,8 @@
   ServerDesk& servers_;
   std::map<u64, std::pair<std::string, Secs>> surveys_for_;  // passed on: who asked
   std::map<u64, Asked> asked_;
+  u64 held_id_ = 0;  // the newest ask of what proxies hold; older answers count no more
+  std::function<void(Survey const&)> on_held_;
 };
 
 }  // namespace dockbend
--- /dev/null
+++ b/packages/drain/include/drain/nodes.hpp
@@ -0,0 +1,64 @@
+// Proxies out for maintenance, wave by wave: which step comes next. No I/O.
+#pragma once
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "drain/pass.hpp"
+
+namespace dockbend {
+
+// A proxy as the directories know it.
+struct SeenNode {
+  std::string front, zone, region;
+  bool ready = false, fresh = false;  // fresh: its keepalives come
+  double load = 0;                    // share of its processor or link in use, the busier of both
+  Stage told = Stage::waiting;        // the stage that it says it acts by
+  u32 keyed = 0, uploads = 0;         // that it says are open
+  u64 life = 0;
+  bool current = false;               // it holds the configuration in force
+};
+
+struct RegionRoom {
+  DB_RECORD(RegionRoom, (std::string, region), (u32, nodes), (double, load));  // load: mean of the nodes that serve
+};
+
+// What each region's nodes carry, and how many of them serve once `without` are out. Nodes that are
+// dark, not ready or out count as nothing, but what they still carry has to be carried.
+std::map<std::string, RegionRoom> room(std::vector<SeenNode> const& nodes, std::function<bool(SeenNode const&)> const& without);
+inline bool is_short(RegionRoom const& r, double headroom) { return r.nodes == 0 || r.load > 1 - headroom; }
+
+struct NodePlan {
+  Secs old_lists = 15;  // clients may go by lists as old as this
+  Secs steady = 2;      // a shortage or its end counts when it lasted so long
+  Secs settle = 0.8;    // emptiness, too
+};
+
+// The order of steps. Invariants:
+// - a unit leaves `waiting` only while every region, without it and without all that is out
+//   already, keeps the headroom;
+// - a unit becomes `empty` only by its own word, in the life that was drained, said again after `settle`;
+// - the next wave begins only when every unit of the one before is back;
+// - nothing is ever cut by time: a unit that does not become empty is only spoken of.
+// All times are of this life of the holder: a successor waits them out anew.
+class NodeDrainer {
+ public:
+  explicit NodeDrainer(NodePlan p) : p_(p) {}
+  Moves step(State const& s, std::vector<SeenNode> const& nodes, Secs now);
+  void forget() { at_.clear(); short_.clear(); }  // no longer the holder
+
+ private:
+  struct Mark {
+    Stage stage = Stage::waiting;
+    Secs since = 0, quiet_since = -1;
+  };
+  NodePlan p_;
+  std::map<std::pair<u64, std::string>, Mark> at_;
+  struct Shortage {
+    Secs since = -1, last = -1e9;
+  };
+  std::map<std::string, Shortage> short_;  // by region
+};
+
+}  // namespace dockbend
--- /dev/null
+++ b/packages/drain/include/drain/servers.hpp
@@ -0,0 +1,62 @@
+// Servers out of service, in order: who leaves next. No I/O.
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "drain/pass.hpp"
+
+namespace dockbend {
+
+// What one proxy has open at one server. bytes: sent of bodies still open; age: of the
+// oldest of them.
+struct Held {
+  DB_RECORD(Held, (std::string, id), (u32, uploads), (double, bytes), (double, age), (u32, keyed), (u32, sessions));
+};
+
+// A server as the holder of the duty knows it.
+struct SeenServer {
+  std::string id, service, zone, region;
+  bool present = false, ready = false;  // ready: it may get new work
+  double slots = 1;                     // that it bears: a cold one fewer
+  Held held;                            // over all proxies
+  bool told = false;                    // every proxy that may have sent to it said what it holds
+};
+
+// What leaves first: those with least that would be lost. A report that is missing counts
+// as busy.
+bool leaves_before(SeenServer const& a, SeenServer const& b);
+
+struct ServerPlan {
+  Secs spread = 3.5;  // after this long no proxy sends it anything new
+  Secs settle = 0.8;
+};
+
+// Invariants:
+// - of a service no more than max_out servers that it had are missing at once, be they
+//   drained, lost or not yet replaced;
+// - a server leaves `waiting` only while its service, in its region, keeps the headroom
+//   without it;
+// - it is `empty` only when every proxy that may hold something there says that it does
+//   not, twice, `settle` apart, and after `spread`;
+// - the order is worked out anew at each step.
+class ServerDrainer {
+ public:
+  explicit ServerDrainer(ServerPlan p) : p_(p) {}
+  Moves step(State const& s, std::vector<SeenServer> const& servers, Secs now);
+  // Whose holdings have to be known now.
+  std::vector<std::string> interest(State const& s) const;
+  // Since when a unit is in its stage, in this holder's sight; < 0: not known.
+  Secs since(u64 pass, std::string const& name) const;
+  void forget() { at_.clear(); }
+
+ private:
+  struct Mark {
+    Stage stage = Stage::waiting;
+    Secs since = 0, quiet_since = -1;
+  };
+  ServerPlan p_;
+  std::map<std::pair<u64, std::string>, Mark> at_;
+};
+
+}  // namespace dockbend
--- /dev/null
+++ b/packages/drain/nodes.cpp
@@ -0,0 +1,131 @@
+#include "drain/nodes.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <set>
+
+namespace dockbend {
+namespace {
+std::string text(char const* f, std::string const& what, double x, double y) {
+  char b[200];
+  std::snprintf(b, sizeof b, f, what.c_str(), x, y);
+  return b;
+}
+bool out(Stage s) { return s == Stage::cordoned || s == Stage::draining || s == Stage::empty || s == Stage::released; }
+}  // namespace
+
+std::map<std::string, RegionRoom> room(std::vector<SeenNode> const& nodes, std::function<bool(SeenNode const&)> const& without) {
+  std::map<std::string, RegionRoom> m;
+  for (SeenNode const& n : nodes) {
+    RegionRoom& r = m[n.region];
+    r.region = n.region;
+    if (!n.fresh) continue;
+    r.load += n.load;
+    r.nodes += n.ready && !without(n) ? 1 : 0;
+  }
+  for (auto& [k, r] : m) r.load = r.nodes > 0 ? r.load / r.nodes : r.load;
+  return m;
+}
+
+Moves NodeDrainer::step(State const& s, std::vector<SeenNode> const& nodes, Secs now) {
+  Moves mv;
+  std::map<std::string, SeenNode const*> by_front;
+  for (SeenNode const& n : nodes) by_front[n.front] = &n;
+  std::set<std::string> gone;  // out of service for any pass
+  for (Unit const& u : s.units)
+    if (out(u.stage)) gone.insert(u.name);
+  auto const serving = room(nodes, [&](SeenNode const& n) { return gone.count(n.front) > 0; });
+
+  std::set<std::pair<u64, std::string>> live;
+  for (Pass const& p : s.passes) {
+    if (p.servers || is_over(p.state)) continue;
+    u32 wave = ~0u;
+    for (Unit const& u : s.units)
+      if (u.pass == p.id && u.stage != Stage::back) wave = std::min(wave, u.wave);
+    std::string why;
+    // What runs short now, and for how long.
+    std::set<std::string> real;
+    for (auto const& [g, r] : serving) {
+      Shortage& x = short_[g];
+      if (is_short(r, p.headroom)) {
+        x.last = now;
+        if (x.since < 0) x.since = now;
+        if (now - x.since >= p_.steady) real.insert(g);
+      } else {
+        x.since = -1;
+      }
+    }
+    std::set<std::string> taking;  // begun in this very step
+    for (Unit const& u : s.units) {
+      if (u.pass != p.id || u.wave != wave || u.stage == Stage::back) continue;
+      auto const key = std::make_pair(p.id, u.name);
+      live.insert(key);
+      Mark& m = at_[key];
+      if (m.since == 0 || m.stage != u.stage) m = Mark{u.stage, now, -1};
+      auto const it = by_front.find(u.name);
+      SeenNode const* n = it == by_front.end() || !it->second->fresh ? nullptr : it->second;
+      std::string const& label = u.node.empty() ? u.name : u.node;
+      auto go = [&](Stage to, u64 life) { mv.moves.push_back(Move{p.id, u.name, u.stage, to, life}); };
+      // Out of sight: nothing is known of what it holds, so nothing is decided.
+      if (n == nullptr) {
+        m.quiet_since = -1;
+        if (why.empty()) why = label + ": out of reach";
+        continue;
+      }
+      // A real shortage takes back who can still serve.
+      if (real.count(n->region) > 0 && (u.stage == Stage::cordoned || u.stage == Stage::draining)) {
+        go(Stage::waiting, 0);
+        continue;
+      }
+      switch (u.stage) {
+        case Stage::waiting: {
+          if (p.state != PassState::running) break;
+          auto const after = room(nodes, [&](SeenNode const& x) { return gone.count(x.front) > 0 || taking.count(x.front) > 0 || x.front == u.name; });
+          RegionRoom const& r = after.at(n->region);
+          bool const lately = now - short_[n->region].last < p_.steady;
+          if (is_short(r, p.headroom) || lately) {
+            if (why.empty())
+              why = r.nodes == 0 ? "region " + n->region + ": nobody would be left"
+                                 : text("region %s: load would be %.2f, at most %.2f is wanted", n->region, r.load, 1 - p.headroom);
+            break;
+          }
+          taking.insert(u.name);
+          go(Stage::cordoned, n->life);
+          break;
+        }
+        case Stage::cordoned:
+          if (now - m.since >= p_.old_lists && n->life != 0 && n->told >= Stage::cordoned) go(Stage::draining, n->life);
+          break;
+        case Stage::draining: {
+          if (n->life != 0 && n->life != u.life) {  // it began anew under way: what is drained is the new life
+            go(Stage::draining, n->life);
+            break;
+          }
+          bool const quiet = n->told == Stage::draining && n->keyed == 0 && n->uploads == 0;
+          if (!quiet) {
+            m.quiet_since = -1;
+            if (now - m.since > p.patience && why.empty())
+              why = text("%s: not empty, %.0f keyed and %.0f uploads are open", label, n->keyed, n->uploads);
+          } else if (m.quiet_since < 0) {
+            m.quiet_since = now;
+          } else if (now - m.quiet_since >= p_.settle) {
+            go(Stage::empty, u.life);
+          }
+          break;
+        }
+        case Stage::empty:
+        case Stage::released:
+          if (n->life != 0 && n->life != u.life && n->ready && n->current) go(Stage::back, n->life);
+          else if (why.empty()) why = label + (n->life == u.life ? ": empty, waits to be restarted" : ": restarted, not ready yet");
+          break;
+        case Stage::back: break;
+      }
+    }
+    mv.words.push_back(Word{p.id, why});
+  }
+  std::erase_if(at_, [&](auto const& x) { return live.count(x.first) == 0; });
+  std::erase_if(mv.words, [&](Word const& w) { return s.pass(w.pass) != nullptr && s.pass(w.pass)->why == w.why; });
+  return mv;
+}
+
+}  // namespace dockbend
--- a/packages/errand/include/errand/slab.hpp
+++ b/packages/errand/include/errand/slab.hpp
@@ -41,6 +41,11 @@
     --n_;
   }
   std::size_t size() const { return n_; }
+  template <class F>
+  void each(F f) const {
+    for (Place const& p : v_)
+      if (p.x) f(*p.x);
+  }
 
  private:
   struct Place {
--- a/packages/gossip/include/gossip/roll.hpp
+++ b/packages/gossip/include/gossip/roll.hpp
@@ -67,16 +67,26 @@
   DB_RECORD(HelloR, (std::vector<std::string>, mates), (Ballot, bal), (Life, life), (Ballot, accepted),
             (double, wall));
 };
+// What a proxy that is being drained says of itself; all zero otherwise, and so not sent.
+// Invariant: keyed and uploads count what is open, and keyed also what was answered so
+// lately that its answer may not be stored yet.
+struct DrainWord {
+  DB_RECORD(DrainWord, (u32, stage), (u64, life), (u32, keyed), (u32, uploads));
+};
+// What it is told: to drain, if it is the life that is meant.
+struct DrainSaid {
+  DB_RECORD(DrainSaid, (u32, stage), (u64, life));
+};
 // Registration and keepalive. primary: this directory tells the others of the site.
 struct SiteBeat {
   DB_RECORD(SiteBeat, (std::string, front), (std::string, zone), (std::string, region), (bool, ready),
-                           (double, load), (Ballot, bal), (bool, primary));
+                           (double, load), (Ballot, bal), (bool, primary), (DrainWord, drain));
 };
 // What a directory tells its mates of the sites it is the primary of. age: since the
 // site was last heard, so that a row ends when it would have ended there.
 struct SiteRow {
   DB_RECORD(SiteRow, (std::string, front), (std::string, zone), (std::string, region), (bool, ready), (double, load), (double, age),
-            (bool, gone));
+            (bool, gone), (DrainWord, drain), (bool, current));
 };
 struct SiteNote {
   DB_RECORD(SiteNote, (std::vector<SiteRow>, rows));
@@ -86,7 +96,7 @@
 };
 struct SiteBeatR {
   DB_RECORD(SiteBeatR, (std::vector<ZoneCount>, sites), (Ballot, bal), (u64, digest), (bool, settled),
-            (double, wall), (std::vector<std::string>, relays));
+            (double, wall), (std::vector<std::string>, relays), (DrainSaid, drain));
 };
 // True time, as the agent knows it, for its proxy.
 struct ClockSaid {
--- a/packages/register/include/register/state.hpp
+++ b/packages/register/include/register/state.hpp
@@ -29,6 +29,27 @@
   DB_RECORD(FixedWindow, (u64, window), (std::string, body));
 };
 
+// How far one unit of a pass is on its way out and back. Invariant: it only climbs, but
+// for a step back to waiting (un-cordoned for want of room, or called off).
+enum class Stage : u8 { waiting = 0, cordoned = 1, draining = 2, empty = 3, released = 4, back = 5 };
+enum class PassState : u8 { running = 1, paused = 2, aborted = 3, done = 4 };
+
+// A node (by its front address) or a server (by its id) that a pass takes out.
+// Invariants: a name stands in at most one pass that is not over; life is that of the
+// process that is to end, and no other life of the same name is drained in its place.
+struct Unit {
+  DB_RECORD(Unit, (u64, pass), (std::string, name), (std::string, node), (u32, wave), (Stage, stage), (u64, life));
+};
+struct Had {  // servers that a service had in service when the pass began
+  DB_RECORD(Had, (std::string, service), (u32, n));
+};
+// What an operator ordered. Invariants: units of a pass that is over are gone from the
+// value; max_out is above 0 for servers; only the holder of the duty `drain` moves it.
+struct Pass {
+  DB_RECORD(Pass, (u64, id), (bool, servers), (PassState, state), (double, headroom), (u32, max_out), (double, patience),
+            (bool, replaced), (std::string, why), (std::vector<Had>, had), (u32, total), (u32, back));
+};
+
 // Invariants: bal is the ballot that wrote this value (0: founding); epoch is the
 // ballot that last changed who is in the roster, and so epoch <= bal; open is the
 // ballot that last changed what proxies and agents go by, and so open <= bal; to_fix
@@ -36,7 +57,13 @@
 struct State {
   DB_RECORD(State, (Ballot, bal), (Epoch, epoch), (std::vector<Item>, items),
                            (std::vector<Evac>, evacs), (std::vector<Member>, roster), (std::vector<Term>, duties),
-                           (u64, to_fix), (std::vector<FixedWindow>, fixed), (Ballot, open));
+                           (u64, to_fix), (std::vector<FixedWindow>, fixed), (Ballot, open), (std::vector<Pass>, passes),
+                           (std::vector<Unit>, units));
+  Pass const* pass(u64 id) const {
+    for (Pass const& p : passes)
+      if (p.id == id) return &p;
+    return nullptr;
+  }
   Member const* member(std::string const& ip) const {
     for (Member const& m : roster)
       if (m.ip == ip) return &m;
@@ -64,7 +91,8 @@
   DB_RECORD(Delta, (Ballot, base), (Ballot, bal), (Epoch, epoch), (std::vector<Item>, items),
                            (bool, evacs_set), (std::vector<Evac>, evacs), (bool, roster_set),
                            (std::vector<Member>, roster), (bool, duties_set), (std::vector<Term>, duties), (u64, to_fix),
-                           (bool, fixed_set), (std::vector<FixedWindow>, fixed), (Ballot, open));
+                           (bool, fixed_set), (std::vector<FixedWindow>, fixed), (Ballot, open), (bool, passes_set),
+                           (std::vector<Pass>, passes), (std::vector<Unit>, units));
 };
 // The part that proxies and agents go by, under the ballot that last changed it: no
 // renewals, no reports.
--- a/packages/register/state.cpp
+++ b/packages/register/state.cpp
@@ -24,6 +24,26 @@
   return std::equal(a.begin(), a.end(), b.begin(), b.end(),
                     [](FixedWindow const& x, FixedWindow const& y) { return x.window == y.window && x.body == y.body; });
 }
+bool same(std::vector<Had> const& a, std::vector<Had> const& b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](Had const& x, Had const& y) { return x.service == y.service && x.n == y.n; });
+}
+bool same(std::vector<Pass> const& a, std::vector<Pass> const& b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](Pass const& x, Pass const& y) {
+    return x.id == y.id && x.servers == y.servers && x.state == y.state && x.headroom == y.headroom && x.max_out == y.max_out &&
+           x.patience == y.patience && x.replaced == y.replaced && x.why == y.why && same(x.had, y.had) && x.total == y.total && x.back == y.back;
+  });
+}
+std::string unit_key(Unit const& u) { return std::to_string(u.pass) + "/" + u.name; }
+bool same(Unit const& x, Unit const& y) {
+  return x.pass == y.pass && x.name == y.name && x.node == y.node && x.wave == y.wave && x.stage == y.stage && x.life == y.life;
+}
+// Units of passes that the value no longer names, or that are over.
+void drop_orphans(State& s) {
+  std::erase_if(s.units, [&](Unit const& u) {
+    Pass const* p = s.pass(u.pass);
+    return p == nullptr || p->state == PassState::aborted || p->state == PassState::done;
+  });
+}
 std::vector<Term> without_renewals(std::vector<Term> v) {
   for (Term& t : v) {
     t.counter = 0;
@@ -104,6 +124,14 @@
   if (d.evacs_set) d.evacs = to.evacs;
   d.roster_set = !same(from.roster, to.roster);
   if (d.roster_set) d.roster = to.roster;
+  d.passes_set = !same(from.passes, to.passes);
+  if (d.passes_set) d.passes = to.passes;
+  if (!to.units.empty()) {  // only those that moved: a pass over many nodes costs each step its own size
+    std::unordered_map<std::string, Unit const*> old;
+    for (Unit const& u : from.units) old.emplace(unit_key(u), &u);
+    for (Unit const& u : to.units)
+      if (auto const it = old.find(unit_key(u)); it == old.end() || !same(*it->second, u)) d.units.push_back(u);
+  }
   return d;
 }
 
@@ -126,6 +154,16 @@
   st.open = d.open;
   if (d.evacs_set) st.evacs = d.evacs;
   if (d.roster_set) st.roster = d.roster;
+  if (d.passes_set) st.passes = d.passes;
+  if (!d.units.empty()) {
+    std::unordered_map<std::string, std::size_t> at;
+    for (std::size_t i = 0; i < st.units.size(); ++i) at.emplace(unit_key(st.units[i]), i);
+    for (Unit const& u : d.units) {
+      if (auto const it = at.find(unit_key(u)); it != at.end()) st.units[it->second] = u;
+      else st.units.push_back(u);
+    }
+  }
+  drop_orphans(st);
   st.bal = d.bal;
   st.epoch = d.epoch;
   return true;
--- a/packages/stacks/include/stacks/codec.hpp
+++ b/packages/stacks/include/stacks/codec.hpp
@@ -65,6 +65,7 @@
     }
   } else if constexpr (Record<T>) {
     std::string const s = pack(x);
+    if (s.empty()) return;
     pb_encode_tag(st, PB_WT_STRING, tag);
     pb_encode_string(st, reinterpret_cast<pb_byte_t const*>(s.data()), s.size());
   } else if constexpr (std::is_same_v<T, std::string>) {
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -25,7 +25,7 @@
   rows = 30, digest = 31, digestR = 32,
   ask = 40, askR = 41, done = 42, load = 43, leaving = 44,
   hold = 50, holdR = 51, rollNote = 52, rollCmd = 53, holdFor = 54,
-  sites = 60, clock = 61, tally = 62, loan = 63, loanR = 64, dutyCmd = 65, survey = 66, surveyR = 67,
+  sites = 60, clock = 61, tally = 62, loan = 63, loanR = 64, dutyCmd = 65, survey = 66, surveyR = 67, drain = 68,
   via = 70, viaR = 71,
   zipped = 255,
 };
--- a/packages/stacks/include/stacks/settings.hpp
+++ b/packages/stacks/include/stacks/settings.hpp
@@ -55,6 +55,7 @@
   std::optional<Addr> cloud;
   std::vector<std::string> cloudTasks;
   double dutyPerS = 0;  // 0: not said
+  std::optional<Addr> drainHook;  // restarts a proxy that a pass has emptied; none: the operator does
   bool bootstrap = false;
   bool lossCounted = false;
   double beatPeriodS = 1.5;
--- a/packages/stacks/settings.cpp
+++ b/packages/stacks/settings.cpp
@@ -102,6 +102,7 @@
   num("bounds.usageDelayS", b.usageDelayS, 0.1);
   num("cloudApi.dutyPerS", st.dutyPerS);
   known["cloudApi.address"] = [&](auto const& f, auto const& v) { st.cloud = parse_addr(v, f); };
+  known["drain.hook"] = [&](auto const& f, auto const& v) { st.drainHook = parse_addr(v, f); };
   known["cloudApi.tasks"] = [&](auto const&, auto const& v) { st.cloudTasks = split(v, ','); };
   num("rollout.enough", st.rollout.enough, 0.01, 1);
   num("rollout.stageS", st.rollout.stageS, 0.01, 86400);
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <set>
 
+#include "desks/drains.hpp"
 #include "desks/duties.hpp"
 #include "desks/keys.hpp"
 #include "desks/rollouts.hpp"
@@ -29,6 +30,7 @@
  public:
   Archivist(event_base* eb, Settings const& st)
       : h_(make_house(eb, st)), servers_(h_), sites_(h_), rollouts_(h_, sites_), duties_(h_, sites_), surveys_(h_, sites_, servers_),
+        drains_(h_, sites_, servers_, surveys_, duties_),
         proposer_(st.ip), door_(eb, Addr{st.ip, st.innerFirst}) {
     h_.submit = [this](auto change, auto done, Secs patience) { submit(std::move(change), std::move(done), patience); };
     h_.mate = [this](std::string const& ip) -> Mate& { return mate(ip); };
@@ -44,6 +46,7 @@
     if (h_.committed) {
       show(nullptr, *h_.committed);
       duties_.duties_see(start_);
+      drains_.see();
     }
     tick_ = std::make_unique<Ticker>(eb, 0.1, [this] { tick(); });
   }
@@ -316,6 +319,7 @@
         r.digest = servers_.told_digest();
         r.settled = h_.settled() && h_.committed;
         r.wall = wall_s();
+        r.drain = sites_.told(b.front);
         if (p.beats++ % 8 == 0 && !b.front.empty()) r.relays = sites_.relays_for(b);
         if (p.counts_told != sites_.turn()) {
           p.counts_told = sites_.turn();
@@ -509,6 +513,7 @@
     for (Member const& m : s.roster) mate(m.ip);
     show(old ? &*old : nullptr, s);
     duties_.duties_see(now_s());
+    drains_.see();
     if (!old || old->epoch != s.epoch) {
       LOG4CPLUS_INFO(lg_, "Roster of " << s.roster.size() << ".");
       keys_->roster_changed();
@@ -689,12 +694,36 @@
       return duties_.hand_over_call(r, rest);
     }
     if (uri == "/-/Allowance.List" || is("/-/Allowance.Show/", rest)) return duties_.allowance_call(r, uri == "/-/Allowance.List" ? "" : rest, uri);
+    for (bool const servers : {false, true}) {
+      std::string const pre = servers ? "/-/Rotation." : "/-/Drain.";
+      if (uri.compare(0, pre.size(), pre) == 0) return drain_call(r, uri.substr(pre.size()), servers, post, body);
+    }
     if (uri == "/-/Survey") return surveys_.survey_call(r);
     if (uri == "/-/Status") return h_.write(r, CallRet{200, status()});
     h_.write(r, fault(404, "no such call"));
   }
 
-  // ---- sites that registered with mates ---------------------------------------------------
+  void drain_call(evhttp_request* r, std::string const& what, bool servers, bool post, std::string const& body) {
+    if (what == "Status") return h_.write(r, CallRet{200, drains_.status(servers)});
+    if (!post) return h_.write(r, fault(405, "wants POST"));
+    if (what == "Start") {
+      try {
+        Order o = json::parse_as<Order>(body);
+        o.servers = servers;
+        if (CallRet const c = drains_.check_call(o); c.code != 200) return h_.write(r, c);
+        return drains_.start_call(r, o);
+      } catch (json::Fault const& e) {
+        return h_.write(r, fault(400, e.what()));
+      }
+    }
+    for (auto const& [pre, o] : {std::pair{"Pause/", PassOrder::pause}, {"Resume/", PassOrder::resume}, {"Abort/", PassOrder::abort}, {"Return/", PassOrder::take_back}})
+      if (what.rfind(pre, 0) == 0) {
+        std::string const rest = what.substr(std::strlen(pre));
+        auto const cut = rest.find('/');
+        return drains_.command_call(r, rest.substr(0, cut), o, cut == std::string::npos ? "" : rest.substr(cut + 1));
+      }
+    h_.write(r, fault(404, "no such call"));
+  }
 
   void read(evhttp_request* r) {
     submit([](State&) { return false; },
@@ -848,6 +877,7 @@
     pump();
     rollouts_.rollouts(now);
     duties_.tick(now);
+    drains_.tick(now);
     sites_.tell_sites(now);
     join_roster(now);
     keys_->rebuild(now);
@@ -886,6 +916,7 @@
   RolloutDesk rollouts_;
   DutyDesk duties_;
   SurveyDesk surveys_;
+  DrainDesk drains_;
   std::unique_ptr<KeyDesk> keys_;
   Proposer proposer_;
   Door door_;
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -25,6 +25,7 @@
 #include "manifest/manifest.hpp"
 #include "register/state.hpp"
 #include "rollout/rollout.hpp"
+#include "shelf/readings.hpp"
 #include "shelf/shelf.hpp"
 #include "stacks/log.hpp"
 #include "stacks/program.hpp"
@@ -101,6 +102,7 @@
     evhttp_set_allowed_methods(front_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
                                            EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
     evhttp_set_gencb(front_, [](evhttp_request* r, void* p) { static_cast<Proxy*>(p)->arrive(r); }, this);
+    readings_.watch(front_);
     set_limits();
     Addr const f = at("front");
     sock_ = evhttp_bind_socket_with_handle(front_, f.ip.c_str(), static_cast<ev_uint16_t>(f.port));
@@ -165,6 +167,7 @@
       case Kind::clock: clock_.mate("page", now_s(), l.as<ClockSaid>().wall); break;
       case Kind::loanR: loaned(l.as<LoanRet>()); break;
       case Kind::survey: surveyed(l.tag, l.as<SurveyAsk>()); break;
+      case Kind::drain: told_to_drain(l.as<DrainSaid>()); break;
       default: break;
     }
   }
@@ -307,6 +310,18 @@
       cpu_at_ = now;
     }
     l.load = load_;
+    l.life = life_;
+    if (said_.stage > 0) {
+      l.stage = drains() || said_.stage == static_cast<u32>(Stage::cordoned) ? said_.stage : 0;
+      while (!answered_.empty() && now - answered_.front() > 1.5) answered_.pop_front();
+      l.keyed = static_cast<u32>(answered_.size());
+      slab_.each([&](Errand const& e) {
+        l.keyed += e.lane->kind == LaneKind::keyed ? 1 : 0;
+        l.uploads += is_upload(e) ? 1 : 0;
+      });
+      // Silent for longer than a client may be idle: its connection ended.
+      l.uploads += readings_.open(static_cast<u64>(10 * man_.limits().idle) + 10);
+    }
     page_.send(Kind::load, 0, l);
   }
 
@@ -323,6 +338,18 @@
       evhttp_send_reply(r, 503, "Service Unavailable", nullptr);
   }
 
+  // ---- a drain that an operator wants -----------------------------------------
+  void told_to_drain(DrainSaid const& d) {
+    bool const was = drains();
+    said_ = d;
+    if (drains() != was) LOG4CPLUS_INFO(lg_, (drains() ? "Drains for maintenance. " : "Drains no more. ") << slab_.size() << " errands at work.");
+    tell_load();
+  }
+  // It is this life that is to go; the one after it serves.
+  bool drains() const { return said_.stage >= static_cast<u32>(Stage::draining) && said_.life == life_; }
+  bool closing() const { return draining_ || drains(); }
+  static bool is_upload(Errand const& e) { return e.lane->kind == LaneKind::inflow || e.body > 16384; }
+
   // ---- clients ---------------------------------------------------------------
   // One place writes the proxy's own answers.
   void write(evhttp_request* r, Verdict const& v, std::string const& attempt) {
@@ -333,7 +360,7 @@
       std::snprintf(b, sizeof b, "%.3f", v.retry_after);
       evhttp_add_header(out, "Retry-After", b);
     }
-    if (v.close || draining_) evhttp_add_header(out, "Connection", "close");
+    if (v.close || closing()) evhttp_add_header(out, "Connection", "close");
     evhttp_add_header(out, "Content-Type", "text/plain");
     evbuffer* b = evbuffer_new();
     evbuffer_add_printf(b, "%s\n", v.reason);
@@ -362,6 +389,7 @@
     }
     if (wrong || hosts != 1) return write(r, own(400, true), id);
     LimitsDef const& lim = man_.limits();
+    readings_.whole(r);
     std::string const uri = evhttp_request_get_uri(r);
     bytes_in_ += static_cast<double>(body + hb) + 150;
     if (hb + uri.size() > lim.header_bytes) return write(r, own(431, true), id);
@@ -377,6 +405,11 @@
     LaneP const lane = man_.find(hn, path);
     if (!lane) return write(r, own(404), id);
     if (id.empty()) return write(r, own(400), id);
+    // On its way out for maintenance: what may not be cut is not begun.
+    if (drains() && (lane->kind == LaneKind::keyed || lane->kind == LaneKind::inflow || body > 16384)) {
+      ++given_up_["draining"];
+      return write(r, own(503, true, 0.05), id);
+    }
     bool const gated = man_.has_tenants();
     TenantP tenant;
     if (gated) {
@@ -511,6 +544,7 @@
   }
 
   void end(Errand& e) {
+    if (drains() && e.lane->kind == LaneKind::keyed) answered_.push_back(now_s());
     event_del(e.timer);
     slab_.drop(e.h);
   }
@@ -579,7 +613,7 @@
           evhttp_add_header(out, k.c_str(), h.substr(c + 1).c_str());
         }
         evhttp_add_header(out, "X-Attempt-Id", e->attempt_id.c_str());
-        if (draining_) evhttp_add_header(out, "Connection", "close");
+        if (closing()) evhttp_add_header(out, "Connection", "close");
         refund(*e);  // what was answered before costs nothing
         evbuffer* b = evbuffer_new();
         evbuffer_add(b, r.body.data(), r.body.size());
@@ -730,7 +764,7 @@
     evkeyvalq* out = evhttp_request_get_output_headers(e.req);
     for (auto const& [k, v] : rep.heads)
       if (!hop_only(k)) evhttp_add_header(out, k.c_str(), v.c_str());
-    if (draining_) evhttp_add_header(out, "Connection", "close");
+    if (closing()) evhttp_add_header(out, "Connection", "close");
     char const* line = evhttp_request_get_response_code_line(r);
     evhttp_send_reply(e.req, rep.code, line != nullptr && *line != '\0' ? line : reason_of(rep.code), body);
     end(e);
@@ -833,6 +867,29 @@
     if (!n.rows.empty()) page_.send(Kind::tally, 0, n);
   }
 
+  // What is open at these servers. A session is a request in work there: between two
+  // requests a client's connection may go on to any server without loss.
+  std::vector<Held> holdings(std::vector<std::string> const& ids, Secs now) {
+    std::map<std::string, Held> m;
+    for (std::string const& id : ids) m[id].id = id;
+    slab_.each([&](Errand const& e) {
+      if (e.chan == nullptr) return;
+      auto const it = m.find(as_.at(e.server).id);
+      if (it == m.end()) return;
+      Held& h = it->second;
+      ++h.sessions;
+      h.keyed += e.lane->kind == LaneKind::keyed ? 1 : 0;
+      if (!is_upload(e)) return;
+      ++h.uploads;
+      h.bytes += static_cast<double>(e.body);
+      h.age = std::max(h.age, now - e.start);
+    });
+    std::vector<Held> out;
+    for (auto& [id, h] : m)
+      if (h.sessions > 0) out.push_back(std::move(h));  // what is not named is not held
+    return out;
+  }
+
   // ---- what this proxy sees, for whoever plans -----------------------------------------
   void surveyed(u32 tag, SurveyAsk const& a) {
     Secs const now = now_s();
@@ -841,6 +898,12 @@
     s.front = at("front").str();
     s.zone = st_.zone;
     s.region = st_.region;
+    s.node = st_.nodeName;
+    if (a.held) {
+      s.held = holdings(a.servers, now);
+      page_.send(Kind::surveyR, tag, s);
+      return;
+    }
     atlas_.fill(s, now);
     for (Target const& t : as_.targets()) {
       if (!t.ready || t.lat <= 0) continue;
@@ -854,6 +917,7 @@
 
   void tick() {
     Secs const now = now_s();
+    readings_.tick();
     page_.tick(now);
     held_.expire(now);
     clock_.own(now, wall_s());
@@ -887,6 +951,9 @@
   Settings st_;
   Assign as_;
   Shelf shelf_;
+  Readings readings_;
+  DrainSaid said_;                // what is wanted of us: whose drain, and how far
+  std::deque<Secs> answered_;     // keyed errands answered while draining, for their answers are on their way to disk
   Compiled man_;
   Link page_;
   evhttp* front_ = nullptr;
--- a/programs/page.cpp
+++ b/programs/page.cpp
@@ -159,6 +159,7 @@
     b.load = load_;
     b.bal = have_ ? state_.bal : Ballot();
     b.primary = ip == primary_;
+    if (said_.stage > 0) b.drain = word_;
     m.beat_sent = now_s();
     m.link->send(Kind::beat, 0, b);
   }
@@ -196,6 +197,10 @@
           relays_.clear();
           for (std::string const& x : r.relays) relays_.push_back(Addr{x, st_.relay()});
         }
+        if (ip == primary_ && (r.drain.stage != said_.stage || r.drain.life != said_.life)) {
+          said_ = r.drain;
+          if (proxy_) proxy_->send(Kind::drain, 0, said_);
+        }
         // News comes by itself. Only who stays behind asks, for what it lacks.
         bool const late = r.bal > (have_ ? state_.bal : Ballot()) || (!have_ && r.settled);
         if (!late) {
@@ -293,6 +298,8 @@
     told_bal_.reset();
     tell_state(nullptr);
     rows_all_ = true;
+    word_ = DrainWord();
+    if (said_.stage > 0) c->send(Kind::drain, 0, said_);
     sites_told_.clear();
     clock_told_ = 0;
     tell_sites();
@@ -366,6 +373,10 @@
         ready_ = x.ready;
         load_ = x.load;
         front_ = x.front;
+        word_.stage = x.stage;
+        word_.life = x.life;
+        word_.keyed = x.keyed;
+        word_.uploads = x.uploads;
         if (was != ready_) beat_all();
         break;
       }
@@ -654,6 +665,8 @@
   Totals totals_;                        // what our proxy counted and nobody reported yet
   Secs clock_told_ = 0, tallied_ = 0;
   double load_ = 0;
+  DrainSaid said_;  // what our primary says of a drain
+  DrainWord word_;  // what the proxy says of it
   std::string front_;  // where the clients find the proxy, as it says itself
   Secs proxy_heard_ = 0, last_beat_ = 0, drain_at_ = 0, last_tick_ = 0;
   Roll roll_;
