--- a/packages/catalog/include/catalog/catalog.hpp
+++ b/packages/catalog/include/catalog/catalog.hpp
@@ -55,6 +55,16 @@
     auto const [it, fresh] = rows_.try_emplace(s.front);
     if (fresh || s.heard >= it->second.heard) it->second = std::move(s);
   }
+  // All that `via` told us of is still there. The sum of the marks of these rows.
+  u64 alive(std::string const& via, Secs now) {
+    u64 marks = 0;
+    for (auto& [f, s] : rows_) {
+      if (s.channel != 0 || s.via != via) continue;
+      s.heard = std::max(s.heard, now);
+      marks += hash64(f);
+    }
+    return marks;
+  }
   void drop(std::string const& front) { rows_.erase(front); }
   void expire(Secs now) {
     for (auto it = rows_.begin(); it != rows_.end();) it = now - it->second.heard > life_ ? rows_.erase(it) : std::next(it);
--- a/packages/desks/include/desks/house.hpp
+++ b/packages/desks/include/desks/house.hpp
@@ -35,6 +35,7 @@
   Secs pulled = 0, digest_sent = 0;
   bool fit = false;  // may take a duty over at once
   std::string node;
+  std::vector<std::string> told_known;  // mates we named to it last
   Secs heard = 0;
   Life life;         // of the disk that said so
   Ballot accepted;   // the newest value it says it holds on disk
@@ -80,6 +81,17 @@
     for (Member const& m : committed->roster) n += up(m.ip) ? 1 : 0;
     return n >= committed->majority();
   }
+  std::size_t mates_up() const {
+    std::size_t n = 0;
+    for (auto const& [ip, m] : mates) n += m.link && m.link->up() ? 1 : 0;
+    return n;
+  }
+  // With more mates than this nobody tells all of them everything.
+  static constexpr std::size_t few = 8;
+  std::string region_of_mate(std::string const& ip) const {
+    Member const* m = committed ? committed->member(ip) : nullptr;
+    return m == nullptr ? std::string() : m->region;
+  }
   Secs patience() const { return std::max(0.5, st.bounds.ackBoundS * 0.8); }
   void write(evhttp_request* r, CallRet const& c) const {
     evkeyvalq* out = evhttp_request_get_output_headers(r);
--- a/packages/desks/include/desks/servers.hpp
+++ b/packages/desks/include/desks/servers.hpp
@@ -129,15 +129,22 @@
   void flush_rows() {
     flushing_ = false;
     Secs const now = now_s();
-    News all, ours;  // ours: what mates have not heard from anyone
-    std::size_t links = 0;
-    for (auto& [ip, m] : h_.mates) links += m.link && m.link->up() ? 1 : 0;
-    std::size_t const few = 8;
+    bool const many = h_.mates_up() > House::few;
+    // all: for those we feed. home: for the mates of our region, or for every mate if they are
+    // few. abroad: begun here, for two mates in each other region. back: heard from a near mate;
+    // one copy goes abroad, so that no single mate is what a region hangs on.
+    News all, home, abroad, back;
     for (auto const& [id, from] : pending_) {
       auto r = roll_.get(id, now);
       if (!r) continue;
-      // With few mates the first teller reached everyone itself.
-      if (from.empty() || links > few) ours.rows.push_back(*r);
+      bool const near = !from.empty() && is_near(from);
+      if (many) {
+        if (!near) home.rows.push_back(*r);
+        if (from.empty()) abroad.rows.push_back(*r);
+        else if (near) back.rows.push_back(*r);
+      } else if (from.empty()) {  // with few mates the first teller reached everyone itself
+        home.rows.push_back(*r);
+      }
       all.rows.push_back(std::move(*r));
     }
     pending_.clear();
@@ -146,16 +153,33 @@
     Parcel const pc = parcel(Kind::news, codec::pack(all));
     for (auto& [id, p] : h_.peers)
       if (p.feeding) p.ch->send(pc);
-    if (ours.rows.empty()) return;
-    std::vector<Link*> ls;
+    std::vector<Link*> near;
+    std::map<std::string, std::vector<Link*>> far;
     for (auto& [ip, m] : h_.mates)
-      if (m.link && m.link->up()) ls.push_back(m.link.get());
-    if (ls.size() > few) {
-      for (std::size_t i = 0; i < few; ++i) std::swap(ls[i], ls[i + random64() % (ls.size() - i)]);
-      ls.resize(few);
+      if (m.link && m.link->up()) {
+        if (!many || is_near(ip)) near.push_back(m.link.get());
+        else far[h_.region_of_mate(ip)].push_back(m.link.get());
+      }
+    auto tell = [](News const& n, std::vector<Link*> const& to) {
+      if (n.rows.empty() || to.empty()) return;
+      Parcel const p = parcel(Kind::rows, codec::pack(n));
+      for (Link* l : to) l->send(p);
+    };
+    std::vector<Link*> two, one;
+    for (auto& [g, l] : far) {
+      std::swap(l[0], l[random64() % l.size()]);
+      if (l.size() > 1) std::swap(l[1], l[1 + random64() % (l.size() - 1)]);
+      two.insert(two.end(), l.begin(), l.begin() + static_cast<long>(std::min<std::size_t>(2, l.size())));
     }
-    Parcel const pm = parcel(Kind::rows, codec::pack(ours));
-    for (Link* l : ls) l->send(pm);
+    if (!two.empty()) one.push_back(two[random64() % two.size()]);
+    tell(home, near);
+    tell(abroad, two);
+    tell(back, one);
+  }
+
+  bool is_near(std::string const& ip) const {
+    std::string const g = h_.region_of_mate(ip);
+    return g.empty() || g == h_.st.region;
   }
 
   std::string beat_target(std::string const& zone) const {
--- a/packages/desks/include/desks/sites.hpp
+++ b/packages/desks/include/desks/sites.hpp
@@ -13,44 +13,69 @@
   explicit SiteDesk(House& h) : h_(h) {}
 
   void tell_sites(Secs now) {
+    bool const many = h_.mates_up() > House::few;
+    if (many) tell_far(now);
     if (now - sites_told_ < 0.25) return;
     sites_told_ = now;
     SiteNote n;
     for (std::string const& f : fresh_sites_) {
       auto const it = catalog_.rows().find(f);
       if (it == catalog_.rows().end() || it->second.channel == 0) continue;
-      SiteRow r;
-      r.front = f;
-      r.zone = it->second.zone;
-      r.region = it->second.region;
-      r.ready = it->second.ready;
-      r.load = it->second.load;
-      r.age = now - it->second.heard;
-      r.drain = it->second.drain;
-      r.current = it->second.current;
-      n.rows.push_back(std::move(r));
+      n.rows.push_back(row_of(it->second, now));
     }
     fresh_sites_.clear();
     if (n.rows.empty()) return;
     Parcel const pc = parcel(Kind::sites, codec::pack(n));
     for (auto& [ip, m] : h_.mates)
-      if (m.link) m.link->send(pc);
+      if (m.link && (!many || is_near(ip))) m.link->send(pc);
   }
 
   void mate_sites(std::string const& from, SiteNote const& n, Secs now) {
+    std::string const& origin = n.origin.empty() ? from : n.origin;
+    if (origin == h_.st.ip) return;
+    if (n.relay) {
+      SiteNote on = n;
+      on.relay = false;
+      Parcel const pc = parcel(Kind::sites, codec::pack(on));
+      for (auto& [ip, m] : h_.mates)
+        if (m.link && ip != origin && is_near(ip)) m.link->send(pc);
+    }
     for (SiteRow const& r : n.rows) {
       if (h_.st.region_of(r.zone) != r.region || r.front.empty()) continue;
       auto const it = catalog_.rows().find(r.front);
       // Who registered here is known first-hand.
       if (it != catalog_.rows().end() && it->second.channel != 0 && now - it->second.heard < 1.0) continue;
+      if (r.gone) {
+        if (it != catalog_.rows().end() && it->second.via == origin) catalog_.drop(r.front);
+        continue;
+      }
       Site s = site_of(r, now - r.age);
-      s.via = from;
+      s.via = origin;
       s.current = r.current;
       catalog_.keep(std::move(s));
     }
+    if (n.alive) {
+      u64 const marks = catalog_.alive(origin, now);
+      int& off = far_off_[origin];
+      off = marks == n.marks ? 0 : off + 1;
+      // News may be on its way past us; a difference that lasts is mended by the whole.
+      if (off >= 2) {
+        off = 0;
+        if (auto const it = h_.mates.find(origin); it != h_.mates.end() && it->second.link) it->second.link->send(Kind::sitesAsk, 0, SiteNote{});
+      }
+    }
     count_sites(now);
   }
 
+  // A mate of another region lacks some of the sites that registered here.
+  void whole_for(Channel& ch, Secs now) {
+    SiteNote n;
+    n.origin = h_.st.ip;
+    for (std::string const& f : mine_)
+      if (auto const it = catalog_.rows().find(f); it != catalog_.rows().end() && it->second.channel != 0) n.rows.push_back(row_of(it->second, now));
+    ch.send(Kind::sites, 0, n);
+  }
+
   void directory(evhttp_request* r) {
     std::string const uri = evhttp_request_get_uri(r);
     if (uri.compare(0, 12, "/-/resolve?n") != 0 && uri.compare(0, 11, "/-/resolve?") != 0 && uri != "/-/resolve") return h_.write(r, fault(404, "no such call"));
@@ -128,7 +153,12 @@
     Site s = site_of(b, now);
     s.channel = p.ch->id();
     s.current = b.bal >= h_.view.bal;
-    if (b.primary) fresh_sites_.insert(b.front);
+    if (b.primary) {
+      fresh_sites_.insert(b.front);
+      mine_.insert(b.front);
+    } else {
+      mine_.erase(b.front);
+    }
     p.primary = b.primary;
     catalog_.keep(std::move(s));
     count_sites(now);
@@ -172,6 +202,68 @@
     s.heard = heard;
     return s;
   }
+  static SiteRow row_of(Site const& s, Secs now) {
+    SiteRow r;
+    r.front = s.front;
+    r.zone = s.zone;
+    r.region = s.region;
+    r.ready = s.ready;
+    r.load = s.load;
+    r.age = now - s.heard;
+    r.drain = s.drain;
+    r.current = s.current;
+    return r;
+  }
+  bool is_near(std::string const& ip) const {
+    std::string const g = h_.region_of_mate(ip);
+    return g.empty() || g == h_.st.region;
+  }
+
+  // Other regions need our sites only where nothing nearer is left, and for counts and
+  // rollouts: one mate in each gets what changed, once a second, and passes it on.
+  void tell_far(Secs now) {
+    if (now - far_told_ < 1.0) return;
+    far_told_ = now;
+    SiteNote n;
+    n.origin = h_.st.ip;
+    n.relay = n.alive = true;
+    for (auto it = mine_.begin(); it != mine_.end();) {
+      auto const s = catalog_.rows().find(*it);
+      if (s == catalog_.rows().end() || s->second.channel == 0) {
+        it = mine_.erase(it);
+        continue;
+      }
+      n.marks += hash64(*it);
+      Site const& x = s->second;
+      auto const [t, fresh] = far_.try_emplace(*it);
+      Site& was = t->second;
+      bool const drains = x.drain.life != 0;
+      bool const moved = fresh || was.ready != x.ready || std::abs(was.load - x.load) > 0.2 || was.drain.life != x.drain.life || was.drain.stage != x.drain.stage ||
+                         (drains && (was.drain.keyed != x.drain.keyed || was.drain.uploads != x.drain.uploads || was.current != x.current));
+      if (moved) {
+        was = x;
+        n.rows.push_back(row_of(x, now));
+      }
+      ++it;
+    }
+    for (auto it = far_.begin(); it != far_.end();) {
+      if (mine_.count(it->first) > 0) {
+        ++it;
+        continue;
+      }
+      SiteRow r = row_of(it->second, now);
+      r.age = 0;
+      r.gone = true;
+      n.rows.push_back(std::move(r));
+      it = far_.erase(it);
+    }
+    std::map<std::string, std::vector<Link*>> by_region;
+    for (auto& [ip, m] : h_.mates)
+      if (m.link && m.link->up() && !is_near(ip)) by_region[h_.region_of_mate(ip)].push_back(m.link.get());
+    Parcel const pc = parcel(Kind::sites, codec::pack(n));
+    for (auto& [g, l] : by_region) l[random64() % l.size()]->send(pc);
+  }
+
   struct Counted {
     u32 n = 0;
     Secs seen = 0;
@@ -181,6 +273,10 @@
   Catalog<NearSelector> catalog_{1.9, 1.2};
   std::set<std::string> fresh_sites_;  // heard since mates were last told
   std::map<std::string, Counted> counts_;  // proxies by zone
+  std::set<std::string> mine_;        // fronts that we are the primary of
+  std::map<std::string, Site> far_;   // of them, as other regions were told
+  std::map<std::string, int> far_off_;  // mates whose marks differed from ours, and how often in a row
+  Secs far_told_ = 0;
   u64 counts_turn_ = 1;
   Secs sites_told_ = 0;
 };
--- a/packages/gossip/include/gossip/roll.hpp
+++ b/packages/gossip/include/gossip/roll.hpp
@@ -88,8 +88,10 @@
   DB_RECORD(SiteRow, (std::string, front), (std::string, zone), (std::string, region), (bool, ready), (double, load), (double, age),
             (bool, gone), (DrainWord, drain), (bool, current));
 };
+// For other regions: only what changed, and that all the others are as they were. relay: to be
+// passed on to the receiver's region; marks: of the fronts that origin is the primary of.
 struct SiteNote {
-  DB_RECORD(SiteNote, (std::vector<SiteRow>, rows));
+  DB_RECORD(SiteNote, (std::vector<SiteRow>, rows), (std::string, origin), (bool, relay), (bool, alive), (u64, marks));
 };
 struct ZoneCount {
   DB_RECORD(ZoneCount, (std::string, zone), (u32, n));
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -26,7 +26,7 @@
   ask = 40, askR = 41, done = 42, load = 43, leaving = 44,
   hold = 50, holdR = 51, rollNote = 52, rollCmd = 53, holdFor = 54,
   sites = 60, clock = 61, tally = 62, loan = 63, loanR = 64, dutyCmd = 65, survey = 66, surveyR = 67, drain = 68,
-  via = 70, viaR = 71,
+  via = 70, viaR = 71, sitesAsk = 72, join = 73,
   zipped = 255,
 };
 
@@ -160,6 +160,12 @@
     if (up()) ch_->send(p, tag);
   }
   void tick(Secs now);
+  // How often our silence is broken, and how long the mate's is borne.
+  void pace(Secs ping_s, Secs quiet_s) {
+    ping_s_ = ping_s;
+    quiet_s_ = quiet_s;
+  }
+  Secs heard() const { return up() ? ch_->heard() : 0; }
 
  private:
   void dial();
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -161,6 +161,7 @@
       h.accepted = durable_;
       l.send(Kind::hello, 0, h);
       h_.mates[ip].heard = now_s();
+      h_.mates[ip].told_known.clear();
       for (auto& o : proposer_.resend(ip)) send_out(o);
       l.send(Kind::pull, 0, Pull{bal()});
       // What we hold of the servers, for it may have begun anew.
@@ -340,6 +341,10 @@
         break;
       }
       case Kind::sites: sites_.mate_sites(p.hello.ip, l.as<SiteNote>(), now); break;
+      case Kind::join:
+        if (h_.committed && h_.born && h_.leaving == 0) admit(l.as<Member>());
+        break;
+      case Kind::sitesAsk: sites_.whole_for(*p.ch, now); break;
       case Kind::tally: duties_.join(l.as<TallyNote>()); break;
       case Kind::loan: duties_.lend_to(*p.ch, l.tag, l.as<LoanAsk>(), now); break;
       case Kind::holdFor: rollouts_.hold_for(p.hello.ip, l.as<HoldFor>()); break;
@@ -600,6 +605,16 @@
     if (h_.mates.count(from) > 0 && h_.mates[from].link) h_.mates[from].link->send(Kind::pull, 0, Pull{bal()});
   }
 
+  void admit(Member const& me) {
+    submit([me](State& s) { return s.admit(me); }, [](State const*) {}, 2.0);
+  }
+  // Who takes others in: the first of the roster that is up, ourselves counted; "": we do.
+  std::string usher() const {
+    for (Member const& m : h_.committed->roster)
+      if (h_.up(m.ip)) return m.ip == h_.st.ip ? std::string() : m.ip;
+    return "";
+  }
+
   void join_roster(Secs now) {
     if (!h_.committed || !h_.born || now < join_at_) return;
     Member const* m = h_.committed->member(h_.st.ip);
@@ -612,8 +627,14 @@
     me.region = h_.st.region;
     me.control = control_port();
     me.whole = keys_->ledger().whole();
-    submit([me](State& s) { return s.admit(me); },
-        [](State const*) {}, 2.0);
+    // One node brings many joins through in one round; who waits in vain does it itself.
+    if (std::string const by = usher(); !asked_usher_ && !by.empty()) {
+      asked_usher_ = true;
+      h_.mates[by].link->send(Kind::join, 0, me);
+      return;
+    }
+    asked_usher_ = false;
+    admit(me);
   }
 
   // ---- HTTP ----------------------------------------------------------------------------
@@ -858,6 +879,36 @@
     return d;
   }
 
+  // All mates are told if they are few; of many, some near ones by turns and a far one.
+  void tell_digests(Secs now, bool many) {
+    std::vector<std::string> near, far;
+    for (auto const& [ip, m] : h_.mates)
+      if (m.link && m.link->up()) {
+        std::string const g = h_.region_of_mate(ip);
+        (!many || g.empty() || g == h_.st.region ? near : far).push_back(ip);
+      }
+    auto some = [](std::vector<std::string>& v, std::size_t n) {
+      for (std::size_t i = 0; i < n && i < v.size(); ++i) std::swap(v[i], v[i + random64() % (v.size() - i)]);
+      if (v.size() > n) v.resize(n);
+    };
+    if (many) {
+      some(near, 3);
+      some(far, 1);
+    }
+    Digest const d = own_digest(true);
+    Digest quiet = d;
+    quiet.mates.clear();
+    near.insert(near.end(), far.begin(), far.end());
+    for (std::string const& ip : near) {
+      Mate& m = h_.mates[ip];
+      m.digest_sent = now;
+      // Who is known is told again only when that changed.
+      bool const told = m.told_known == d.mates;
+      m.link->send(Kind::digest, 0, told ? quiet : d);
+      m.told_known = d.mates;
+    }
+  }
+
   // ---- loops -----------------------------------------------------------------------------
   void tick() {
     Secs const now = now_s();
@@ -866,8 +917,17 @@
       sites_.catalog().forgive(now);
     }
     last_tick_ = now;
-    for (auto& [ip, m] : h_.mates)
-      if (m.link) m.link->tick(now);
+    bool const many = h_.mates_up() > House::few;
+    for (auto& [ip, m] : h_.mates) {
+      if (!m.link) continue;
+      // Of many mates the far ones are pinged less: what asks a majority is told by the
+      // sockets themselves when a mate is gone.
+      std::string const g = many ? h_.region_of_mate(ip) : std::string();
+      if (g.empty() || g == h_.st.region) m.link->pace(0.6, 1.5);
+      else m.link->pace(1.8, 4.5);
+      m.link->tick(now);
+      if (m.link->up()) m.heard = std::max(m.heard, m.link->heard());
+    }
     if (!proposer_.idle() && now - proposer_.since() > 1.2) {
       proposer_.abandon();
       std::vector<Call> b;
@@ -900,12 +960,7 @@
     keys_->forget_old(now);
     rollouts_.forget(now);
     surveys_.forget(now);
-    Digest const d = own_digest(true);
-    for (auto& [ip, m] : h_.mates)
-      if (m.link && m.link->up()) {
-        m.digest_sent = now;
-        m.link->send(Kind::digest, 0, d);
-      }
+    tell_digests(now, many);
     bool const duty = duties_.handing();
     if (h_.leaving > 0 && ((calls_.empty() && batch_.empty() && !duty && now - h_.leaving > 0.5) || now - h_.leaving > h_.st.bounds.gracePeriodS - 1.5)) event_base_loopbreak(h_.eb);
   }
@@ -932,6 +987,7 @@
   int losses_ = 0;
   Ballot way_for_;
   Secs way_until_ = 0;
+  bool asked_usher_ = false;
   Secs start_ = 0, finish_at_ = 0, join_at_ = 0, next_round_ = 0, slow_at_ = 0, last_tick_ = 0;
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("archivist");
 };
