--- a/packages/stacks/courier.cpp
+++ b/packages/stacks/courier.cpp
@@ -32,8 +32,19 @@
   return sa;
 }
 u64 next_id = 1;
+Sent sent[256];
 }  // namespace
 
+std::string sent_by_kind() {
+  std::string out;
+  for (int k = 0; k < 256; ++k) {
+    if (sent[k].letters == 0) continue;
+    out += (out.empty() ? "" : ", ") + std::to_string(k) + " " + std::to_string(sent[k].letters) + "/" + std::to_string(sent[k].bytes);
+    sent[k] = Sent{};
+  }
+  return out;
+}
+
 namespace {
 std::size_t const zip_from = 1500;  // shorter ones fill one packet as they are
 
@@ -127,6 +138,10 @@
 
 void Channel::put(Kind k, u32 tag, std::string_view body) {
   if (!up_) return;
+  if (!near_) {
+    ++sent[static_cast<u8>(k)].letters;
+    sent[static_cast<u8>(k)].bytes += head_len + body.size();
+  }
   u8 head[head_len];
   put32(head, static_cast<u32>(body.size()));
   head[4] = static_cast<u8>(k);
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -45,6 +45,12 @@
   T as() const { return codec::unpack<T>(body); }
 };
 
+// What this process sent, by kind of letter, since it was last asked; for measuring.
+struct Sent {
+  u64 letters = 0, bytes = 0;
+};
+std::string sent_by_kind();
+
 class Channel : public std::enable_shared_from_this<Channel> {
  public:
   sigc::signal<void(Channel&, Letter const&)> on_letter;
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -961,6 +961,10 @@
     rollouts_.forget(now);
     surveys_.forget(now);
     tell_digests(now, many);
+    if (now - measured_ > 10) {
+      measured_ = now;
+      if (std::string const t = sent_by_kind(); !t.empty()) LOG4CPLUS_INFO(lg_, "Sent by kind, letters/bytes: " << t << ".");
+    }
     bool const duty = duties_.handing();
     if (h_.leaving > 0 && ((calls_.empty() && batch_.empty() && !duty && now - h_.leaving > 0.5) || now - h_.leaving > h_.st.bounds.gracePeriodS - 1.5)) event_base_loopbreak(h_.eb);
   }
@@ -987,6 +991,7 @@
   int losses_ = 0;
   Ballot way_for_;
   Secs way_until_ = 0;
+  Secs measured_ = 0;
   bool asked_usher_ = false;
   Secs start_ = 0, finish_at_ = 0, join_at_ = 0, next_round_ = 0, slow_at_ = 0, last_tick_ = 0;
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("archivist");
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -687,6 +687,8 @@
     bool const far = !(t.region == as_.region(st_.region));
     if (!shelf_.send(c, u, e.cmd, e.uri.c_str(), rep ? (far ? 600 : 250) : 2000)) return ended(e, End::unsent);
     bytes_out_ += static_cast<double>(e.body) + 600;
+    if (far) far_out_ += static_cast<double>(e.body) + 600;
+    if (far) ++far_n_;
     if (e.tenant) uncounted_.push_back({e.h, e.course.tries(), now});
     set_timer(e, e.course.next(now, true, false));
   }
@@ -709,6 +711,7 @@
     rep.body = evbuffer_get_length(body);
     bytes_in_ += static_cast<double>(rep.body) + 400;
     bytes_out_ += static_cast<double>(rep.body) + 400;
+    if (!(as_.at(c.server).region == as_.region(st_.region))) far_in_ += static_cast<double>(rep.body) + 400;
     End const en = judge(rep, e->attempt_id);
     bufferevent* bev = evhttp_connection_get_bufferevent(c.ec);
     bool const surplus = evbuffer_get_length(bufferevent_get_input(bev)) > 0;
@@ -925,6 +928,12 @@
     tell_tally(now);
     lend(now);
     shelf_.sweep(now);
+    if (now - far_at_ > 10) {
+      far_at_ = now;
+      if (far_n_ > 0) LOG4CPLUS_INFO(lg_, "Sent to other regions: " << far_n_ << " errands, " << static_cast<u64>(far_out_) << " bytes out, " << static_cast<u64>(far_in_) << " in.");
+      far_out_ = far_in_ = 0;
+      far_n_ = 0;
+    }
     if (now - said_at_ > 10 && !given_up_.empty()) {
       said_at_ = now;
       std::string line;
@@ -988,6 +997,9 @@
   Ballot bal_;
   Secs drain_at_ = 0, closed_at_ = 0, cpu_at_ = 0, tallied_ = 0;
   double cpu_ = 0, load_ = 0;
+  double far_out_ = 0, far_in_ = 0;  // over the borders of our region, since it was last logged
+  u64 far_n_ = 0;
+  Secs far_at_ = 0;
   double bytes_in_ = 0, bytes_out_ = 0;  // about what went over the link since load was told
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("circulation");
 };
--- a/programs/page.cpp
+++ b/programs/page.cpp
@@ -617,6 +617,10 @@
       }
       if (!j.widened && now > j.widen_at) widen(id, j);
     }
+    if (now - measured_ > 10) {
+      measured_ = now;
+      if (std::string const t = sent_by_kind(); !t.empty()) LOG4CPLUS_INFO(lg_, "Sent by kind, letters/bytes: " << t << ".");
+    }
     if (now - last_beat_ > keepalive_s) {
       last_beat_ = now;
       beat_all();
@@ -663,7 +667,7 @@
   std::vector<Addr> relays_;             // mates that would do as much for us
   TrueClock clock_;
   Totals totals_;                        // what our proxy counted and nobody reported yet
-  Secs clock_told_ = 0, tallied_ = 0;
+  Secs clock_told_ = 0, tallied_ = 0, measured_ = 0;
   double load_ = 0;
   DrainSaid said_;  // what our primary says of a drain
   DrainWord word_;  // what the proxy says of it
