--- a/packages/stacks/courier.cpp
+++ b/packages/stacks/courier.cpp
@@ -32,15 +32,15 @@
   return sa;
 }
 u64 next_id = 1;
-Sent sent[256];
+Sent counted[256];
 }  // namespace
 
 std::string sent_by_kind() {
   std::string out;
   for (int k = 0; k < 256; ++k) {
-    if (sent[k].letters == 0) continue;
-    out += (out.empty() ? "" : ", ") + std::to_string(k) + " " + std::to_string(sent[k].letters) + "/" + std::to_string(sent[k].bytes);
-    sent[k] = Sent{};
+    if (counted[k].letters == 0) continue;
+    out += (out.empty() ? "" : ", ") + std::to_string(k) + " " + std::to_string(counted[k].letters) + "/" + std::to_string(counted[k].bytes);
+    counted[k] = Sent{};
   }
   return out;
 }
@@ -139,8 +139,8 @@
 void Channel::put(Kind k, u32 tag, std::string_view body) {
   if (!up_) return;
   if (!near_) {
-    ++sent[static_cast<u8>(k)].letters;
-    sent[static_cast<u8>(k)].bytes += head_len + body.size();
+    ++counted[static_cast<u8>(k)].letters;
+    counted[static_cast<u8>(k)].bytes += head_len + body.size();
   }
   u8 head[head_len];
   put32(head, static_cast<u32>(body.size()));
