--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -164,8 +164,10 @@
       h_.mates[ip].told_known.clear();
       for (auto& o : proposer_.resend(ip)) send_out(o);
       l.send(Kind::pull, 0, Pull{bal()});
-      // What we hold of the servers, for it may have begun anew.
-      servers_.spread_all(l);
+      // What we hold of the servers, for it may have begun anew. Who has nearer mates gets it
+      // from them; a difference that lasts is mended by digests.
+      std::string const g = h_.region_of_mate(ip);
+      if (g.empty() || g == h_.st.region) servers_.spread_all(l);
     });
     m.link->on_letter.connect([this, ip](Link&, Letter const& l) { from_mate(ip, l); });
     return m;
