--- a/packages/atlas/forecast.cpp
+++ b/packages/atlas/forecast.cpp
@@ -15,7 +15,7 @@
 // at a server, in a server's queue, done, unserved.
 class Play {
  public:
-  Play(Capture const& c, std::set<std::string> const& gone, ForecastPlan const& p) : c_(c), p_(p), gone_(gone), rnd_(p.seed * 2654435761u + 7) {
+  Play(Capture const& c, std::set<std::string> const& gone, ForecastPlan const& p, std::set<std::string> const& out) : c_(c), p_(p), gone_(gone), out_(out), rnd_(p.seed * 2654435761u + 7) {
     double total = 0;
     for (Survey const& s : c.surveys)
       for (LaneRate const& l : s.lanes) total += l.rate;
@@ -111,7 +111,7 @@
       x.address = "0.0.0.0:1";
       x.zone = r.zone;
       x.capacity = r.capacity;
-      x.ready = r.ready;
+      x.ready = r.ready && out_.count(r.id) == 0;
       x.cold_left = r.coldLeftS;
       rows.push_back(std::move(x));
     }
@@ -205,6 +205,7 @@
   Capture const& c_;
   ForecastPlan const& p_;
   std::set<std::string> const& gone_;
+  std::set<std::string> const& out_;
   u64 rnd_;
   double until_ = 0, warm_ = 0;
   std::map<std::string, std::size_t> by_id_;
@@ -222,7 +223,7 @@
   return m;
 }
 
-Forecast forecast(Capture const& c, std::set<std::string> const& gone, ForecastPlan const& p) {
+Forecast forecast(Capture const& c, std::set<std::string> const& gone, ForecastPlan const& p, std::set<std::string> const& out) {
   Forecast f;
   f.takenAt = c.takenAt;
   f.gone.assign(gone.begin(), gone.end());
@@ -230,7 +231,7 @@
   f.silent = c.silent;
   f.partial = !c.silent.empty() || !c.settled || c.surveys.empty();
   std::set<std::string> const none;
-  Play was(c, none, p), play(c, gone, p);
+  Play was(c, none, p, none), play(c, gone, p, out);
   was.run();
   play.run();
 
@@ -259,7 +260,7 @@
   f.fits = true;
   std::map<FlowKey, std::pair<u32, double>> slots;
   for (CapServer const& s : c.servers) {
-    if (!s.ready) continue;
+    if (!s.ready || out.count(s.id) > 0) continue;
     auto& [n, cap] = slots[{s.zone, s.service}];
     ++n;
     cap += s.capacity;
--- a/packages/atlas/include/atlas/forecast.hpp
+++ b/packages/atlas/include/atlas/forecast.hpp
@@ -12,7 +12,8 @@
   DB_RECORD(CapZone, (std::string, zone), (std::string, region), (u32, proxies), (bool, evacuated));
 };
 struct CapServer {
-  DB_RECORD(CapServer, (std::string, id), (std::string, service), (std::string, zone), (double, capacity), (bool, ready), (double, coldLeftS));
+  DB_RECORD(CapServer, (std::string, id), (std::string, service), (std::string, zone), (double, capacity), (bool, ready), (double, coldLeftS),
+            (std::string, generation));
 };
 struct CapPool {
   DB_RECORD(CapPool, (std::string, name), (u32, connLimit), (double, coldRateS));
@@ -53,7 +54,8 @@
   u64 seed = 1;
 };
 
-Forecast forecast(Capture const& c, std::set<std::string> const& gone, ForecastPlan const& p);
+// gone: zones whose servers get nothing more; out: single servers, by id.
+Forecast forecast(Capture const& c, std::set<std::string> const& gone, ForecastPlan const& p, std::set<std::string> const& out = {});
 
 // What the sites receive by a capture: tries a second by zone and lane.
 std::map<std::pair<std::string, std::string>, double> received(Capture const& c);
--- a/packages/desks/include/desks/drains.hpp
+++ b/packages/desks/include/desks/drains.hpp
@@ -184,6 +184,7 @@
       n.keyed = s.drain.keyed;
       n.uploads = s.drain.uploads;
       n.life = s.drain.life;
+      n.cordoned_for = s.drain.life != 0 ? s.drain.since + (now - s.heard) : 0;
       n.current = s.current;
       v.push_back(std::move(n));
     }
--- a/packages/desks/include/desks/servers.hpp
+++ b/packages/desks/include/desks/servers.hpp
@@ -63,6 +63,7 @@
     r.state = b.state == "ready" ? Standing::ready : Standing::draining;
     r.seq = b.callSeq;
     r.cold_left = b.coldLeftS.value_or(0);
+    r.generation = b.generation.value_or("");
     drained(r);
     Secs const now = now_s();
     if (roll_.beat(r, h_.st.ip, now)) spread({*roll_.get(id, now)}, "");
--- a/packages/desks/include/desks/surveys.hpp
+++ b/packages/desks/include/desks/surveys.hpp
@@ -98,6 +98,7 @@
       x.capacity = r.capacity;
       x.ready = r.state == Standing::ready;
       x.coldLeftS = r.cold_left;
+      x.generation = r.generation;
       c.servers.push_back(std::move(x));
     }
     if (h_.committed) {
--- a/packages/drain/include/drain/nodes.hpp
+++ b/packages/drain/include/drain/nodes.hpp
@@ -17,6 +17,7 @@
   Stage told = Stage::waiting;        // the stage that it says it acts by
   u32 keyed = 0, uploads = 0;         // that it says are open
   u64 life = 0;
+  Secs cordoned_for = 0;              // by its own clock, so that a change of holders costs no time
   bool current = false;               // it holds the configuration in force
 };
 
@@ -41,7 +42,7 @@
 // - a unit becomes `empty` only by its own word, in the life that was drained, said again after `settle`;
 // - the next wave begins only when every unit of the one before is back;
 // - nothing is ever cut by time: a unit that does not become empty is only spoken of.
-// All times are of this life of the holder: a successor waits them out anew.
+// Times of emptiness and shortage are of this life of the holder: a successor waits them out anew.
 class NodeDrainer {
  public:
   explicit NodeDrainer(NodePlan p) : p_(p) {}
--- a/packages/drain/nodes.cpp
+++ b/packages/drain/nodes.cpp
@@ -42,7 +42,7 @@
     u32 wave = ~0u;
     for (Unit const& u : s.units)
       if (u.pass == p.id && u.stage != Stage::back) wave = std::min(wave, u.wave);
-    std::string why;
+    std::string why, want;  // want: of room; it comes before all else
     // What runs short now, and for how long.
     std::set<std::string> real;
     for (auto const& [g, r] : serving) {
@@ -75,6 +75,7 @@
       // A real shortage takes back who can still serve.
       if (real.count(n->region) > 0 && (u.stage == Stage::cordoned || u.stage == Stage::draining)) {
         go(Stage::waiting, 0);
+        want = text("region %s: load is %.2f, at most %.2f is wanted; who can still serve is taken back", n->region, serving.at(n->region).load, 1 - p.headroom);
         continue;
       }
       switch (u.stage) {
@@ -84,9 +85,9 @@
           RegionRoom const& r = after.at(n->region);
           bool const lately = now - short_[n->region].last < p_.steady;
           if (is_short(r, p.headroom) || lately) {
-            if (why.empty())
-              why = r.nodes == 0 ? "region " + n->region + ": nobody would be left"
-                                 : text("region %s: load would be %.2f, at most %.2f is wanted", n->region, r.load, 1 - p.headroom);
+            if (want.empty())
+              want = r.nodes == 0 ? "region " + n->region + ": nobody would be left"
+                                  : text("region %s: load would be %.2f, at most %.2f is wanted", n->region, r.load, 1 - p.headroom);
             break;
           }
           taking.insert(u.name);
@@ -94,7 +95,7 @@
           break;
         }
         case Stage::cordoned:
-          if (now - m.since >= p_.old_lists && n->life != 0 && n->told >= Stage::cordoned) go(Stage::draining, n->life);
+          if (n->cordoned_for >= p_.old_lists && n->life != 0 && n->told >= Stage::cordoned) go(Stage::draining, n->life);
           break;
         case Stage::draining: {
           if (n->life != 0 && n->life != u.life) {  // it began anew under way: what is drained is the new life
@@ -121,7 +122,7 @@
         case Stage::back: break;
       }
     }
-    mv.words.push_back(Word{p.id, why});
+    mv.words.push_back(Word{p.id, want.empty() ? why : want});
   }
   std::erase_if(at_, [&](auto const& x) { return live.count(x.first) == 0; });
   std::erase_if(mv.words, [&](Word const& w) { return s.pass(w.pass) != nullptr && s.pass(w.pass)->why == w.why; });
--- a/packages/gossip/include/gossip/roll.hpp
+++ b/packages/gossip/include/gossip/roll.hpp
@@ -16,7 +16,8 @@
 // standing; `left` (a seq no beat reaches) is final.
 struct Row {
   DB_RECORD(Row, (std::string, id), (std::string, service), (std::string, address), (std::string, zone),
-                           (double, capacity), (Standing, state), (u64, seq), (double, cold_left), (std::string, owner));
+                           (double, capacity), (Standing, state), (u64, seq), (double, cold_left), (std::string, owner),
+                           (std::string, generation));
 };
 
 u64 constexpr left_seq = ~0ULL >> 1;
@@ -69,9 +70,10 @@
 };
 // What a proxy that is being drained says of itself; all zero otherwise, and so not sent.
 // Invariant: keyed and uploads count what is open, and keyed also what was answered so
-// lately that its answer may not be stored yet.
+// lately that its answer may not be stored yet; since is how long ago, by its own clock, it
+// was first told that the directories name it no more.
 struct DrainWord {
-  DB_RECORD(DrainWord, (u32, stage), (u64, life), (u32, keyed), (u32, uploads));
+  DB_RECORD(DrainWord, (u32, stage), (u64, life), (u32, keyed), (u32, uploads), (double, since));
 };
 // What it is told: to drain, if it is the life that is meant.
 struct DrainSaid {
--- a/packages/keys/include/keys/ask.hpp
+++ b/packages/keys/include/keys/ask.hpp
@@ -18,7 +18,7 @@
                            (std::string, ret));
 };
 struct Load {
-  DB_RECORD(Load, (bool, ready), (double, load), (bool, draining), (std::string, front), (u64, life), (u32, stage), (u32, keyed), (u32, uploads));
+  DB_RECORD(Load, (bool, ready), (double, load), (bool, draining), (std::string, front), (u64, life), (u32, stage), (u32, keyed), (u32, uploads), (double, since));
 };
 
 }  // namespace dockbend
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -320,6 +320,7 @@
         l.uploads += is_upload(e) ? 1 : 0;
       });
       // Silent for longer than a client may be idle: its connection ended.
+      l.since = now - cordoned_at_;
       l.uploads += readings_.open(static_cast<u64>(10 * man_.limits().idle) + 10);
     }
     page_.send(Kind::load, 0, l);
@@ -341,6 +342,7 @@
   // ---- a drain that an operator wants -----------------------------------------
   void told_to_drain(DrainSaid const& d) {
     bool const was = drains();
+    if (said_.stage == 0) cordoned_at_ = now_s();
     said_ = d;
     if (drains() != was) LOG4CPLUS_INFO(lg_, (drains() ? "Drains for maintenance. " : "Drains no more. ") << slab_.size() << " errands at work.");
     tell_load();
@@ -872,12 +874,18 @@
 
   // What is open at these servers. A session is a request in work there: between two
   // requests a client's connection may go on to any server without loss.
+  // No names: of all.
   std::vector<Held> holdings(std::vector<std::string> const& ids, Secs now) {
     std::map<std::string, Held> m;
     for (std::string const& id : ids) m[id].id = id;
     slab_.each([&](Errand const& e) {
       if (e.chan == nullptr) return;
-      auto const it = m.find(as_.at(e.server).id);
+      std::string const& id = as_.at(e.server).id;
+      auto it = m.find(id);
+      if (it == m.end() && ids.empty()) {
+        it = m.try_emplace(id).first;
+        it->second.id = id;
+      }
       if (it == m.end()) return;
       Held& h = it->second;
       ++h.sessions;
@@ -902,8 +910,8 @@
     s.zone = st_.zone;
     s.region = st_.region;
     s.node = st_.nodeName;
+    s.held = holdings(a.servers, now);
     if (a.held) {
-      s.held = holdings(a.servers, now);
       page_.send(Kind::surveyR, tag, s);
       return;
     }
@@ -962,6 +970,7 @@
   Shelf shelf_;
   Readings readings_;
   DrainSaid said_;                // what is wanted of us: whose drain, and how far
+  Secs cordoned_at_ = 0;          // since when we are told of it
   std::deque<Secs> answered_;     // keyed errands answered while draining, for their answers are on their way to disk
   Compiled man_;
   Link page_;
--- a/programs/dockbend.cpp
+++ b/programs/dockbend.cpp
@@ -5,6 +5,7 @@
 #include <event2/keyvalq_struct.h>
 #include <getopt.h>
 
+#include <cmath>
 #include <cstdio>
 #include <cstring>
 #include <fstream>
@@ -15,6 +16,7 @@
 #include <sstream>
 
 #include "atlas/forecast.hpp"
+#include "atlas/orders.hpp"
 #include "manifest/json.hpp"
 #include "stacks/settings.hpp"
 
@@ -43,17 +45,27 @@
                "  rollout status            the rollouts under way\n"
                "  rollout pause ID          settles no further stage\n"
                "  rollout resume ID         goes on\n"
-               "  rollout abort ID          falls back to the trusted version\n\n"
+               "  rollout abort ID          falls back to the trusted version\n"
+               "  drain plan NAME..         waves in which proxies can go out; changes nothing\n"
+               "  drain start NAME..        takes them out in these waves; NAME: node, address, zone, region\n"
+               "  rotation plan NAME..      the order in which servers would leave; changes nothing\n"
+               "  rotation start NAME..     takes them out in order; NAME: id, service, generation, zone\n"
+               "  drain|rotation status     passes, and what each unit still holds\n"
+               "  drain|rotation pause ID, resume ID, abort ID, return ID UNIT\n\n"
                "  --at HOST:PORT  a control address (default: the settings' own, then its seeds)\n"
                "  --json          print the answer as JSON\n"
                "  --timeout S     how long to wait for an answer (default 5)\n"
                "  --save FILE     keep a preview for a later compare\n"
                "  --if-fits       with evacuation begin: only if the preview fits\n"
                "  --tolerance X   with evacuation compare: the share that may differ (default 0.15)\n"
+               "  --headroom X    with drain and rotation: the share that stays free (default 0.2)\n"
+               "  --max-unavailable N  with rotation: servers of a service out at once (default 1)\n"
+               "  --patience S    after this long a unit that is not empty is spoken of (default 60)\n"
+               "  --not-replaced  with rotation: nothing comes in the place of what leaves\n"
                "  --help          this text\n"
                "  --version       the version\n\n"
-               "exit codes: 0 done (a preview: fits), 1 not reached or refused, 2 wrong usage,\n"
-               "3 a preview that would overload something or leave it homeless, or a compare that\n"
+               "exit codes: 0 done (a preview or plan: fits), 1 not reached or refused, 2 wrong usage,\n"
+               "3 no order keeps the headroom, a preview that would overload something or leave it homeless, or a compare that\n"
                "is off by more than the tolerance\n");
 }
 
@@ -90,6 +102,13 @@
   return g;
 }
 
+// Not a number: what no check lets pass.
+double number_of(char const* s) {
+  char* end = nullptr;
+  double const x = std::strtod(s, &end);
+  return end == s || *end != '\0' ? std::nan("") : x;
+}
+
 std::string text_of(Value const& v) {
   if (v.IsString()) return v.GetString();
   return json::dump(v);
@@ -122,6 +141,9 @@
   int timeout = 5;
   std::string save;
   double tolerance = 0.15;
+  double headroom = 0.2, patience = 60;
+  int max_unavailable = 1;
+  bool replaced = true;
 };
 
 // Asks one node after the other, and goes where they send us.
@@ -216,6 +238,70 @@
   return f.fits ? rc_ok : rc_unfit;
 }
 
+void print(std::vector<Lack> const& lacks) {
+  for (Lack const& l : lacks)
+    std::printf("%s lacks room for %s: %.1f /s, load would be %.2f, at most %.2f is wanted\n", l.region.c_str(), l.kind.c_str(), l.rate, l.load, l.wanted);
+}
+
+void print(WavePlan const& p) {
+  std::printf("headroom: %.2f\nage: %.1f s\n", p.headroom, std::max(0.0, wall_s() - p.takenAt));
+  for (std::string const& s : p.silent) std::printf("  not heard: %s\n", s.c_str());
+  if (p.partial) std::printf("PARTIAL: some proxies were not heard, or the node asked is out of touch\n");
+  std::size_t n = 0;
+  for (Wave const& w : p.waves) {
+    std::printf("wave %zu: %zu nodes\n ", ++n, w.nodes.size());
+    for (std::string const& x : w.nodes) std::printf(" %s", x.c_str());
+    std::printf("\n");
+    for (RegionAfter const& r : w.regions) std::printf("  %-16s %3u nodes serve, load %.2f now, %.2f after, busiest %.2f\n", r.region.c_str(), r.nodes, r.now, r.load, r.peak);
+    for (KindRate const& k : w.kinds) std::printf("  %-16s %-11s %10.1f /s now %10.1f after\n", k.region.c_str(), k.kind.c_str(), k.now, k.after);
+  }
+  print(p.lacks);
+  std::printf("fits: %s\n", p.fits ? "yes" : "no");
+}
+
+void print(RotationPlan const& p) {
+  std::printf("headroom: %.2f, %u of a service out at once\n", p.headroom, p.maxUnavailable);
+  if (p.partial) std::printf("PARTIAL: some proxies were not heard; who may hold more counts as busy\n");
+  std::printf("%-20s %-16s %-16s %8s %10s %6s %9s\n", "server", "service", "zone", "uploads", "bytes", "keyed", "sessions");
+  for (Leaving const& l : p.order)
+    std::printf("%-20s %-16s %-16s %8u %10.0f %6u %9u\n", l.id.c_str(), l.service.c_str(), l.zone.c_str(), l.uploads, l.bytes, l.keyed, l.sessions);
+  print(p.lacks);
+  std::printf("fits: %s\n", p.fits ? "yes" : "no");
+}
+
+// Plans, and with `start` sends what was planned.
+int pass_over(Options const& o, bool servers, bool start, std::vector<std::string> const& names) {
+  Capture c;
+  if (int const rc = survey(o, c)) return rc;
+  Order order;
+  bool fits = false;
+  try {
+    u64 const id = random64() >> 16 | 1;
+    if (servers) {
+      RotationPlan const p = plan_rotation(c, servers_named(c, names), static_cast<u32>(o.max_unavailable), o.headroom);
+      if (o.as_json && !start) std::printf("%s\n", json::render(p).c_str());
+      else if (!o.as_json) print(p);
+      fits = p.fits;
+      order = server_order(c, p, id, o.patience, o.replaced);
+    } else {
+      WavePlan const p = plan_waves(c, nodes_named(c, names), o.headroom);
+      if (o.as_json && !start) std::printf("%s\n", json::render(p).c_str());
+      else if (!o.as_json) print(p);
+      fits = p.fits;
+      order = node_order(c, p, id, o.headroom, o.patience);
+    }
+  } catch (OrderFault const& e) {
+    std::fprintf(stderr, "dockbend: %s\n", e.what());
+    return e.code == 400 ? rc_usage : rc_failed;
+  }
+  if (!start || !fits) return fits ? rc_ok : rc_unfit;
+  Got const g = ask(o, EVHTTP_REQ_POST, servers ? "/-/Rotation.Start" : "/-/Drain.Start", json::render(order));
+  if (int const rc = complain(o, g)) return rc;
+  if (o.as_json) std::printf("%s\n", g.body.c_str());
+  else print_text(json::parse(g.body));
+  return rc_ok;
+}
+
 int compare_with(Options const& o, std::string const& file) {
   std::ifstream in(file);
   std::string const text{std::istreambuf_iterator<char>(in), {}};
@@ -256,6 +342,8 @@
                                 {"timeout", required_argument, nullptr, 't'},   {"help", no_argument, nullptr, 'h'},
                                 {"version", no_argument, nullptr, 'v'},         {"save", required_argument, nullptr, 's'},
                                 {"if-fits", no_argument, nullptr, 'f'},         {"tolerance", required_argument, nullptr, 'T'},
+                                {"headroom", required_argument, nullptr, 'H'},  {"max-unavailable", required_argument, nullptr, 'm'},
+                                {"patience", required_argument, nullptr, 'p'},  {"not-replaced", no_argument, nullptr, 'n'},
                                 {nullptr, 0, nullptr, 0}};
   Options op;
   try {
@@ -266,6 +354,10 @@
         case 't': op.timeout = std::atoi(optarg); break;
         case 's': op.save = optarg; break;
         case 'f': op.if_fits = true; break;
+        case 'H': op.headroom = number_of(optarg); break;
+        case 'm': op.max_unavailable = std::atoi(optarg); break;
+        case 'p': op.patience = number_of(optarg); break;
+        case 'n': op.replaced = false; break;
         case 'T': op.tolerance = std::atof(optarg); break;
         case 'h': usage(stdout); return rc_ok;
         case 'v': std::printf("dockbend 0.2.0\n"); return rc_ok;
@@ -280,6 +372,18 @@
     std::fprintf(stderr, "dockbend: --timeout: wants a whole number of seconds above 0\n");
     return rc_usage;
   }
+  if (!(op.headroom >= 0 && op.headroom < 1)) {
+    std::fprintf(stderr, "dockbend: --headroom: wants a share from 0 to below 1\n");
+    return rc_usage;
+  }
+  if (op.max_unavailable < 1) {
+    std::fprintf(stderr, "dockbend: --max-unavailable: wants a whole number above 0\n");
+    return rc_usage;
+  }
+  if (!(op.patience > 0)) {
+    std::fprintf(stderr, "dockbend: --patience: wants seconds above 0\n");
+    return rc_usage;
+  }
   if (!(op.tolerance > 0)) {
     std::fprintf(stderr, "dockbend: --tolerance: wants a share above 0\n");
     return rc_usage;
@@ -290,8 +394,22 @@
   evhttp_cmd_type cmd = EVHTTP_REQ_POST;
   std::string path, body;
   bool const previews = w.size() >= 3 && w[0] == "evacuation" && w[1] == "preview", compares = is(3, "evacuation", "compare");
-  if (previews || compares) {
+  bool const of_nodes = !w.empty() && w[0] == "drain", of_servers = !w.empty() && w[0] == "rotation";
+  bool const plans = (of_nodes || of_servers) && w.size() >= 3 && (w[1] == "plan" || w[1] == "start");
+  std::string const pass = of_servers ? "/-/Rotation." : "/-/Drain.";
+  if (previews || compares || plans) {
     path = "/-/Survey";
+  } else if ((of_nodes || of_servers) && w.size() == 2 && w[1] == "status") {
+    cmd = EVHTTP_REQ_GET;
+    path = pass + "Status";
+  } else if ((of_nodes || of_servers) && w.size() == 3 && w[1] == "pause") {
+    path = pass + "Pause/" + w[2];
+  } else if ((of_nodes || of_servers) && w.size() == 3 && w[1] == "resume") {
+    path = pass + "Resume/" + w[2];
+  } else if ((of_nodes || of_servers) && w.size() == 3 && w[1] == "abort") {
+    path = pass + "Abort/" + w[2];
+  } else if ((of_nodes || of_servers) && w.size() == 4 && w[1] == "return") {
+    path = pass + "Return/" + w[2] + "/" + w[3];
   } else if (is(1, "status")) {
     cmd = EVHTTP_REQ_GET;
     path = "/-/Status";
@@ -353,6 +471,7 @@
       return rc_usage;
     }
   }
+  if (plans) return pass_over(op, of_servers, w[1] == "start", {w.begin() + 2, w.end()});
   if (previews) return preview(op, {w.begin() + 2, w.end()}, false);
   if (compares) return compare_with(op, w[2]);
   if (op.if_fits)
--- a/programs/page.cpp
+++ b/programs/page.cpp
@@ -377,6 +377,7 @@
         word_.life = x.life;
         word_.keyed = x.keyed;
         word_.uploads = x.uploads;
+        word_.since = x.since;
         if (was != ready_) beat_all();
         break;
       }
--- /dev/null
+++ b/tests/drain_test.cpp
@@ -0,0 +1,547 @@
+#include <criterion/criterion.h>
+
+#include <random>
+
+#include "atlas/orders.hpp"
+#include "catalog/catalog.hpp"
+#include "drain/nodes.hpp"
+#include "duty/duty.hpp"
+
+using namespace dockbend;
+
+namespace {
+
+Order order_of(std::vector<std::pair<std::string, u32>> const& units, std::string const& id = "7", double headroom = 0.2) {
+  Order o;
+  o.id = id;
+  o.headroom = headroom;
+  o.patienceS = 60;
+  for (auto const& [n, w] : units) {
+    OrderUnit u;
+    u.name = u.node = n;
+    u.wave = w;
+    o.units.push_back(u);
+  }
+  return o;
+}
+
+// A busy morning: regions of proxies, clients that keep lists for up to 15 s, requests
+// that are open for a while; three candidates for the duty over one register. Steps are
+// worked out by the real parts; only time, clients and losses are drawn.
+struct Morning {
+  struct Open {
+    Secs until = 0;
+    int kind = 0;  // 0 read, 1 keyed, 2 upload
+    u64 key = 0;
+  };
+  struct Proxy {
+    std::string front, zone, region;
+    u64 life = 1;
+    Stage told = Stage::waiting;
+    u64 told_life = 0;
+    Secs down_until = -1, told_at = 0, cordoned_at = -1, restart_at = -1;
+    std::vector<Open> open;
+    double load = 0, came = 0;
+    bool up(Secs now) const { return now >= down_until; }
+    bool drains() const { return told >= Stage::draining && told_life == life; }
+  };
+  struct Client {
+    std::string zone, region;
+    std::vector<std::size_t> list;
+    Secs asked = -100, keeps = 5;
+  };
+  struct Core {
+    Duty duty;
+    NodeDrainer drainer{NodePlan{}};
+    Secs down_until = -1, frozen_until = -1, cut_until = -1;
+    State known;
+    bool held = false;
+  };
+  struct Later {
+    Secs at = 0;
+    std::function<void()> f;
+  };
+
+  Morning(unsigned seed, double demand_) : rnd(seed), demand(demand_) {
+    for (int r = 0; r < 2; ++r)
+      for (int z = 0; z < 2; ++z)
+        for (int i = 0; i < 4; ++i) {
+          Proxy p;
+          p.zone = std::string(r == 0 ? "n" : "s") + std::to_string(z);
+          p.region = r == 0 ? "north" : "south";
+          p.front = p.zone + "-" + std::to_string(i);
+          proxies.push_back(p);
+          for (int k = 0; k < 6; ++k) {
+            Client c;
+            c.zone = p.zone;
+            c.region = p.region;
+            c.keeps = k == 0 ? 15 : 5;
+            clients.push_back(c);
+          }
+        }
+    for (int i = 0; i < 3; ++i) cores.push_back(Core{Duty("drain", "c" + std::to_string(i), "", DutyPlan{3, 0.4, 1.0}, 0)});
+  }
+  double u(double a, double b) { return std::uniform_real_distribution<>(a, b)(rnd); }
+
+  void later(Secs d, std::function<void()> f) { q.push_back({now + d, std::move(f)}); }
+
+  // Applied at once, or lost; answers come late, or not at all.
+  void submit(std::size_t i, std::function<bool(State&)> change, std::function<void(bool)> done) {
+    if (now < cores[i].cut_until) return later(1.0, [done] { done(false); });
+    auto const ok = std::make_shared<bool>(false);
+    later(u(0.02, 0.3), [this, change, ok] {
+      State s = reg;
+      if (!change(s)) return;
+      // As on the wire: what the others get is the difference.
+      Delta const d = delta_of(reg, s);
+      State t = reg;
+      cr_assert(apply(t, d));
+      cr_assert_eq(t.units.size(), s.units.size(), "the difference says it all");
+      reg = t;
+      *ok = true;
+    });
+    bool const mute = u(0, 1) < 0.1;
+    later(mute ? 1.0 : u(0.35, 0.6), [done, ok, mute] { done(!mute && *ok); });
+  }
+
+  std::vector<SeenNode> seen() const {
+    std::vector<SeenNode> v;
+    for (Proxy const& p : proxies) {
+      SeenNode n;
+      n.front = p.front;
+      n.zone = p.zone;
+      n.region = p.region;
+      n.ready = n.fresh = p.up(now);
+      n.load = p.load;
+      Unit const* x = unit_of(reg, p.front);
+      if (x != nullptr && x->stage != Stage::waiting) {
+        n.life = p.life;
+        n.cordoned_for = p.cordoned_at < 0 ? 0 : now - p.cordoned_at;
+        n.told = p.drains() || p.told == Stage::cordoned ? p.told : Stage::waiting;
+      }
+      n.current = true;
+      for (Open const& o : p.open) {
+        n.keyed += o.kind == 1 ? 1 : 0;
+        n.uploads += o.kind == 2 ? 1 : 0;
+      }
+      v.push_back(n);
+    }
+    return v;
+  }
+
+  void core_step(std::size_t i) {
+    Core& c = cores[i];
+    if (now < c.down_until || now < c.frozen_until) return;
+    if (now >= c.cut_until) {
+      c.known = reg;
+      c.duty.seen(reg.term("drain"), now);
+    }
+    if (Duty::Move const m = c.duty.step(now, true); m != Duty::Move::none) {
+      Duty::Ask const a = c.duty.ask(m, now);
+      Duty const was = c.duty;
+      u64 const life = lives[i];
+      submit(i, [was, a](State& s) { return was.apply(s, a); }, [this, i, a, life](bool ok) {
+        if (lives[i] == life) cores[i].duty.answered(a, ok, now);
+      });
+    }
+    if (!c.duty.may_act(now, 0)) {
+      c.drainer.forget();
+      return;
+    }
+    if (std::fmod(now, 0.4) > 0.1) return;
+    Moves const mv = c.drainer.step(c.known, seen(), now);
+    if (mv.empty()) return;
+    u64 const fence = c.duty.fence();
+    std::string const me = "c" + std::to_string(i);
+    auto const change = [mv, fence, me](State& s) {
+      Term const* t = s.term("drain");
+      return t != nullptr && t->fence == fence && t->holder == me && apply(s, mv);
+    };
+    submit(i, change, [](bool) {});
+    if (u(0, 1) < 0.1) submit(i, change, [](bool) {});  // a repeat
+  }
+
+  void resolve(Client& c) {
+    Catalog<NearSelector> cat(1e9);
+    std::set<std::string> cordoned;
+    for (Unit const& x : reg.units)
+      if (x.stage != Stage::waiting && x.stage != Stage::back) cordoned.insert(x.name);
+    std::map<std::string, std::size_t> ix;
+    for (std::size_t i = 0; i < proxies.size(); ++i) {
+      Site s;
+      s.front = proxies[i].front;
+      s.zone = proxies[i].zone;
+      s.region = proxies[i].region;
+      s.ready = proxies[i].up(now);
+      s.load = proxies[i].load;
+      ix[s.front] = i;
+      cat.keep(s);
+    }
+    c.list.clear();
+    for (Site const* s : cat.resolve(Consumer{c.zone, c.region}, cordoned)) c.list.push_back(ix[s->front]);
+    c.asked = now;
+  }
+
+  void request(Client& c) {
+    int const kind = u(0, 1) < 0.6 ? 0 : u(0, 1) < 0.6 ? 1 : 2;
+    u64 const key = ++keys;
+    for (int attempt = 0; attempt < 6; ++attempt) {
+      if (c.list.empty()) resolve(c);
+      if (c.list.empty()) break;
+      Proxy& p = proxies[c.list[rnd() % c.list.size()]];
+      if (!p.up(now) || (p.drains() && kind != 0)) {  // not run: the client goes elsewhere
+        if (attempt > 1) resolve(c);
+        continue;
+      }
+      p.came += 1;
+      p.open.push_back(Open{now + (kind == 0 ? u(0.05, 0.5) : kind == 1 ? u(0.3, 2) : u(1, 8)), kind, key});
+      if (kind == 1) ++runs[key];
+      return;
+    }
+    ++unserved;
+  }
+
+  void step() {
+    Secs const dt = 0.1;
+    now += dt;
+    for (std::size_t k = 0; k < q.size();) {
+      if (q[k].at > now) {
+        ++k;
+        continue;
+      }
+      auto const f = std::move(q[k].f);
+      q.erase(q.begin() + static_cast<long>(k));
+      f();
+    }
+    for (std::size_t i = 0; i < cores.size(); ++i) core_step(i);
+    for (Client& c : clients) {
+      if (now - c.asked > c.keeps) resolve(c);
+      if (u(0, 1) < demand * surge * dt) request(c);
+    }
+    for (Proxy& p : proxies) {
+      std::erase_if(p.open, [&](Open const& o) { return o.until <= now; });
+      p.load += 0.08 * (p.came / dt / 10.0 - p.load);  // it bears 10 requests a second
+      p.came = 0;
+      if (!p.up(now)) {
+        p.load = 0;
+        continue;
+      }
+      if (now - p.told_at > 0.6) {  // its keepalive's answer
+        p.told_at = now;
+        Unit const* x = unit_of(reg, p.front);
+        if (x != nullptr && x->stage == Stage::back) x = nullptr;
+        p.told = x == nullptr ? Stage::waiting : x->stage;
+        if (p.told == Stage::waiting) p.cordoned_at = -1;
+        else if (p.cordoned_at < 0) p.cordoned_at = now;
+        p.told_life = x == nullptr ? 0 : x->life;
+      }
+      // The operator restarts what is empty.
+      Unit const* x = unit_of(reg, p.front);
+      if (x != nullptr && x->stage == Stage::empty && x->life == p.life && p.restart_at < 0) p.restart_at = now + u(0.3, 2);
+      if (p.restart_at >= 0 && now >= p.restart_at) {
+        for (Open const& o : p.open) cut += o.kind != 0 ? 1 : 0;
+        restart(p, 2);
+        p.restart_at = -1;
+      }
+    }
+  }
+  void restart(Proxy& p, Secs down) {
+    p.open.clear();
+    ++p.life;
+    p.down_until = now + down;
+    p.told = Stage::waiting;
+    p.cordoned_at = -1;
+  }
+  std::map<std::string, RegionRoom> rooms() const {
+    return room(seen(), [&](SeenNode const& n) {
+      Unit const* x = unit_of(reg, n.front);
+      return x != nullptr && x->stage != Stage::waiting && x->stage != Stage::back;
+    });
+  }
+  Pass const& pass() const { return reg.passes.front(); }
+
+  std::mt19937 rnd;
+  double demand, surge = 1;
+  Secs now = 0;
+  State reg;
+  std::vector<Proxy> proxies;
+  std::vector<Client> clients;
+  std::vector<Core> cores;
+  std::map<std::size_t, u64> lives;
+  std::vector<Later> q;
+  std::map<u64, int> runs;
+  u64 keys = 0, unserved = 0, cut = 0;
+};
+
+void begin_pass(Morning& m) {
+  std::vector<std::pair<std::string, u32>> units;
+  for (std::size_t i = 0; i < m.proxies.size(); ++i) units.emplace_back(m.proxies[i].front, static_cast<u32>(i % 4));
+  u64 id = 0;
+  cr_assert(start(m.reg, order_of(units), id));
+}
+
+}  // namespace
+
+// Every node of a busy morning is restarted. No region runs short in any second, nothing
+// that may not be cut is cut, every confirmation runs once; whatever befalls the holder.
+Test(drain, a_rolling_pass_over_a_busy_morning) {
+  for (unsigned seed = 1; seed <= 25; ++seed) {
+    Morning m(seed, 0.8);
+    for (int i = 0; i < 100; ++i) m.step();
+    begin_pass(m);
+    std::set<std::string> restarted;
+    Secs blow = m.now + 5, short_since = -1;
+    while (m.pass().state == PassState::running && m.now < 900) {
+      m.step();
+      for (auto const& [g, r] : m.rooms()) {
+        short_since = r.nodes == 0 || r.load > 1 ? (short_since < 0 ? m.now : short_since) : -1;
+        cr_assert(short_since < 0 || m.now - short_since < 1, "seed %u: %s is short at %.1f: %u nodes at %.2f", seed, g.c_str(), m.now, r.nodes, r.load);
+      }
+      if (m.now < blow) continue;
+      blow = m.now + m.u(3, 12);
+      std::size_t i = m.rnd() % 3;
+      for (std::size_t k = 0; k < 3; ++k)
+        if (m.cores[k].duty.holds() && m.u(0, 1) < 0.8) i = k;
+      switch (m.rnd() % 3) {
+        case 0:
+          m.cores[i] = Morning::Core{Duty("drain", "c" + std::to_string(i), "", DutyPlan{3, 0.4, 1.0}, m.now)};
+          m.cores[i].down_until = m.now + m.u(0.5, 3);
+          ++m.lives[i];
+          break;
+        case 1: m.cores[i].frozen_until = m.now + m.u(0.5, 6); break;
+        default: m.cores[i].cut_until = m.now + m.u(0.5, 6); break;
+      }
+    }
+    cr_assert(m.pass().state == PassState::done, "seed %u: at %.0f s %u of %u are back: %s", seed, m.now, m.pass().back, m.pass().total, m.pass().why.c_str());
+    cr_assert(m.reg.units.empty());
+    for (auto const& p : m.proxies) cr_assert_geq(p.life, 2, "seed %u: %s was restarted", seed, p.front.c_str());
+    cr_assert_eq(m.cut, 0, "seed %u: %llu cut", seed, static_cast<unsigned long long>(m.cut));
+    cr_assert_eq(m.unserved, 0, "seed %u: %llu unserved", seed, static_cast<unsigned long long>(m.unserved));
+    cr_assert_gt(m.runs.size(), 1000u);
+    for (auto const& [k, n] : m.runs) cr_assert_eq(n, 1);
+  }
+}
+
+// A zone goes, or everybody comes at once, in the midst of a pass: it takes back who can
+// still serve, says why, begins nothing more, and goes on by itself after.
+Test(drain, a_shortage_takes_back_and_goes_on_by_itself) {
+  std::size_t days_taken_back = 0;
+  for (unsigned seed = 1; seed <= 16; ++seed) {
+    Morning m(seed, 0.65);
+    for (int i = 0; i < 100; ++i) m.step();
+    begin_pass(m);
+    Secs const at = m.now + m.u(5, 14), end = at + 40;
+    bool const surge = seed % 2 == 0;
+    Secs real_since = -1;
+    bool said = false, taken_back = false;
+    std::map<std::string, Stage> was;
+    while (m.pass().state == PassState::running && m.now < 900) {
+      m.step();
+      if (surge) m.surge = m.now > at && m.now < end ? 1.9 : 1;
+      else
+        for (auto& p : m.proxies)
+          if (p.zone == "n0" && m.now > at && m.now < at + 0.15) m.restart(p, end - at);
+      RegionRoom const r = m.rooms().at("north");
+      real_since = is_short(r, 0.2) ? (real_since < 0 ? m.now : real_since) : -1;
+      std::size_t out = 0;
+      for (Unit const& x : m.reg.units) {
+        bool const north = x.name[0] == 'n', mine = x.name.substr(0, 2) != "n0";
+        out += north && mine && (x.stage == Stage::cordoned || x.stage == Stage::draining) ? 1 : 0;
+        taken_back = taken_back || (was[x.name] != Stage::waiting && x.stage == Stage::waiting);
+        was[x.name] = x.stage;
+      }
+      if (real_since >= 0 && m.now - real_since > 6) cr_assert_eq(out, 0, "seed %u: %zu still out at %.1f, %u nodes at %.2f", seed, out, m.now, r.nodes, r.load);
+      said = said || m.pass().why.find("region north") != std::string::npos;
+    }
+    cr_assert(m.pass().state == PassState::done, "seed %u: %u of %u back: %s", seed, m.pass().back, m.pass().total, m.pass().why.c_str());
+    cr_assert(said || !taken_back, "seed %u: who is taken back is told why", seed);
+    days_taken_back += taken_back ? 1 : 0;
+    for (auto const& [k, n] : m.runs) cr_assert_eq(n, 1);
+    cr_assert_eq(m.cut, 0);
+  }
+  cr_assert_geq(days_taken_back, 12u, "%zu", days_taken_back);
+}
+
+Test(drain, orders_repeat_overlap_and_end) {
+  State s;
+  u64 id = 0;
+  cr_assert(start(s, order_of({{"a", 0}, {"b", 1}}), id));
+  cr_assert_not(start(s, order_of({{"a", 0}, {"b", 1}}), id), "the same call again");
+  cr_assert_not(start(s, order_of({{"b", 0}, {"a", 0}}, "9"), id), "the same order");
+  cr_assert_eq(id, 7);
+  try {
+    start(s, order_of({{"b", 0}, {"c", 0}}, "10"), id);
+    cr_assert_fail("it overlaps");
+  } catch (OrderFault const& e) {
+    cr_assert_eq(e.code, 409);
+    cr_assert_str_eq(e.what(), "b: already in pass 7");
+  }
+  for (auto const& [o, why] : {std::pair{order_of({{"x", 0}, {"x", 0}}), "x: named twice"}, {order_of({}), "units: empty"},
+                               {order_of({{"x", 0}}, "7", 1.0), "headroom: wants a share from 0 to below 1"}, {order_of({{"x", 0}}, "z"), "id: wants a number above 0"}}) {
+    try {
+      check(o);
+      cr_assert_fail("%s", why);
+    } catch (OrderFault const& e) {
+      cr_assert_str_eq(e.what(), why);
+    }
+  }
+  Moves m;
+  m.moves.push_back(Move{7, "a", Stage::waiting, Stage::cordoned, 5});
+  cr_assert(command(s, 7, PassOrder::pause));
+  cr_assert_not(apply(s, m), "nothing is begun in a pause");
+  cr_assert(command(s, 7, PassOrder::resume));
+  cr_assert(apply(s, m));
+  cr_assert_not(apply(s, m), "a step has its effect once");
+  cr_assert(command(s, 7, PassOrder::abort));
+  cr_assert(s.units.empty(), "who was out is named again");
+  cr_assert_not(command(s, 7, PassOrder::abort));
+  cr_assert_not(apply(s, m));
+}
+
+// Who began anew under way is drained in its new life; a word of the old one counts no more.
+Test(drain, emptiness_is_of_the_life_that_is_drained) {
+  State s;
+  u64 id = 0;
+  start(s, order_of({{"a", 0}}), id);
+  s.units[0].stage = Stage::draining;
+  s.units[0].life = 1;
+  NodeDrainer d{NodePlan{}};
+  SeenNode n, other;
+  n.front = "a";
+  other.front = "b";
+  n.region = other.region = "r";
+  n.ready = n.fresh = other.ready = other.fresh = true;
+  n.told = Stage::draining;
+  n.life = 2;
+  Moves m = d.step(s, {n, other}, 10);
+  cr_assert_eq(m.moves.size(), 1u);
+  cr_assert(m.moves[0].to == Stage::draining && m.moves[0].life == 2);
+  apply(s, m);
+  n.uploads = 1;
+  cr_assert(d.step(s, {n, other}, 11).moves.empty());
+  n.uploads = 0;
+  cr_assert(d.step(s, {n, other}, 12).moves.empty(), "it has to say so twice");
+  n.fresh = false;
+  cr_assert(d.step(s, {n, other}, 13).moves.empty(), "out of reach it is not known to be empty");
+  n.fresh = true;
+  cr_assert(d.step(s, {n, other}, 14).moves.empty());
+  m = d.step(s, {n, other}, 15);
+  cr_assert(m.moves.size() == 1 && m.moves[0].to == Stage::empty);
+  apply(s, m);
+  cr_assert(d.step(s, {n, other}, 16).moves.empty(), "the old life is not back");
+  n.life = 3;
+  n.current = false;
+  cr_assert(d.step(s, {n, other}, 17).moves.empty(), "nor is one that lacks the configuration in force");
+  n.current = true;
+  m = d.step(s, {n, other}, 18);
+  cr_assert(m.moves.size() == 1 && m.moves[0].to == Stage::back);
+}
+
+namespace {
+Capture halls(int per_zone, double load) {
+  Capture c;
+  c.settled = true;
+  for (auto const& [z, g] : {std::pair{"n1", "north"}, {"n2", "north"}, {"s1", "south"}}) {
+    CapZone x;
+    x.zone = z;
+    x.region = g;
+    c.zones.push_back(x);
+    for (int i = 0; i < per_zone; ++i) {
+      CapSite s;
+      s.front = std::string(z) + ":" + std::to_string(i);
+      s.node = std::string("edge-") + z + "-" + std::to_string(i);
+      s.zone = z;
+      s.region = g;
+      s.ready = true;
+      s.load = load;
+      c.sites.push_back(s);
+      Survey v;
+      v.front = s.front;
+      LaneRate l;
+      l.lane = "read";
+      l.rate = 30 * load;
+      v.lanes.push_back(l);
+      l.lane = "pay";
+      l.rate = 10 * load;
+      v.lanes.push_back(l);
+      c.surveys.push_back(v);
+    }
+  }
+  for (auto const& [n, k, r] : {std::tuple{"read", "idempotent", 2u}, {"pay", "keyed", 1u}}) {
+    CapLane l;
+    l.name = n;
+    l.kind = k;
+    l.rank = r;
+    c.lanes.push_back(l);
+  }
+  return c;
+}
+}  // namespace
+
+Test(drain, waves_keep_the_headroom_and_cover_all) {
+  Capture const c = halls(8, 0.4);
+  auto const fronts = nodes_named(c, {"north", "south"});
+  WavePlan const p = plan_waves(c, fronts, 0.2);
+  cr_assert(p.fits);
+  std::set<std::string> all;
+  for (Wave const& w : p.waves) {
+    for (auto const& f : w.fronts) cr_assert(all.insert(f).second, "each once");
+    for (auto const& r : w.regions) cr_assert_leq(r.load, 0.8);
+    double now = 0, after = 0;
+    for (auto const& k : w.kinds) {
+      now += k.now;
+      after += k.after;
+    }
+    cr_assert_float_eq(now, after, 0.03 * now, "clients move, they do not vanish: %.1f %.1f", now, after);
+  }
+  cr_assert_eq(all.size(), 24u);
+  cr_assert_leq(p.waves.size(), 5u, "%zu waves", p.waves.size());
+  WavePlan const tight = plan_waves(halls(2, 0.75), nodes_named(c, {"s1:0"}), 0.2);
+  cr_assert_not(tight.fits);
+  cr_assert_str_eq(tight.lacks.at(0).region.c_str(), "south");
+  cr_assert_str_eq(tight.lacks.at(0).kind.c_str(), "idempotent", "what matters less goes first");
+}
+
+Test(drain, names_are_found_or_said) {
+  Capture const c = halls(2, 0.2);
+  cr_assert_eq(nodes_named(c, {"n1", "edge-s1-0"}).size(), 3u);
+  for (auto const& [names, why] : {std::pair<std::vector<std::string>, char const*>{{"n1", "edge-n1-0"}, "n1:0: named twice"},
+                                   {{"oslo"}, "no such node, zone or region: oslo"}}) {
+    try {
+      nodes_named(c, names);
+      cr_assert_fail("%s", why);
+    } catch (OrderFault const& e) {
+      cr_assert_str_eq(e.what(), why);
+    }
+  }
+}
+
+// Other regions hear of changes only, and that the rest stands.
+Test(catalog, what_a_mate_vouches_for_lives_and_differences_show) {
+  Catalog<NearSelector> c(1.9);
+  Site s;
+  s.zone = "z";
+  s.region = "r";
+  s.ready = true;
+  s.via = "m";
+  for (char const* f : {"a", "b"}) {
+    s.front = f;
+    c.keep(s);
+  }
+  u64 const both = hash64("a") + hash64("b");
+  for (int t = 1; t <= 5; ++t) {
+    cr_assert_eq(c.alive("m", t), both);
+    c.expire(t);
+  }
+  cr_assert_eq(c.rows().size(), 2u);
+  cr_assert_eq(c.alive("other", 5), 0u);
+  s.front = "a";
+  s.via.clear();
+  s.channel = 3;
+  s.heard = 5;
+  c.keep(s);
+  cr_assert_eq(c.alive("m", 5.5), hash64("b"), "what registered here is not vouched for by others");
+  auto const l = c.resolve(Consumer{"z", "r"}, {"a"});
+  cr_assert(l.size() == 1 && l[0]->front == "b", "a cordoned site is not named");
+  cr_assert_eq(c.resolve(Consumer{"z", "r"}, {"a", "b"}).size(), 2u, "unless there is nobody else");
+}
