--- /dev/null
+++ b/tests/rotation_test.cpp
@@ -0,0 +1,298 @@
+#include <criterion/criterion.h>
+
+#include <random>
+
+#include "atlas/orders.hpp"
+#include "drain/servers.hpp"
+
+using namespace dockbend;
+
+namespace {
+
+// A working day of one service over two regions: servers of uneven speed, requests, long uploads and
+// keyed confirmations by the real choice among ready ones (the least loaded of two drawn), proxies that
+// tell once a second what they hold. The operator ends what is empty; another comes in its place.
+struct Day {
+  struct Work {
+    Secs until = 0;
+    int kind = 0;  // 0 read, 1 keyed, 2 upload
+    std::size_t proxy = 0;
+    Secs began = 0;
+  };
+  struct Server {
+    std::string id, zone, region;
+    double speed = 1;
+    bool there = true, lost = false;
+    Secs end_at = -1;
+    std::vector<Work> work;
+  };
+  struct Report {
+    Secs at = -1e9;
+    std::map<std::string, Held> held;
+  };
+
+  explicit Day(unsigned seed, bool random) : rnd(seed), random_order(random) {
+    for (int r = 0; r < 2; ++r)
+      for (int i = 0; i < 12; ++i) add(r == 0 ? "n" : "s", i % 2, true);
+  }
+  double u(double a, double b) { return std::uniform_real_distribution<>(a, b)(rnd); }
+  void add(std::string const& g, int z, bool old) {
+    Server s;
+    s.id = (old ? "old-" : "new-") + std::to_string(++made);
+    s.region = g;
+    s.zone = g + std::to_string(z);
+    s.speed = u(0.5, 1.5);
+    servers.push_back(s);
+  }
+  bool drained(Server const& s) const {
+    auto const it = told.find(s.id);
+    return it != told.end() && now - it->second > 1;  // the news is on its way for a moment
+  }
+  void arrive(std::string const& g) {
+    Server* best = nullptr;
+    for (int k = 0; k < 4; ++k) {
+      Server& s = servers[rnd() % servers.size()];
+      if (s.region != g || !s.there || drained(s)) continue;
+      if (best == nullptr || s.work.size() < best->work.size()) best = &s;
+    }
+    if (best == nullptr) return;
+    double const x = u(0, 1);
+    int const kind = x < 0.7 ? 0 : x < 1 - long_uploads ? 1 : 2;
+    Secs const d = (kind == 0 ? u(0.2, 2) : kind == 1 ? u(0.5, 4) : std::min(900.0, -120 * std::log(u(0.001, 1)))) / best->speed;
+    best->work.push_back(Work{now + d, kind, rnd() % 6, now});
+    if (kind == 1) ++keyed;
+    if (unit_of(reg, best->id) != nullptr && drained(*best)) ++late;
+  }
+  std::vector<SeenServer> seen() {
+    bool all = true;
+    std::map<std::string, Held> sum;
+    for (std::size_t p = 0; p < reports.size(); ++p) {
+      all = all && now - reports[p].at < 2.5;
+      for (auto const& [id, h] : reports[p].held) {
+        Held& t = sum[id];
+        t.uploads += h.uploads;
+        t.bytes += h.bytes;
+        t.age = std::max(t.age, h.age);
+        t.keyed += h.keyed;
+        t.sessions += h.sessions;
+      }
+    }
+    std::vector<SeenServer> v;
+    for (Server const& s : servers) {
+      if (!s.there) continue;
+      SeenServer x;
+      x.id = s.id;
+      x.service = "svc";
+      x.zone = s.zone;
+      x.region = s.region;
+      x.present = true;
+      x.ready = told.count(s.id) == 0;
+      x.slots = 12;
+      x.told = all;
+      x.held = sum[s.id];
+      if (random_order && x.ready) {  // the order knows nothing
+        x.held.uploads = x.held.keyed = 0;
+        x.held.bytes = x.held.age = 0;
+        x.held.sessions = static_cast<u32>(hash64(s.id) % 3);
+      }
+      v.push_back(std::move(x));
+    }
+    return v;
+  }
+  void step() {
+    now += 1;
+    for (char const* g : {"n", "s"})
+      for (int k = static_cast<int>(u(6, 13)); k > 0; --k) arrive(g);
+    for (Server& s : servers) std::erase_if(s.work, [&](Work const& w) { return w.until <= now; });
+    for (std::size_t p = 0; p < reports.size(); ++p) {
+      if (now < silent_until[p]) continue;
+      Report r;
+      r.at = now;
+      for (Server const& s : servers)
+        for (Work const& w : s.work) {
+          if (w.proxy != p) continue;
+          Held& h = r.held[s.id];
+          ++h.sessions;
+          h.keyed += w.kind == 1 ? 1 : 0;
+          h.uploads += w.kind == 2 ? 1 : 0;
+          h.bytes += w.kind == 2 ? 1000 * (now - w.began) : 0;
+          if (w.kind == 2) h.age = std::max(h.age, now - w.began);
+        }
+      reports[p] = std::move(r);
+    }
+    // A proxy goes silent now and then, for up to 20 s; the holder changes.
+    if (u(0, 1) < 0.004) silent_until[rnd() % reports.size()] = now + u(1, 20);
+    if (u(0, 1) < 0.004) drainer.forget();
+    if (u(0, 1) < 0.0005) {  // a server is lost
+      Server& s = servers[rnd() % servers.size()];
+      if (s.there) {
+        s.there = false;
+        s.lost = true;
+        s.work.clear();
+        news.push_back({now + 60, s.region});
+      }
+    }
+    Moves const m = drainer.step(reg, seen(), now);
+    if (u(0, 1) < 0.9) apply(reg, m);  // or the register did not answer in time
+    if (u(0, 1) < 0.1) apply(reg, m);
+    std::size_t out = 0;
+    for (Unit const& x : reg.units)
+      if (x.stage == Stage::draining || x.stage == Stage::empty) told.try_emplace(x.name, now);
+    for (Server& s : servers) {
+      if (!s.there) continue;
+      Unit const* x = unit_of(reg, s.id);
+      bool const leaving = x != nullptr && (x->stage == Stage::draining || x->stage == Stage::empty);
+      out += leaving ? 1 : 0;
+      out_s += leaving ? 1 : 0;
+      if (x != nullptr && x->stage == Stage::empty && s.end_at < 0) s.end_at = now + u(5, 30);
+      if (s.end_at >= 0 && now >= s.end_at) {
+        for (Work const& w : s.work) {
+          broken += 1;
+          uploads_cut += w.kind == 2 ? 1 : 0;
+        }
+        s.there = false;
+        s.work.clear();
+        news.push_back({now + u(10, 40), s.region});
+      }
+    }
+    for (auto it = news.begin(); it != news.end();) {
+      if (it->first > now) {
+        ++it;
+        continue;
+      }
+      add(it->second, static_cast<int>(rnd() % 2), false);
+      it = news.erase(it);
+    }
+    std::erase_if(servers, [](Server const& s) { return !s.there; });
+    std::size_t serving = 0;
+    for (Server const& s : servers) serving += told.count(s.id) == 0 ? 1 : 0;
+    fewest = std::min(fewest, serving);
+    most_out = std::max(most_out, out);
+  }
+
+  std::mt19937 rnd;
+  bool random_order;
+  double long_uploads = 0.006;  // share of requests; where every server always holds some, no order is better
+  Secs now = 100;
+  int made = 0;
+  State reg;
+  std::vector<Server> servers;
+  std::vector<Report> reports{6};
+  std::vector<Secs> silent_until = std::vector<Secs>(6, -1);
+  std::map<std::string, Secs> told;
+  std::vector<std::pair<Secs, std::string>> news;
+  ServerDrainer drainer{ServerPlan{}};
+  std::size_t broken = 0, uploads_cut = 0, late = 0, keyed = 0, fewest = 99, most_out = 0;
+  double out_s = 0;
+};
+
+void begin_rotation(Day& d, u32 most) {
+  Order o;
+  o.id = "5";
+  o.servers = true;
+  o.headroom = 0.2;
+  o.maxUnavailable = most;
+  o.patienceS = 120;
+  o.replaced = true;
+  for (auto const& s : d.servers) {
+    OrderUnit x;
+    x.name = s.id;
+    x.node = "svc";
+    o.units.push_back(x);
+  }
+  Had h;
+  h.service = "svc";
+  h.n = static_cast<u32>(d.servers.size());
+  o.had.push_back(h);
+  u64 id = 0;
+  cr_assert(start(d.reg, o, id));
+}
+}  // namespace
+
+// Ten hours, every server replaced: no upload begun again, no session broken, whatever goes
+// silent or is lost; and what the order brings against leaving by chance.
+Test(rotation, a_working_day_breaks_nothing) {
+  double ordered = 0, random = 0;
+  for (unsigned seed = 1; seed <= 4; ++seed)
+    for (bool const by_chance : {false, true}) {
+      Day d(seed, by_chance);
+      for (int i = 0; i < 300; ++i) d.step();
+      begin_rotation(d, 2);
+      while (d.reg.passes[0].state == PassState::running && d.now < 36000) d.step();
+      cr_assert(d.reg.passes[0].state == PassState::done, "seed %u: %u of %u: %s", seed, d.reg.passes[0].back, d.reg.passes[0].total, d.reg.passes[0].why.c_str());
+      for (auto const& s : d.servers) cr_assert(s.id.rfind("new-", 0) == 0, "seed %u: %s is still there", seed, s.id.c_str());
+      cr_assert_eq(d.broken, 0, "seed %u: %zu broken", seed, d.broken);
+      cr_assert_eq(d.uploads_cut, 0);
+      cr_assert_eq(d.late, 0, "nothing new after it was told");
+      cr_assert_geq(d.fewest, 24u - 2 - 1, "two out at once, and one lost in between: %zu", d.fewest);
+      (by_chance ? random : ordered) += d.out_s;
+    }
+  cr_assert_lt(ordered, 0.75 * random, "out of service for %.0f s in order, %.0f s by chance", ordered, random);
+}
+
+// A lost server takes its place out of those that may be out; a report that is missing
+// counts as busy; nobody leaves for whom there is no room.
+Test(rotation, losses_silence_and_want_of_room_hold_it) {
+  State s;
+  Order o;
+  o.id = "3";
+  o.servers = true;
+  o.headroom = 0.2;
+  o.maxUnavailable = 1;
+  o.patienceS = 60;
+  o.replaced = true;
+  for (char const* n : {"a", "b"}) {
+    OrderUnit x;
+    x.name = n;
+    x.node = "svc";
+    o.units.push_back(x);
+  }
+  Had h;
+  h.service = "svc";
+  h.n = 4;
+  o.had.push_back(h);
+  u64 id = 0;
+  cr_assert(start(s, o, id));
+  std::vector<SeenServer> v(4);
+  char const* const names[] = {"a", "b", "c", "d"};
+  for (std::size_t i = 0; i < 4; ++i) {
+    v[i].id = names[i];
+    v[i].service = "svc";
+    v[i].region = "r";
+    v[i].present = v[i].ready = v[i].told = true;
+    v[i].slots = 4;
+  }
+  ServerDrainer d{ServerPlan{}};
+  v[3].present = false;
+  cr_assert(d.step(s, v, 10).moves.empty(), "one is lost, and one may be out");
+  v[3].present = true;
+  for (auto& x : v) x.held.sessions = 3;
+  Moves m = d.step(s, v, 11);
+  cr_assert(m.moves.empty(), "12 of 12 slots would be in use");
+  cr_assert(m.words.at(0).why.find("svc in r") == 0, "%s", m.words[0].why.c_str());
+  for (auto& x : v) x.held.sessions = 1;
+  v[0].held.uploads = 1;
+  v[0].held.bytes = 5e6;
+  m = d.step(s, v, 12);
+  cr_assert(m.moves.size() == 1 && m.moves[0].name == "b", "who holds a long upload goes last");
+  apply(s, m);
+  v[1].ready = false;
+  v[1].held = Held{};
+  for (int t = 13; t < 20; ++t) {
+    m = d.step(s, v, t);
+    cr_assert_eq(m.moves.size(), t >= 17 ? 1u : 0u, "at %d: not before the news has spread", t);
+    if (t == 16) v[1].told = false;
+    if (t == 16) {
+      cr_assert(d.step(s, v, 16.5).moves.empty(), "who has not said what it holds may hold something");
+      v[1].told = true;
+      cr_assert(d.step(s, v, 16.6).moves.empty());
+      cr_assert(d.step(s, v, 17.0).moves.empty(), "it has to be said twice");
+      m = d.step(s, v, 17.5);
+      cr_assert(m.moves.size() == 1 && m.moves[0].to == Stage::empty);
+      break;
+    }
+  }
+  apply(s, m);
+  cr_assert(command(s, 3, PassOrder::take_back, "b"));
+  cr_assert(s.passes[0].back == 1);
+}
