--- a/packages/desks/include/desks/drains.hpp
+++ b/packages/desks/include/desks/drains.hpp
@@ -197,7 +197,10 @@
   void ask_holdings(Secs now) {
     if (now - asked_ < 1.0) return;
     asked_ = now;
-    surveys_.ask_held(rotation_.interest(*h_.committed), [this](Survey const& s) {
+    std::vector<std::string> const ids = rotation_.interest(*h_.committed);
+    for (std::string const& id : ids) asked_at_[id] = now;
+    std::erase_if(asked_at_, [&](auto const& x) { return now - x.second > 2.5; });
+    surveys_.ask_held(ids, [this](Survey const& s) {
       Heard& x = heard_[s.front];
       x.at = now_s();
       x.held = s.held;
@@ -234,7 +237,7 @@
       s.ready = e.row.state == Standing::ready;
       s.slots = e.cold_until > now ? 0.25 * e.row.capacity : e.row.capacity;
       if (auto const it = held.find(id); it != held.end()) s.held = it->second;
-      s.told = all;
+      s.told = all && asked_at_.count(id) > 0;
       v.push_back(std::move(s));
     }
     return v;
@@ -331,6 +334,7 @@
   NodeDrainer nodes_;
   ServerDrainer rotation_;
   std::unique_ptr<Envoy> hook_;
+  std::map<std::string, Secs> asked_at_;  // servers whose holdings were asked for lately
   std::map<std::string, Heard> heard_;  // by proxy; joined by replacing, so repeats add nothing
   Secs stepped_ = 0, asked_ = 0, hook_at_ = 0;
   bool held_ = false, busy_ = false;
--- a/packages/drain/include/drain/servers.hpp
+++ b/packages/drain/include/drain/servers.hpp
@@ -30,6 +30,7 @@
 struct ServerPlan {
   Secs spread = 3.5;  // after this long no proxy sends it anything new
   Secs settle = 0.8;
+  std::size_t window = 32;  // units that wait whose holdings are asked for at once
 };
 
 // Invariants:
@@ -44,8 +45,9 @@
  public:
   explicit ServerDrainer(ServerPlan p) : p_(p) {}
   Moves step(State const& s, std::vector<SeenServer> const& servers, Secs now);
-  // Whose holdings have to be known now.
-  std::vector<std::string> interest(State const& s) const;
+  // Whose holdings have to be known now: of all that drain, and of a few that wait, others each
+  // time. What a rotation costs must not grow as proxies x servers.
+  std::vector<std::string> interest(State const& s);
   // Since when a unit is in its stage, in this holder's sight; < 0: not known.
   Secs since(u64 pass, std::string const& name) const;
   void forget() { at_.clear(); }
@@ -56,6 +58,7 @@
     Secs since = 0, quiet_since = -1;
   };
   ServerPlan p_;
+  std::size_t cursor_ = 0;  // among the units that wait
   std::map<std::pair<u64, std::string>, Mark> at_;
 };
 
--- a/packages/drain/servers.cpp
+++ b/packages/drain/servers.cpp
@@ -19,10 +19,12 @@
   return it == at_.end() ? -1 : it->second.since;
 }
 
-std::vector<std::string> ServerDrainer::interest(State const& s) const {
-  std::vector<std::string> v;
+std::vector<std::string> ServerDrainer::interest(State const& s) {
+  std::vector<std::string> v, wait;
   for (Unit const& u : s.units)
-    if (Pass const* p = s.pass(u.pass); p != nullptr && p->servers && u.stage != Stage::back) v.push_back(u.name);
+    if (Pass const* p = s.pass(u.pass); p != nullptr && p->servers && u.stage != Stage::back) (u.stage == Stage::waiting ? wait : v).push_back(u.name);
+  for (std::size_t i = 0; i < std::min(p_.window, wait.size()); ++i) v.push_back(wait[(cursor_ + i) % wait.size()]);
+  if (!wait.empty()) cursor_ = (cursor_ + p_.window / 4) % wait.size();
   return v;
 }
 
--- a/tests/rotation_test.cpp
+++ b/tests/rotation_test.cpp
@@ -230,6 +230,34 @@
   cr_assert_lt(ordered, 0.75 * random, "out of service for %.0f s in order, %.0f s by chance", ordered, random);
 }
 
+// What is asked of every proxy each second does not grow with the servers of a pass, and
+// yet each gets its turn.
+Test(rotation, few_are_asked_about_at_once) {
+  State s;
+  Order o;
+  o.id = "4";
+  o.servers = true;
+  o.maxUnavailable = 1;
+  o.patienceS = 1;
+  for (int i = 0; i < 500; ++i) {
+    OrderUnit u;
+    u.name = "s" + std::to_string(i);
+    o.units.push_back(u);
+  }
+  u64 id = 0;
+  start(s, o, id);
+  s.units[77].stage = Stage::draining;
+  ServerDrainer d{ServerPlan{}};
+  std::set<std::string> all;
+  for (int k = 0; k < 70; ++k) {
+    auto const v = d.interest(s);
+    cr_assert_leq(v.size(), 33u);
+    cr_assert_str_eq(v[0].c_str(), "s77", "what drains is asked about each time");
+    all.insert(v.begin(), v.end());
+  }
+  cr_assert_eq(all.size(), 500u);
+}
+
 // A lost server takes its place out of those that may be out; a report that is missing
 // counts as busy; nobody leaves for whom there is no room.
 Test(rotation, losses_silence_and_want_of_room_hold_it) {
