--- a/packages/stacks/settings.cpp
+++ b/packages/stacks/settings.cpp
@@ -72,6 +72,7 @@
   known["bootstrap"] = [&](auto const& f, auto const& v) { st.bootstrap = boolean(f, v); };
   known["lossCounted"] = [&](auto const& f, auto const& v) { st.lossCounted = boolean(f, v); };
   num("beatPeriodS", st.beatPeriodS, 0.01, 3600);
+  num("tolerance.machines", st.toleranceMachines);
   num("limits.memoryMb", st.memoryMb);
   num("limits.diskMb", st.diskMb);
   num("limits.linkMbps", st.linkMbps);
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -781,6 +781,9 @@
         h_.patience());
   }
 
+  // Disks that may be lost at once with a majority left.
+  std::size_t bears() const { return h_.committed ? (h_.committed->roster.size() - 1) / 2 : 0; }
+
   std::string status() const {
     rapidjson::StringBuffer sb;
     rapidjson::Writer<rapidjson::StringBuffer> w(sb);
@@ -791,6 +794,8 @@
     w.Bool(h_.settled());
     w.Key("ballot");
     w.Uint64(bal().v);
+    w.Key("bearsLossOf");
+    w.Uint64(bears());
     w.Key("keysWhole");
     w.Bool(keys_->ledger().whole());
     w.Key("keys");
@@ -960,6 +965,10 @@
     rollouts_.forget(now);
     surveys_.forget(now);
     tell_digests(now, many);
+    if (!warned_ && now - start_ > 20 && h_.committed && bears() < h_.st.toleranceMachines) {
+      warned_ = true;
+      LOG4CPLUS_WARN(lg_, "A roster of " << h_.committed->roster.size() << " bears the loss of " << bears() << " disks, " << h_.st.toleranceMachines << " are to be borne. More core nodes are wanted.");
+    }
     if (now - measured_ > 10) {
       measured_ = now;
       if (std::string const t = sent_by_kind(); !t.empty()) LOG4CPLUS_INFO(lg_, "Sent by kind, letters/bytes: " << t << ".");
@@ -991,7 +1000,7 @@
   Ballot way_for_;
   Secs way_until_ = 0;
   Secs measured_ = 0;
-  bool asked_usher_ = false;
+  bool asked_usher_ = false, warned_ = false;
   Secs start_ = 0, finish_at_ = 0, join_at_ = 0, next_round_ = 0, slow_at_ = 0, last_tick_ = 0;
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("archivist");
 };
