--- a/packages/desks/include/desks/sites.hpp
+++ b/packages/desks/include/desks/sites.hpp
@@ -64,7 +64,8 @@
         if (auto const it = h_.mates.find(origin); it != h_.mates.end() && it->second.link) it->second.link->send(Kind::sitesAsk, 0, SiteNote{});
       }
     }
-    count_sites(now);
+    // Counts change with rows that come or go; else once a tick is enough.
+    if (catalog_.rows().size() != counted_rows_) count_sites(now);
   }
 
   // A mate of another region lacks some of the sites that registered here.
@@ -103,6 +104,7 @@
   // while: one that is cut off or starting anew still takes its share.
   void count_sites(Secs now) {
     std::map<std::string, u32> n;
+    counted_rows_ = catalog_.rows().size();
     for (auto const& [f, s] : catalog_.rows()) ++n[s.zone];
     bool changed = false;
     for (auto& [z, c] : counts_)
@@ -161,7 +163,7 @@
     }
     p.primary = b.primary;
     catalog_.keep(std::move(s));
-    count_sites(now);
+    if (catalog_.rows().size() != counted_rows_) count_sites(now);
   }
   // What a site is to be told: cordoned it only says who it is, draining it acts.
   DrainSaid told(std::string const& front) const {
@@ -277,6 +279,7 @@
   std::map<std::string, Site> far_;   // of them, as other regions were told
   std::map<std::string, int> far_off_;  // mates whose marks differed from ours, and how often in a row
   Secs far_told_ = 0;
+  std::size_t counted_rows_ = 0;  // rows when they were last counted
   u64 counts_turn_ = 1;
   Secs sites_told_ = 0;
 };
