--- a/packages/desks/include/desks/drains.hpp
+++ b/packages/desks/include/desks/drains.hpp
@@ -3,6 +3,7 @@
 // the duty over goes on from there.
 #pragma once
 #include <cmath>
+#include <cstring>
 
 #include "desks/duties.hpp"
 #include "desks/servers.hpp"
@@ -56,6 +57,29 @@
   }
 
   // ---- calls of operators ------------------------------------------------------------
+  // Everything under Drain. and Rotation.
+  void call(evhttp_request* r, std::string const& what, bool servers, bool post, std::string const& body) {
+    if (what == "Status") return h_.write(r, CallRet{200, status(servers)});
+    if (!post) return h_.write(r, fault(405, "wants POST"));
+    if (what == "Start") {
+      try {
+        Order o = json::parse_as<Order>(body);
+        o.servers = servers;
+        if (CallRet const c = check_call(o); c.code != 200) return h_.write(r, c);
+        return start_call(r, o);
+      } catch (json::Fault const& e) {
+        return h_.write(r, fault(400, e.what()));
+      }
+    }
+    for (auto const& [pre, o] : {std::pair{"Pause/", PassOrder::pause}, {"Resume/", PassOrder::resume}, {"Abort/", PassOrder::abort}, {"Return/", PassOrder::take_back}})
+      if (what.rfind(pre, 0) == 0) {
+        std::string const rest = what.substr(std::strlen(pre));
+        auto const cut = rest.find('/');
+        return command_call(r, rest.substr(0, cut), o, cut == std::string::npos ? "" : rest.substr(cut + 1));
+      }
+    h_.write(r, fault(404, "no such call"));
+  }
+
   CallRet check_call(Order const& o) const {
     try {
       check(o);
--- a/packages/keys/include/keys/ask.hpp
+++ b/packages/keys/include/keys/ask.hpp
@@ -1,5 +1,6 @@
 // What a proxy and its agent say to each other about keys, over loopback.
 #pragma once
+#include "gossip/roll.hpp"
 #include "keys/ledger.hpp"
 
 namespace dockbend {
@@ -18,7 +19,7 @@
                            (std::string, ret));
 };
 struct Load {
-  DB_RECORD(Load, (bool, ready), (double, load), (bool, draining), (std::string, front), (u64, life), (u32, stage), (u32, keyed), (u32, uploads), (double, since));
+  DB_RECORD(Load, (bool, ready), (double, load), (bool, draining), (std::string, front), (DrainWord, drain));
 };
 
 }  // namespace dockbend
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -716,35 +716,13 @@
     if (uri == "/-/Allowance.List" || is("/-/Allowance.Show/", rest)) return duties_.allowance_call(r, uri == "/-/Allowance.List" ? "" : rest, uri);
     for (bool const servers : {false, true}) {
       std::string const pre = servers ? "/-/Rotation." : "/-/Drain.";
-      if (uri.compare(0, pre.size(), pre) == 0) return drain_call(r, uri.substr(pre.size()), servers, post, body);
+      if (uri.compare(0, pre.size(), pre) == 0) return drains_.call(r, uri.substr(pre.size()), servers, post, body);
     }
     if (uri == "/-/Survey") return surveys_.survey_call(r);
     if (uri == "/-/Status") return h_.write(r, CallRet{200, status()});
     h_.write(r, fault(404, "no such call"));
   }
 
-  void drain_call(evhttp_request* r, std::string const& what, bool servers, bool post, std::string const& body) {
-    if (what == "Status") return h_.write(r, CallRet{200, drains_.status(servers)});
-    if (!post) return h_.write(r, fault(405, "wants POST"));
-    if (what == "Start") {
-      try {
-        Order o = json::parse_as<Order>(body);
-        o.servers = servers;
-        if (CallRet const c = drains_.check_call(o); c.code != 200) return h_.write(r, c);
-        return drains_.start_call(r, o);
-      } catch (json::Fault const& e) {
-        return h_.write(r, fault(400, e.what()));
-      }
-    }
-    for (auto const& [pre, o] : {std::pair{"Pause/", PassOrder::pause}, {"Resume/", PassOrder::resume}, {"Abort/", PassOrder::abort}, {"Return/", PassOrder::take_back}})
-      if (what.rfind(pre, 0) == 0) {
-        std::string const rest = what.substr(std::strlen(pre));
-        auto const cut = rest.find('/');
-        return drains_.command_call(r, rest.substr(0, cut), o, cut == std::string::npos ? "" : rest.substr(cut + 1));
-      }
-    h_.write(r, fault(404, "no such call"));
-  }
-
   void read(evhttp_request* r) {
     submit([](State&) { return false; },
            [this, r](State const* s) {
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -18,6 +18,7 @@
 #include "allowance/allowance.hpp"
 #include "assign/assign.hpp"
 #include "atlas/survey.hpp"
+#include "drain/leaver.hpp"
 #include "errand/course.hpp"
 #include "errand/slab.hpp"
 #include "gossip/roll.hpp"
@@ -95,7 +96,7 @@
  public:
   Proxy(event_base* eb, Settings const& st)
       : eb_(eb), st_(st), as_(st_), shelf_(eb, as_), page_(eb, Addr{"127.0.0.1", st.agent()}, 0.4, 2.0),
-        life_(random64() | 1), counter_(life_), borrower_(life_, "") {
+        life_(random64() | 1), leaver_(life_), counter_(life_), borrower_(life_, "") {
     self_ = this;
     shelf_.on_return.connect([this](Chan& c, evhttp_request* r) { returned(c, r); });
     front_ = evhttp_new(eb_);
@@ -310,19 +311,16 @@
       cpu_at_ = now;
     }
     l.load = load_;
-    l.life = life_;
-    if (said_.stage > 0) {
-      l.stage = drains() || said_.stage == static_cast<u32>(Stage::cordoned) ? said_.stage : 0;
-      while (!answered_.empty() && now - answered_.front() > 1.5) answered_.pop_front();
-      l.keyed = static_cast<u32>(answered_.size());
+    u32 keyed = 0, uploads = 0;
+    if (leaver_.concerned()) {
       slab_.each([&](Errand const& e) {
-        l.keyed += e.lane->kind == LaneKind::keyed ? 1 : 0;
-        l.uploads += is_upload(e) ? 1 : 0;
+        keyed += e.lane->kind == LaneKind::keyed ? 1 : 0;
+        uploads += is_upload(e) ? 1 : 0;
       });
       // Silent for longer than a client may be idle: its connection ended.
-      l.since = now - cordoned_at_;
-      l.uploads += readings_.open(static_cast<u64>(10 * man_.limits().idle) + 10);
+      uploads += readings_.open(static_cast<u64>(10 * man_.limits().idle) + 10);
     }
+    l.drain = leaver_.word(keyed, uploads, now);
     page_.send(Kind::load, 0, l);
   }
 
@@ -341,14 +339,10 @@
 
   // ---- a drain that an operator wants -----------------------------------------
   void told_to_drain(DrainSaid const& d) {
-    bool const was = drains();
-    if (said_.stage == 0) cordoned_at_ = now_s();
-    said_ = d;
-    if (drains() != was) LOG4CPLUS_INFO(lg_, (drains() ? "Drains for maintenance. " : "Drains no more. ") << slab_.size() << " errands at work.");
+    if (leaver_.told(d, now_s())) LOG4CPLUS_INFO(lg_, (drains() ? "Drains for maintenance. " : "Drains no more. ") << slab_.size() << " errands at work.");
     tell_load();
   }
-  // It is this life that is to go; the one after it serves.
-  bool drains() const { return said_.stage >= static_cast<u32>(Stage::draining) && said_.life == life_; }
+  bool drains() const { return leaver_.drains(); }
   bool closing() const { return draining_ || drains(); }
   static bool is_upload(Errand const& e) { return e.lane->kind == LaneKind::inflow || e.body > 16384; }
 
@@ -546,7 +540,7 @@
   }
 
   void end(Errand& e) {
-    if (drains() && e.lane->kind == LaneKind::keyed) answered_.push_back(now_s());
+    if (e.lane->kind == LaneKind::keyed) leaver_.answered(now_s());
     event_del(e.timer);
     slab_.drop(e.h);
   }
@@ -971,9 +965,6 @@
   Assign as_;
   Shelf shelf_;
   Readings readings_;
-  DrainSaid said_;                // what is wanted of us: whose drain, and how far
-  Secs cordoned_at_ = 0;          // since when we are told of it
-  std::deque<Secs> answered_;     // keyed errands answered while draining, for their answers are on their way to disk
   Compiled man_;
   Link page_;
   evhttp* front_ = nullptr;
@@ -985,6 +976,7 @@
   std::set<std::string> pool_names_, evac_;
   Holder held_;  // rollouts whose change is held here
   u64 life_;
+  Leaver leaver_;
   TrueClock clock_;
   Counter counter_;
   struct Uncounted {
--- a/programs/page.cpp
+++ b/programs/page.cpp
@@ -373,11 +373,7 @@
         ready_ = x.ready;
         load_ = x.load;
         front_ = x.front;
-        word_.stage = x.stage;
-        word_.life = x.life;
-        word_.keyed = x.keyed;
-        word_.uploads = x.uploads;
-        word_.since = x.since;
+        word_ = x.drain;
         if (was != ready_) beat_all();
         break;
       }
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -4,6 +4,7 @@
 
 #include "atlas/orders.hpp"
 #include "catalog/catalog.hpp"
+#include "drain/leaver.hpp"
 #include "drain/nodes.hpp"
 #include "duty/duty.hpp"
 
@@ -437,6 +438,32 @@
   cr_assert(m.moves.size() == 1 && m.moves[0].to == Stage::back);
 }
 
+// What a proxy says of itself: nothing unasked, nothing of another life, and an answer that may
+// not be on disk yet counts as open.
+Test(drain, a_proxy_drains_in_the_life_that_is_meant) {
+  Leaver l(7);
+  cr_assert_eq(l.word(3, 2, 1).keyed, 0, "unasked it says nothing");
+  DrainSaid d;
+  d.stage = static_cast<u32>(Stage::cordoned);
+  cr_assert_not(l.told(d, 10));
+  cr_assert_eq(l.word(3, 2, 14).stage, static_cast<u32>(Stage::cordoned));
+  cr_assert_float_eq(l.word(3, 2, 14).since, 4, 1e-9);
+  d.stage = static_cast<u32>(Stage::draining);
+  d.life = 6;
+  cr_assert_not(l.told(d, 20), "another life is meant");
+  cr_assert_eq(l.word(0, 0, 21).stage, 0, "it does not pass for the one that is meant");
+  d.life = 7;
+  cr_assert(l.told(d, 22));
+  l.answered(23);
+  cr_assert_eq(l.word(1, 0, 24).keyed, 2);
+  cr_assert_eq(l.word(0, 0, 24.6).keyed, 0);
+  cr_assert_float_eq(l.word(0, 0, 25).since, 15, 1e-9, "counted from the first word");
+  cr_assert(l.told(DrainSaid{}, 26), "called off");
+  d.stage = static_cast<u32>(Stage::cordoned);
+  l.told(d, 30);
+  cr_assert_float_eq(l.word(0, 0, 31).since, 1, 1e-9, "and counted anew");
+}
+
 namespace {
 Capture halls(int per_zone, double load) {
   Capture c;
