--- a/packages/drain/include/drain/nodes.hpp
+++ b/packages/drain/include/drain/nodes.hpp
@@ -40,7 +40,8 @@
 // - a unit leaves `waiting` only while every region, without it and without all that is out
 //   already, keeps the headroom;
 // - a unit becomes `empty` only by its own word, in the life that was drained, said again after `settle`;
-// - the next wave begins only when every unit of the one before is back;
+// - the next wave begins only when every unit of the one before is back, but for those that were
+//   dark before their turn; they have it once they are seen again;
 // - nothing is ever cut by time: a unit that does not become empty is only spoken of.
 // Times of emptiness and shortage are of this life of the holder: a successor waits them out anew.
 class NodeDrainer {
--- a/packages/drain/nodes.cpp
+++ b/packages/drain/nodes.cpp
@@ -39,9 +39,18 @@
   std::set<std::pair<u64, std::string>> live;
   for (Pass const& p : s.passes) {
     if (p.servers || is_over(p.state)) continue;
-    u32 wave = ~0u;
-    for (Unit const& u : s.units)
-      if (u.pass == p.id && u.stage != Stage::back) wave = std::min(wave, u.wave);
+    // A node that is dark before its turn serves nobody and holds nobody up: the others go on.
+    auto dark = [&](Unit const& u) {
+      auto const it = by_front.find(u.name);
+      return u.stage == Stage::waiting && (it == by_front.end() || !it->second->fresh);
+    };
+    u32 wave = ~0u, of_all = ~0u;
+    for (Unit const& u : s.units) {
+      if (u.pass != p.id || u.stage == Stage::back) continue;
+      of_all = std::min(of_all, u.wave);
+      if (!dark(u)) wave = std::min(wave, u.wave);
+    }
+    if (wave == ~0u) wave = of_all;
     std::string why, want;  // want: of room; it comes before all else
     // What runs short now, and for how long.
     std::set<std::string> real;
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -438,6 +438,35 @@
   cr_assert(m.moves.size() == 1 && m.moves[0].to == Stage::back);
 }
 
+// Who is dark before its turn holds nobody up, and has its turn once it is seen again; who went
+// dark under way is waited for.
+Test(drain, a_dark_node_holds_up_only_what_it_may_hold) {
+  State s;
+  u64 id = 0;
+  start(s, order_of({{"a", 0}, {"b", 1}}), id);
+  NodeDrainer d{NodePlan{}};
+  std::vector<SeenNode> v(4);
+  char const* const names[] = {"a", "b", "c", "d"};
+  for (std::size_t i = 0; i < 4; ++i) {
+    v[i].front = names[i];
+    v[i].region = "r";
+    v[i].ready = v[i].fresh = true;
+  }
+  v[0].ready = v[0].fresh = false;
+  Moves m = d.step(s, v, 10);
+  cr_assert(m.moves.size() == 1 && m.moves[0].name == "b");
+  apply(s, m);
+  v[0].ready = v[0].fresh = true;
+  m = d.step(s, v, 11);
+  cr_assert(m.moves.size() == 1 && m.moves[0].name == "a", "seen again");
+  apply(s, m);
+  v[0].fresh = false;
+  v[1].life = 4;
+  v[1].told = Stage::cordoned;
+  v[1].cordoned_for = 16;
+  cr_assert(d.step(s, v, 30).moves.empty(), "a is under way and comes before b");
+}
+
 // What a proxy says of itself: nothing unasked, nothing of another life, and an answer that may
 // not be on disk yet counts as open.
 Test(drain, a_proxy_drains_in_the_life_that_is_meant) {
