--- a/packages/desks/include/desks/drains.hpp
+++ b/packages/desks/include/desks/drains.hpp
@@ -231,9 +231,19 @@
       x.had_any = true;
     });
     for (auto const& [f, s] : sites_.catalog().rows()) heard_[f].known = now;
-    std::erase_if(heard_, [&](auto const& x) { return now - std::max(x.second.at, x.second.known) > longest() + 5; });
+    // Its row has been gone for as long: what it began has come to its end.
+    std::erase_if(heard_, [&, far = longest()](auto const& x) { return now - std::max(x.second.at, x.second.known) > far + 1; });
+  }
+  // The longest that a request may be held, by the routes in force.
+  Secs longest() {
+    if (longest_of_ != h_.view.bal || longest_ == 0) {
+      longest_of_ = h_.view.bal;
+      longest_ = 5;
+      Compiled const man = Compiled::from(h_.view.items);
+      for (auto const& [k, l] : man.all_lanes()) longest_ = std::max(longest_, l->deadline);
+    }
+    return longest_;
   }
-  Secs longest() const { return std::max(30.0, 4 * h_.st.bounds.gracePeriodS); }
 
   std::vector<SeenServer> seen_servers(Secs now) const {
     std::vector<SeenServer> v;
@@ -360,6 +370,8 @@
   std::unique_ptr<Envoy> hook_;
   std::map<std::string, Secs> asked_at_;  // servers whose holdings were asked for lately
   std::map<std::string, Heard> heard_;  // by proxy; joined by replacing, so repeats add nothing
+  Ballot longest_of_;  // the view that longest_ was worked out from
+  Secs longest_ = 0;
   Secs stepped_ = 0, asked_ = 0, hook_at_ = 0;
   bool held_ = false, busy_ = false;
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("archivist");
