Clean-up: who is near, and how holdings add up, in one place each; no copy of names for each directory call

Behaviour as it was: three copies of the test for a near mate, three sums of what proxies hold, and a set of all drained names that was made for each look-up at the directory.

--- a/packages/atlas/orders.cpp
+++ b/packages/atlas/orders.cpp
@@ -85,14 +85,7 @@
   }
   for (Survey const& v : c.surveys)
     for (Held const& h : v.held)
-      if (auto const it = all.find(h.id); it != all.end()) {
-        Held& t = it->second.held;
-        t.uploads += h.uploads;
-        t.bytes += h.bytes;
-        t.age = std::max(t.age, h.age);
-        t.keyed += h.keyed;
-        t.sessions += h.sessions;
-      }
+      if (auto const it = all.find(h.id); it != all.end()) it->second.held.add(h);
   std::vector<SeenServer const*> order;
   for (std::string const& id : ids) order.push_back(&all[id]);
   std::sort(order.begin(), order.end(), [](SeenServer const* a, SeenServer const* b) { return leaves_before(*a, *b); });
--- a/packages/catalog/include/catalog/catalog.hpp
+++ b/packages/catalog/include/catalog/catalog.hpp
@@ -73,7 +73,8 @@
     for (auto& [f, s] : rows_) s.heard = now;
   }
   // cordoned: sites that get no new clients while another is left.
-  std::vector<Site const*> resolve(Consumer const& c, std::set<std::string> const& cordoned = {}) const {
+  template <class Names = std::set<std::string>>
+  std::vector<Site const*> resolve(Consumer const& c, Names const& cordoned = {}) const {
     std::vector<Site const*> t;
     for (auto const& [f, s] : rows_)
       if (s.ready && cordoned.count(f) == 0) t.push_back(&s);
--- a/packages/desks/include/desks/drains.hpp
+++ b/packages/desks/include/desks/drains.hpp
@@ -252,14 +252,7 @@
     bool all = !heard_.empty();
     for (auto const& [f, x] : heard_) {
       all = all && x.had_any && now - x.at < 2.5;
-      for (Held const& h : x.held) {
-        Held& t = held[h.id];
-        t.uploads += h.uploads;
-        t.bytes += h.bytes;
-        t.age = std::max(t.age, h.age);
-        t.keyed += h.keyed;
-        t.sessions += h.sessions;
-      }
+      for (Held const& h : x.held) held[h.id].add(h);
     }
     for (auto const& [id, e] : servers_.roll().entries()) {
       SeenServer s;
@@ -284,12 +277,7 @@
     for (auto const& [f, x] : heard_) {
       silent += now - x.at < 2.5 ? 0 : 1;
       for (Held const& h : x.held)
-        if (h.id == u.name) {
-          t.uploads += h.uploads;
-          t.bytes += h.bytes;
-          t.keyed += h.keyed;
-          t.sessions += h.sessions;
-        }
+        if (h.id == u.name) t.add(h);
     }
     w.Key("uploads");
     w.Uint(t.uploads);
--- a/packages/desks/include/desks/house.hpp
+++ b/packages/desks/include/desks/house.hpp
@@ -92,6 +92,11 @@
     Member const* m = committed ? committed->member(ip) : nullptr;
     return m == nullptr ? std::string() : m->region;
   }
+  // Of our region, or of one that is not known yet.
+  bool is_near(std::string const& ip) const {
+    std::string const g = region_of_mate(ip);
+    return g.empty() || g == st.region;
+  }
   Secs patience() const { return std::max(0.5, st.bounds.ackBoundS * 0.8); }
   void write(evhttp_request* r, CallRet const& c) const {
     evkeyvalq* out = evhttp_request_get_output_headers(r);
--- a/packages/desks/include/desks/servers.hpp
+++ b/packages/desks/include/desks/servers.hpp
@@ -154,7 +154,7 @@
     for (auto const& [id, from] : pending_) {
       auto r = roll_.get(id, now);
       if (!r) continue;
-      bool const near = !from.empty() && is_near(from);
+      bool const near = !from.empty() && h_.is_near(from);
       if (many) {
         if (!near) home.rows.push_back(*r);
         if (from.empty()) abroad.rows.push_back(*r);
@@ -174,7 +174,7 @@
     std::map<std::string, std::vector<Link*>> far;
     for (auto& [ip, m] : h_.mates)
       if (m.link && m.link->up()) {
-        if (!many || is_near(ip)) near.push_back(m.link.get());
+        if (!many || h_.is_near(ip)) near.push_back(m.link.get());
         else far[h_.region_of_mate(ip)].push_back(m.link.get());
       }
     auto tell = [](News const& n, std::vector<Link*> const& to) {
@@ -194,11 +194,6 @@
     tell(back, one);
   }
 
-  bool is_near(std::string const& ip) const {
-    std::string const g = h_.region_of_mate(ip);
-    return g.empty() || g == h_.st.region;
-  }
-
   std::string beat_target(std::string const& zone) const {
     if (!h_.committed || h_.leaving > 0) return "";
     Member const* best = nullptr;
--- a/packages/desks/include/desks/sites.hpp
+++ b/packages/desks/include/desks/sites.hpp
@@ -27,7 +27,7 @@
     if (n.rows.empty()) return;
     Parcel const pc = parcel(Kind::sites, codec::pack(n));
     for (auto& [ip, m] : h_.mates)
-      if (m.link && (!many || is_near(ip))) m.link->send(pc);
+      if (m.link && (!many || h_.is_near(ip))) m.link->send(pc);
   }
 
   void mate_sites(std::string const& from, SiteNote const& n, Secs now) {
@@ -38,7 +38,7 @@
       on.relay = false;
       Parcel const pc = parcel(Kind::sites, codec::pack(on));
       for (auto& [ip, m] : h_.mates)
-        if (m.link && ip != origin && is_near(ip)) m.link->send(pc);
+        if (m.link && ip != origin && h_.is_near(ip)) m.link->send(pc);
     }
     for (SiteRow const& r : n.rows) {
       if (h_.st.region_of(r.zone) != r.region || r.front.empty()) continue;
@@ -89,9 +89,7 @@
     evhttp_clear_headers(&q);
     if (c.region.empty()) c.region = h_.st.region_of(c.zone);
     if (!catalog_.settled(now_s())) return h_.write(r, fault(503, "the table is still filling"));
-    std::set<std::string> cordoned;
-    for (auto const& [n, u] : h_.out) cordoned.insert(n);
-    auto const l = catalog_.resolve(c, cordoned);
+    auto const l = catalog_.resolve(c, h_.out);
     if (l.empty()) return h_.write(r, fault(503, "no site is ready"));
     schema::ResolveRet ret;
     for (Site const* s : l) ret.addresses.push_back(s->front);
@@ -216,11 +214,6 @@
     r.current = s.current;
     return r;
   }
-  bool is_near(std::string const& ip) const {
-    std::string const g = h_.region_of_mate(ip);
-    return g.empty() || g == h_.st.region;
-  }
-
   // Other regions need our sites only where nothing nearer is left, and for counts and
   // rollouts: one mate in each gets what changed, once a second, and passes it on.
   void tell_far(Secs now) {
@@ -261,7 +254,7 @@
     }
     std::map<std::string, std::vector<Link*>> by_region;
     for (auto& [ip, m] : h_.mates)
-      if (m.link && m.link->up() && !is_near(ip)) by_region[h_.region_of_mate(ip)].push_back(m.link.get());
+      if (m.link && m.link->up() && !h_.is_near(ip)) by_region[h_.region_of_mate(ip)].push_back(m.link.get());
     Parcel const pc = parcel(Kind::sites, codec::pack(n));
     for (auto& [g, l] : by_region) l[random64() % l.size()]->send(pc);
   }
--- a/packages/drain/include/drain/servers.hpp
+++ b/packages/drain/include/drain/servers.hpp
@@ -1,5 +1,6 @@
 // Servers out of service, in order: who leaves next. No I/O.
 #pragma once
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -12,6 +13,14 @@
 // oldest of them.
 struct Held {
   DB_RECORD(Held, (std::string, id), (u32, uploads), (double, bytes), (double, age), (u32, keyed), (u32, sessions));
+  // What another proxy holds there.
+  void add(Held const& o) {
+    uploads += o.uploads;
+    bytes += o.bytes;
+    age = std::max(age, o.age);
+    keyed += o.keyed;
+    sessions += o.sessions;
+  }
 };
 
 // A server as the holder of the duty knows it.
--- a/packages/drain/pass.cpp
+++ b/packages/drain/pass.cpp
@@ -173,7 +173,8 @@
       if (it == s.units.end()) throw OrderFault(404, "not in this pass: " + unit);
       if (it->stage == Stage::back) return false;
       it->stage = Stage::back;
-      return apply(s, Moves{}) || true;
+      apply(s, Moves{});  // it may have been the last
+      return true;
     }
   }
   return false;
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -166,8 +166,7 @@
       l.send(Kind::pull, 0, Pull{bal()});
       // What we hold of the servers, for it may have begun anew. Who has nearer mates gets it
       // from them; a difference that lasts is mended by digests.
-      std::string const g = h_.region_of_mate(ip);
-      if (g.empty() || g == h_.st.region) servers_.spread_all(l);
+      if (h_.is_near(ip)) servers_.spread_all(l);
     });
     m.link->on_letter.connect([this, ip](Link&, Letter const& l) { from_mate(ip, l); });
     return m;
@@ -865,10 +864,7 @@
   void tell_digests(Secs now, bool many) {
     std::vector<std::string> near, far;
     for (auto const& [ip, m] : h_.mates)
-      if (m.link && m.link->up()) {
-        std::string const g = h_.region_of_mate(ip);
-        (!many || g.empty() || g == h_.st.region ? near : far).push_back(ip);
-      }
+      if (m.link && m.link->up()) (!many || h_.is_near(ip) ? near : far).push_back(ip);
     auto some = [](std::vector<std::string>& v, std::size_t n) {
       for (std::size_t i = 0; i < n && i < v.size(); ++i) std::swap(v[i], v[i + random64() % (v.size() - i)]);
       if (v.size() > n) v.resize(n);
@@ -904,8 +900,7 @@
       if (!m.link) continue;
       // Of many mates the far ones are pinged less: what asks a majority is told by the
       // sockets themselves when a mate is gone.
-      std::string const g = many ? h_.region_of_mate(ip) : std::string();
-      if (g.empty() || g == h_.st.region) m.link->pace(0.6, 1.5);
+      if (!many || h_.is_near(ip)) m.link->pace(0.6, 1.5);
       else m.link->pace(1.8, 4.5);
       m.link->tick(now);
       if (m.link->up()) m.heard = std::max(m.heard, m.link->heard());
