Register desk: the disk and register sections of archivist in a file of their own

archivist.cpp held the disk, the rounds and who is told of a value between HTTP and the loops. They stand in desks/register.hpp now, behaviour unchanged; others hear of a new view or value by signals. archivist.cpp keeps HTTP, incoming letters and the loops.

--- /dev/null
+++ b/packages/desks/include/desks/register.hpp
@@ -0,0 +1,439 @@
+// The desk of the register: our disk's vote, our own rounds, the value in force and
+// who is told of it.
+#pragma once
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <deque>
+
+#include "desks/house.hpp"
+#include "register/proposer.hpp"
+
+namespace dockbend {
+
+// Invariants: nothing is said in a life's name before that life is on disk; durable is
+// the ballot of the newest value on our own disk; calls wait in their order, and those of
+// a round that was lost come before the ones that came later.
+class RegisterDesk {
+ public:
+  explicit RegisterDesk(House& h) : h_(h), proposer_(h.st.ip) {}
+
+  sigc::signal<void()> on_view;          // the view changed; before the nodes we feed hear of it
+  sigc::signal<void(bool)> on_value;     // a value is in force; true: its roster is another
+  sigc::signal<void()> on_first_failed;  // the disk took no first write
+
+  // Opens the disk and reads the vote back. True if this disk votes on keys. All that is
+  // read from it besides must be read before begin().
+  bool open() {
+    std::string const dir = h_.st.dataDir.empty() ? std::string("/tmp") : h_.st.dataDir;
+    ::mkdir(dir.c_str(), 0755);
+    h_.vellum = std::make_unique<Vellum>(h_.eb, dir);
+    std::string const life = h_.vellum->meta("life");
+    bool const seed = std::any_of(h_.st.seeds.begin(), h_.st.seeds.end(), [&](Addr const& a) { return a.ip == h_.st.ip; });
+    Life l;
+    bool whole = false;
+    std::optional<State> s;
+    Ballot promised;
+    if (!life.empty()) {
+      l = Life(std::strtoull(life.c_str(), nullptr, 10));
+      whole = h_.vellum->meta("whole") == "1";
+      if (std::string const p = h_.vellum->meta("promised"); !p.empty()) promised = Ballot(std::strtoull(p.c_str(), nullptr, 10));
+      if (std::string const v = h_.vellum->meta("state"); !v.empty()) s = codec::unpack<State>(v);
+    } else {
+      // An empty disk is a new member, unless the system itself begins here.
+      bool const founder = h_.st.bootstrap && seed;
+      l = founder ? Life(1) : Life((random64() >> 2) | 2);
+      whole = founder;
+      first_.push_back(Vellum::put_meta("life", std::to_string(l.v)));
+      first_.push_back(Vellum::put_meta("whole", whole ? "1" : "0"));
+    }
+    if (!s && h_.st.bootstrap) {
+      State f;
+      for (Addr const& a : h_.st.seeds) {
+        Member m;
+        m.ip = a.ip;
+        m.life = Life(1);
+        m.control = a.port;
+        m.whole = true;
+        f.roster.push_back(m);
+      }
+      std::sort(f.roster.begin(), f.roster.end(), [](Member const& a, Member const& b) { return a.ip < b.ip; });
+      s = f;
+      h_.committed = f;
+      if (!first_.empty()) first_.push_back(Vellum::put_meta("state", codec::pack(f)));
+    } else if (s && s->bal == Ballot(0)) {
+      h_.committed = s;
+    }
+    h_.acceptor = std::make_unique<Acceptor>(l, promised, s);
+    proposer_.saw(promised);
+    if (first_.empty() && s) durable_ = s->bal;
+    return whole;
+  }
+
+  void begin(Secs now) {
+    finish_at_ = now + 0.2 + 0.6 * random01();
+    if (first_.empty()) {
+      h_.born = true;
+      return;
+    }
+    // Nothing is said in this life's name before the life is on disk.
+    h_.vellum->submit(std::move(first_), [this](bool ok) {
+      if (!ok) on_first_failed.emit();
+      h_.born = ok;
+    });
+    first_.clear();
+  }
+  // What was read back and is known to stand is in force from the start.
+  void show_first() {
+    if (!h_.committed) return;
+    show(nullptr, *h_.committed);
+    on_value.emit(false);
+  }
+
+  Ballot bal() const { return h_.committed ? h_.committed->bal : Ballot(); }
+  Ballot accepted() const { return h_.acceptor->state() ? h_.acceptor->state()->bal : Ballot(); }
+  Ballot durable() const { return durable_; }
+  bool quiet() const { return calls_.empty() && batch_.empty(); }
+
+  void submit(std::function<bool(State&)> change, std::function<void(State const*)> done, Secs patience) {
+    calls_.push_back(Call{std::move(change), std::move(done), now_s() + patience});
+    pump();
+  }
+
+  // ---- other members -----------------------------------------------------------------
+  // What mates say of the value they hold on disk. Once a majority holds ours, it
+  // is committed; after a start of the whole core nobody else could tell us.
+  void holds(std::string const& ip, Life life, Ballot acc) {
+    Mate& m = h_.mate(ip);
+    m.life = life;
+    m.accepted = acc;
+    if (!h_.acceptor->state() || accepted() <= bal()) return;
+    State const& s = *h_.acceptor->state();
+    if (s.epoch.v == s.bal.v) return;  // it changed the roster: two majorities count
+    std::size_t n = 0;
+    for (Member const& x : s.roster) {
+      if (x.ip == h_.st.ip) {
+        n += durable_ >= s.bal && x.life == h_.acceptor->life() ? 1 : 0;
+      } else if (auto const it = h_.mates.find(x.ip); it != h_.mates.end()) {
+        n += it->second.life == x.life && it->second.accepted == s.bal ? 1 : 0;
+      }
+    }
+    if (n >= s.majority()) learn(State(s));
+  }
+  // The way to a mate is up: what it missed of our round, and what we may have missed.
+  void reached(std::string const& ip, Link& l) {
+    for (auto& o : proposer_.resend(ip)) send_out(o);
+    l.send(Kind::pull, 0, Pull{bal()});
+  }
+  // A mate has the value of b in force.
+  void ahead(Mate& m, Ballot b, Secs now) {
+    if (b <= bal()) return;
+    if (h_.acceptor->state() && h_.acceptor->state()->bal == b) {
+      learn(*h_.acceptor->state());
+    } else if (now - m.pulled > 0.25) {
+      m.pulled = now;
+      m.link->send(Kind::pull, 0, Pull{bal()});
+    }
+  }
+  void on_prep(std::string const& ip, PrepR const& r) { outs(proposer_.on_prep(ip, r)); }
+  void on_acc(std::string const& ip, AccR const& r) { outs(proposer_.on_acc(ip, r)); }
+  void prep(Peer& p, u32 tag, Prep const& q, Secs now) {
+    if (!h_.born) return;
+    PrepR r;
+    auto const s = h_.acceptor->prepare(q, r);
+    if (r.ok) give_way(r.bal, now);
+    reply_after(p.ch, Kind::prepR, tag, r, s.write, false);
+  }
+  void acc(Peer& p, u32 tag, Acc const& a) {
+    if (!h_.born) return;
+    AccR r;
+    auto const s = h_.acceptor->accept(a, r);
+    reply_after(p.ch, Kind::accR, tag, r, s.write, true);
+  }
+  void pull(Peer& p, Pull const& q) {
+    if (!h_.committed) return;
+    Ballot const have = q.have;
+    if (p.hello.role == 2) {
+      if (h_.view.bal > have || h_.view.bal.v == 0) p.ch->send(lacking(have));
+      return;
+    }
+    if (h_.committed->bal < have || (h_.committed->bal == have && h_.committed->bal.v != 0)) return;
+    Commit c;
+    c.bal = h_.committed->bal;
+    c.state = codec::pack(*h_.committed);
+    p.ch->send(Kind::commitR, 0, c);
+  }
+  // What a node that has the view of `have` lacks of ours.
+  Parcel lacking(Ballot have) {
+    bool const some = have.v != 0 && have >= changed_since_ && have < h_.view.bal;
+    // After a loss of power everybody lacks all of it: it is made ready once.
+    if (!some && whole_of_ == h_.view.bal && !whole_.empty()) return whole_;
+    Commit c;
+    c.bal = h_.view.bal;
+    if (some) {
+      Delta d;
+      d.base = have;
+      d.bal = d.open = h_.view.bal;
+      d.epoch = h_.view.epoch;
+      for (Item const& i : h_.view.items)
+        if (auto const it = changed_.find(i.key); it != changed_.end() && it->second > have) d.items.push_back(i);
+      d.evacs_set = d.roster_set = d.duties_set = true;
+      d.evacs = h_.view.evacs;
+      d.roster = h_.view.roster;
+      d.duties = h_.view.duties;
+      d.to_fix = h_.view.to_fix;
+      c.delta = codec::pack(d);
+    } else {
+      c.state = codec::pack(h_.view);
+    }
+    Parcel p = parcel(Kind::commitR, codec::pack(c));
+    if (!some) {
+      whole_ = p;
+      whole_of_ = h_.view.bal;
+    }
+    return p;
+  }
+
+  void commit(Commit const& c, std::string const& from) {
+    if (c.bal <= bal()) return;
+    if (!c.state.empty()) {
+      learn(codec::unpack<State>(c.state));
+      return;
+    }
+    if (h_.acceptor->state() && h_.acceptor->state()->bal == c.bal) {
+      learn(*h_.acceptor->state());
+      return;
+    }
+    if (h_.committed) {
+      State s = *h_.committed;
+      if (apply(s, codec::unpack<Delta>(c.delta))) {
+        learn(s);
+        return;
+      }
+    }
+    if (h_.mates.count(from) > 0 && h_.mates[from].link) h_.mates[from].link->send(Kind::pull, 0, Pull{bal()});
+  }
+
+  // ---- time --------------------------------------------------------------------------
+  void tick(Secs now) {
+    if (!proposer_.idle() && now - proposer_.since() > 1.2) {
+      proposer_.abandon();
+      std::vector<Call> b;
+      b.swap(batch_);
+      for (auto it = b.rbegin(); it != b.rend(); ++it) calls_.push_front(std::move(*it));
+    }
+    pump();
+  }
+  // A value accepted but not known to be committed is brought to an end.
+  void finish(Secs now) {
+    if (h_.acceptor->state() && h_.acceptor->state()->bal > bal()) {
+      if (finish_at_ == 0) finish_at_ = now + 0.8 + 0.8 * random01();
+      if (now > finish_at_ && calls_.empty() && proposer_.idle()) {
+        finish_at_ = now + 1.0 + random01();
+        submit([](State&) { return false; }, [](State const*) {}, 1.5);
+      }
+    } else {
+      finish_at_ = 0;
+    }
+  }
+
+ private:
+  struct Call {
+    std::function<bool(State&)> change;
+    std::function<void(State const*)> done;  // null: not known to stand
+    Secs until = 0;
+  };
+
+  std::vector<Vellum::Op> vote_ops(bool with_state) {
+    std::vector<Vellum::Op> v;
+    v.push_back(Vellum::put_meta("promised", std::to_string(h_.acceptor->promised().v)));
+    if (with_state && h_.acceptor->state()) v.push_back(Vellum::put_meta("state", codec::pack(*h_.acceptor->state())));
+    return v;
+  }
+
+  template <class R>
+  void reply_after(ChannelP const& ch, Kind k, u32 tag, R const& r, bool write, bool state) {
+    if (!write) {
+      ch->send(k, tag, r);
+      return;
+    }
+    std::weak_ptr<Channel> const w = ch;
+    h_.vellum->submit(vote_ops(state), [this, w, k, tag, r, b = state ? accepted() : Ballot()](bool ok) {
+      if (!ok) return;  // a disk that takes nothing does not vote
+      durable_ = std::max(durable_, b);
+      if (auto const c = w.lock()) c->send(k, tag, r);
+    });
+  }
+
+  State const* best() const {
+    State const* b = h_.committed ? &*h_.committed : nullptr;
+    if (h_.acceptor->state() && (b == nullptr || h_.acceptor->state()->bal > b->bal)) b = &*h_.acceptor->state();
+    return b;
+  }
+
+  // Another's round is under way: two that outbid each other would both be late.
+  // The wait is only courtesy; safety never rests on it.
+  void give_way(Ballot b, Secs now) {
+    way_for_ = b;
+    way_until_ = now + 0.4 + 0.2 * random01();
+  }
+
+  void pump() {
+    Secs const now = now_s();
+    if (!proposer_.idle() || now < next_round_ || now < way_until_ || !h_.born) return;
+    while (!calls_.empty() && calls_.front().until < now) {
+      Call const c = std::move(calls_.front());
+      calls_.pop_front();
+      c.done(nullptr);
+    }
+    State const* b = best();
+    if (calls_.empty() || b == nullptr) return;
+    batch_.clear();
+    while (!calls_.empty()) {
+      batch_.push_back(std::move(calls_.front()));
+      calls_.pop_front();
+    }
+    proposer_.saw(h_.acceptor->promised());
+    outs(proposer_.begin(
+        *b,
+        [this](State& s) {
+          bool any = false;
+          for (Call& c : batch_) any = c.change(s) || any;
+          return any;
+        },
+        now));
+  }
+
+  void outs(std::vector<Proposer::Out> const& v) {
+    for (auto const& o : v) send_out(o);
+    round_over();
+  }
+
+  void send_out(Proposer::Out const& o) {
+    if (o.ip == h_.st.ip) {
+      if (!h_.born) return;
+      if (o.is_prep) {
+        PrepR r;
+        auto const s = h_.acceptor->prepare(o.prep, r);
+        if (!s.write) {
+          after(h_.eb, 0, [this, r] { outs(proposer_.on_prep(h_.st.ip, r)); });
+          return;
+        }
+        h_.vellum->submit(vote_ops(false), [this, r](bool ok) {
+          if (ok) outs(proposer_.on_prep(h_.st.ip, r));
+        });
+      } else {
+        AccR r;
+        auto const s = h_.acceptor->accept(o.acc, r);
+        if (!s.write) {
+          after(h_.eb, 0, [this, r] { outs(proposer_.on_acc(h_.st.ip, r)); });
+          return;
+        }
+        h_.vellum->submit(vote_ops(true), [this, r, b = accepted()](bool ok) {
+          if (!ok) return;
+          durable_ = std::max(durable_, b);
+          outs(proposer_.on_acc(h_.st.ip, r));
+        });
+      }
+      return;
+    }
+    Mate& m = h_.mate(o.ip);
+    if (!m.link) return;
+    if (o.is_prep)
+      m.link->send(Kind::prep, 0, o.prep);
+    else
+      m.link->send(Kind::acc, 0, o.acc);
+  }
+
+  void round_over() {
+    if (!proposer_.done() || batch_.empty()) return;
+    std::vector<Call> b;
+    b.swap(batch_);
+    Secs const now = now_s();
+    if (proposer_.won()) {
+      State const from = proposer_.base();
+      State const to = proposer_.value();
+      losses_ = 0;
+      Commit c;
+      c.bal = to.bal;
+      c.delta = proposer_.delta().empty() ? codec::pack(delta_of(from, to)) : proposer_.delta();
+      Parcel const pc = parcel(Kind::commit, codec::pack(c));
+      for (auto& [ip, m] : h_.mates)
+        if (m.link) m.link->send(pc);
+      learn(to);
+      for (Call& x : b) x.done(&to);
+    } else {
+      ++losses_;
+      next_round_ = now + (0.05 + 0.15 * random01()) * std::min(losses_, 6);
+      for (auto it = b.rbegin(); it != b.rend(); ++it) calls_.push_front(std::move(*it));
+    }
+    after(h_.eb, std::max(0.0, next_round_ - now), [this] { pump(); });
+  }
+
+  // Takes a committed value: in force from now on.
+  void learn(State const& s) {
+    if (h_.committed && s.bal <= h_.committed->bal) return;
+    std::optional<State> const old = std::move(h_.committed);
+    h_.committed = s;
+    proposer_.saw(s.bal);
+    if (s.bal >= way_for_ && way_until_ > 0) {
+      way_until_ = 0;
+      after(h_.eb, 0.02 * random01(), [this] { pump(); });
+    }
+    if (h_.acceptor->learn(s))
+      h_.vellum->submit(vote_ops(true), [this, b = s.bal](bool ok) {
+        if (ok) durable_ = std::max(durable_, b);
+      });
+    for (Member const& m : s.roster) h_.mate(m.ip);
+    show(old ? &*old : nullptr, s);
+    bool const moved = !old || old->epoch != s.epoch;
+    if (moved) LOG4CPLUS_INFO(lg_, "Roster of " << s.roster.size() << ".");
+    on_value.emit(moved);
+  }
+
+  // Tells the nodes we feed what they go by, if it changed, and remembers when each
+  // item did, so that who missed some gets just those.
+  void show(State const* old, State const& s) {
+    if (old != nullptr && s.open == h_.view.bal && h_.view.bal.v != 0) return;
+    State const was = std::move(h_.view);
+    h_.view = view_of(s);
+    on_view.emit();
+    News n;
+    if (old == nullptr) {
+      changed_since_ = h_.view.bal;
+      n.state = codec::pack(h_.view);
+      for (Item const& i : h_.view.items) see_partner(i);
+    } else {
+      Delta const d = delta_of(was, h_.view);
+      for (Item const& i : d.items) {
+        changed_[i.key] = h_.view.bal;
+        see_partner(i);
+      }
+      n.delta = codec::pack(d);
+    }
+    Parcel const pc = parcel(Kind::news, codec::pack(n));
+    for (auto& [id, p] : h_.peers)
+      if (p.feeding) p.ch->send(pc);
+  }
+
+  void see_partner(Item const& i) {
+    if (i.key[0] == 'c') h_.partners.put(i);
+  }
+
+  House& h_;
+  Proposer proposer_;
+  std::vector<Vellum::Op> first_;  // what makes an empty disk a member's
+  std::deque<Call> calls_;
+  std::vector<Call> batch_;
+  Parcel whole_;  // the whole view, ready to send
+  Ballot whole_of_;
+  Ballot changed_since_;                   // from here on `changed_` is whole
+  std::map<std::string, Ballot> changed_;  // item -> view that last changed it
+  Ballot durable_;                         // of the newest value on our own disk
+  int losses_ = 0;
+  Ballot way_for_;
+  Secs way_until_ = 0, finish_at_ = 0, next_round_ = 0;
+  log4cplus::Logger lg_ = log4cplus::Logger::getInstance("archivist");
+};
+
+}  // namespace dockbend
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -3,24 +3,22 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cmath>
 #include <cstring>
-#include <deque>
 #include <map>
 #include <set>
 
 #include "desks/drains.hpp"
 #include "desks/duties.hpp"
 #include "desks/keys.hpp"
+#include "desks/register.hpp"
 #include "desks/rollouts.hpp"
 #include "desks/servers.hpp"
 #include "desks/sites.hpp"
 #include "desks/surveys.hpp"
-#include "register/proposer.hpp"
 
 using namespace dockbend;
 
@@ -31,23 +29,24 @@
   Archivist(event_base* eb, Settings const& st)
       : h_(make_house(eb, st)), servers_(h_), sites_(h_), rollouts_(h_, sites_), duties_(h_, sites_), surveys_(h_, sites_, servers_),
         drains_(h_, sites_, servers_, surveys_, duties_),
-        proposer_(st.ip), door_(eb, Addr{st.ip, st.innerFirst}) {
+        register_(h_), door_(eb, Addr{st.ip, st.innerFirst}) {
     h_.submit = [this](auto change, auto done, Secs patience) { submit(std::move(change), std::move(done), patience); };
     h_.mate = [this](std::string const& ip) -> Mate& { return mate(ip); };
     open_disk();
+    register_.on_view.connect([this] { duties_.reported_to(h_.view.to_fix); });
+    register_.on_value.connect([this](bool moved) {
+      duties_.duties_see(now_s());
+      drains_.see();
+      if (moved) keys_->roster_changed();
+    });
     keys_->on_whole.connect([this] { join_at_ = 0; });
     door_.on_channel.connect([this](ChannelP c) { took(std::move(c)); });
     for (Addr const& s : h_.st.seeds) mate(s.ip);
     control_ = serve("control", [](evhttp_request* r, void* p) { static_cast<Archivist*>(p)->control(r); });
     directory_ = serve("directory", [](evhttp_request* r, void* p) { static_cast<Archivist*>(p)->sites_.directory(r); });
     start_ = now_s();
-    finish_at_ = start_ + 0.2 + 0.6 * random01();
     join_at_ = start_ + 0.3 + 1.2 * random01();
-    if (h_.committed) {
-      show(nullptr, *h_.committed);
-      duties_.duties_see(start_);
-      drains_.see();
-    }
+    register_.show_first();
     tick_ = std::make_unique<Ticker>(eb, 0.1, [this] { tick(); });
   }
 
@@ -71,75 +70,17 @@
     return h;
   }
 
-  // ---- disk -----------------------------------------------------------------------
   void open_disk() {
-    std::string const dir = h_.st.dataDir.empty() ? std::string("/tmp") : h_.st.dataDir;
-    ::mkdir(dir.c_str(), 0755);
-    h_.vellum = std::make_unique<Vellum>(h_.eb, dir);
-    std::string const life = h_.vellum->meta("life");
-    bool const seed = std::any_of(h_.st.seeds.begin(), h_.st.seeds.end(), [&](Addr const& a) { return a.ip == h_.st.ip; });
-    Life l;
-    bool whole = false;
-    std::optional<State> s;
-    Ballot promised;
-    std::vector<Vellum::Op> first;
-    if (!life.empty()) {
-      l = Life(std::strtoull(life.c_str(), nullptr, 10));
-      whole = h_.vellum->meta("whole") == "1";
-      if (std::string const p = h_.vellum->meta("promised"); !p.empty()) promised = Ballot(std::strtoull(p.c_str(), nullptr, 10));
-      if (std::string const v = h_.vellum->meta("state"); !v.empty()) s = codec::unpack<State>(v);
-    } else {
-      // An empty disk is a new member, unless the system itself begins here.
-      bool const founder = h_.st.bootstrap && seed;
-      l = founder ? Life(1) : Life((random64() >> 2) | 2);
-      whole = founder;
-      first.push_back(Vellum::put_meta("life", std::to_string(l.v)));
-      first.push_back(Vellum::put_meta("whole", whole ? "1" : "0"));
-    }
-    if (!s && h_.st.bootstrap) {
-      State f;
-      for (Addr const& a : h_.st.seeds) {
-        Member m;
-        m.ip = a.ip;
-        m.life = Life(1);
-        m.control = a.port;
-        m.whole = true;
-        f.roster.push_back(m);
-      }
-      std::sort(f.roster.begin(), f.roster.end(), [](Member const& a, Member const& b) { return a.ip < b.ip; });
-      s = f;
-      h_.committed = f;
-      if (!first.empty()) first.push_back(Vellum::put_meta("state", codec::pack(f)));
-    } else if (s && s->bal == Ballot(0)) {
-      h_.committed = s;
-    }
-    h_.acceptor = std::make_unique<Acceptor>(l, promised, s);
-    keys_ = std::make_unique<KeyDesk>(h_, whole);
+    keys_ = std::make_unique<KeyDesk>(h_, register_.open());
     keys_->load(h_.vellum->keys(), h_.vellum->ret_sizes());
-    proposer_.saw(promised);
-    if (first.empty() && s) durable_ = s->bal;
     for (std::string const& r : h_.vellum->rows()) servers_.roll().load(codec::unpack<Row>(r), now_s());
     if (std::string const v = h_.vellum->meta("sites"); !v.empty())
       sites_.load(codec::unpack<News>(v).sites, now_s());
-    if (!first.empty()) {
-      // Nothing is said in this life's name before the life is on disk.
-      h_.vellum->submit(std::move(first), [this](bool ok) {
-        if (!ok) {
-          LOG4CPLUS_ERROR(lg_, "The disk took no first write.");
-          event_base_loopbreak(h_.eb);
-        }
-        h_.born = ok;
-      });
-    } else {
-      h_.born = true;
-    }
-  }
-
-  std::vector<Vellum::Op> vote_ops(bool with_state) {
-    std::vector<Vellum::Op> v;
-    v.push_back(Vellum::put_meta("promised", std::to_string(h_.acceptor->promised().v)));
-    if (with_state && h_.acceptor->state()) v.push_back(Vellum::put_meta("state", codec::pack(*h_.acceptor->state())));
-    return v;
+    register_.on_first_failed.connect([this] {
+      LOG4CPLUS_ERROR(lg_, "The disk took no first write.");
+      event_base_loopbreak(h_.eb);
+    });
+    register_.begin(now_s());
   }
 
   // ---- mates -----------------------------------------------------------------------
@@ -158,12 +99,11 @@
       h.control = control_port();
       h.life = h_.acceptor->life();
       h.node = h_.st.nodeName;
-      h.accepted = durable_;
+      h.accepted = register_.durable();
       l.send(Kind::hello, 0, h);
       h_.mates[ip].heard = now_s();
       h_.mates[ip].told_known.clear();
-      for (auto& o : proposer_.resend(ip)) send_out(o);
-      l.send(Kind::pull, 0, Pull{bal()});
+      register_.reached(ip, l);
       // What we hold of the servers, for it may have begun anew. Who has nearer mates gets it
       // from them; a difference that lasts is mended by digests.
       if (h_.is_near(ip)) servers_.spread_all(l);
@@ -176,27 +116,7 @@
     auto const it = h_.st.bind.find("control");
     return it == h_.st.bind.end() ? 0 : it->second.port;
   }
-  Ballot accepted() const { return h_.acceptor->state() ? h_.acceptor->state()->bal : Ballot(); }
-  // What mates say of the value they hold on disk. Once a majority holds ours, it
-  // is committed; after a start of the whole core nobody else could tell us.
-  void holds(std::string const& ip, Life life, Ballot acc) {
-    Mate& m = mate(ip);
-    m.life = life;
-    m.accepted = acc;
-    if (!h_.acceptor->state() || accepted() <= bal()) return;
-    State const& s = *h_.acceptor->state();
-    if (s.epoch.v == s.bal.v) return;  // it changed the roster: two majorities count
-    std::size_t n = 0;
-    for (Member const& x : s.roster) {
-      if (x.ip == h_.st.ip) {
-        n += durable_ >= s.bal && x.life == h_.acceptor->life() ? 1 : 0;
-      } else if (auto const it = h_.mates.find(x.ip); it != h_.mates.end()) {
-        n += it->second.life == x.life && it->second.accepted == s.bal ? 1 : 0;
-      }
-    }
-    if (n >= s.majority()) learn(State(s));
-  }
-  Ballot bal() const { return h_.committed ? h_.committed->bal : Ballot(); }
+  Ballot bal() const { return register_.bal(); }
 
   // Answers to what we asked over our own link.
   void from_mate(std::string const& ip, Letter const& l) {
@@ -206,14 +126,14 @@
       case Kind::helloR: {
         HelloR const h = l.as<HelloR>();
         for (std::string const& x : h.mates) mate(x);
-        holds(ip, h.life, h.accepted);
+        register_.holds(ip, h.life, h.accepted);
         break;
       }
       case Kind::holdR:
       case Kind::surveyR: break;  // come over the other channel
-      case Kind::prepR: outs(proposer_.on_prep(ip, l.as<PrepR>())); break;
-      case Kind::accR: outs(proposer_.on_acc(ip, l.as<AccR>())); break;
-      case Kind::commitR: commit(l.as<Commit>(), ip); break;
+      case Kind::prepR: register_.on_prep(ip, l.as<PrepR>()); break;
+      case Kind::accR: register_.on_acc(ip, l.as<AccR>()); break;
+      case Kind::commitR: register_.commit(l.as<Commit>(), ip); break;
       case Kind::rebuildR: keys_->rebuilt(ip, l.as<RebuildR>()); break;
       case Kind::digestR: {
         Digest const d = l.as<Digest>();
@@ -229,18 +149,10 @@
     Mate& m = h_.mates[ip];
     if (!m.link) return;
     for (std::string const& x : d.mates) mate(x);
-    if (d.life.v != 0) holds(ip, d.life, d.accepted);
+    if (d.life.v != 0) register_.holds(ip, d.life, d.accepted);
     m.fit = d.fit;
     m.node = d.node;
-    Secs const now = now_s();
-    if (d.bal > bal()) {
-      if (h_.acceptor->state() && h_.acceptor->state()->bal == d.bal) {
-        learn(*h_.acceptor->state());
-      } else if (now - m.pulled > 0.25) {
-        m.pulled = now;
-        m.link->send(Kind::pull, 0, Pull{bal()});
-      }
-    }
+    register_.ahead(m, d.bal, now_s());
     if (m.off.hear(servers_.told_digest(), d.digest)) servers_.spread_all(*m.link);
   }
 
@@ -266,46 +178,20 @@
     switch (l.kind) {
       case Kind::hello: {
         p.hello = l.as<Hello>();
-        if (p.hello.role == 1) holds(p.hello.ip, p.hello.life, p.hello.accepted);
+        if (p.hello.role == 1) register_.holds(p.hello.ip, p.hello.life, p.hello.accepted);
         HelloR r;
         r.bal = bal();
         r.life = h_.acceptor->life();
-        r.accepted = durable_;
+        r.accepted = register_.durable();
         r.mates = known();
         r.wall = wall_s();
         p.ch->send(Kind::helloR, 0, r);
         break;
       }
-      case Kind::prep: {
-        if (!h_.born) break;
-        PrepR r;
-        auto const s = h_.acceptor->prepare(l.as<Prep>(), r);
-        if (r.ok) give_way(r.bal, now);
-        reply_after(p.ch, Kind::prepR, l.tag, r, s.write, false);
-        break;
-      }
-      case Kind::acc: {
-        if (!h_.born) break;
-        AccR r;
-        auto const s = h_.acceptor->accept(l.as<Acc>(), r);
-        reply_after(p.ch, Kind::accR, l.tag, r, s.write, true);
-        break;
-      }
-      case Kind::commit: commit(l.as<Commit>(), p.hello.ip); break;
-      case Kind::pull: {
-        if (!h_.committed) break;
-        Ballot const have = l.as<Pull>().have;
-        if (p.hello.role == 2) {
-          if (h_.view.bal > have || h_.view.bal.v == 0) p.ch->send(lacking(have));
-          break;
-        }
-        if (h_.committed->bal < have || (h_.committed->bal == have && h_.committed->bal.v != 0)) break;
-        Commit c;
-        c.bal = h_.committed->bal;
-        c.state = codec::pack(*h_.committed);
-        p.ch->send(Kind::commitR, 0, c);
-        break;
-      }
+      case Kind::prep: register_.prep(p, l.tag, l.as<Prep>(), now); break;
+      case Kind::acc: register_.acc(p, l.tag, l.as<Acc>()); break;
+      case Kind::commit: register_.commit(l.as<Commit>(), p.hello.ip); break;
+      case Kind::pull: register_.pull(p, l.as<Pull>()); break;
       case Kind::rows: servers_.rows(l.as<News>().rows, p.hello.ip); break;
       case Kind::digest: {
         Digest const d = l.as<Digest>();
@@ -334,7 +220,7 @@
         Feed const f = l.as<Feed>();
         p.feeding = f.on;
         if (!f.on) break;
-        if (h_.committed && (h_.view.bal > f.have || h_.view.bal.v == 0)) p.ch->send(lacking(f.have));
+        if (h_.committed && (h_.view.bal > f.have || h_.view.bal.v == 0)) p.ch->send(register_.lacking(f.have));
         servers_.feed(*p.ch, now);
         break;
       }
@@ -368,240 +254,8 @@
     return v;
   }
 
-  template <class R>
-  void reply_after(ChannelP const& ch, Kind k, u32 tag, R const& r, bool write, bool state) {
-    if (!write) {
-      ch->send(k, tag, r);
-      return;
-    }
-    std::weak_ptr<Channel> const w = ch;
-    h_.vellum->submit(vote_ops(state), [this, w, k, tag, r, b = state ? accepted() : Ballot()](bool ok) {
-      if (!ok) return;  // a disk that takes nothing does not vote
-      durable_ = std::max(durable_, b);
-      if (auto const c = w.lock()) c->send(k, tag, r);
-    });
-  }
-
   // ---- register ----------------------------------------------------------------------
-  struct Call {
-    std::function<bool(State&)> change;
-    std::function<void(State const*)> done;  // null: not known to stand
-    Secs until = 0;
-  };
-
-  void submit(std::function<bool(State&)> change, std::function<void(State const*)> done, Secs patience) {
-    calls_.push_back(Call{std::move(change), std::move(done), now_s() + patience});
-    pump();
-  }
-
-  State const* best() const {
-    State const* b = h_.committed ? &*h_.committed : nullptr;
-    if (h_.acceptor->state() && (b == nullptr || h_.acceptor->state()->bal > b->bal)) b = &*h_.acceptor->state();
-    return b;
-  }
-
-  // Another's round is under way: two that outbid each other would both be late.
-  // The wait is only courtesy; safety never rests on it.
-  void give_way(Ballot b, Secs now) {
-    way_for_ = b;
-    way_until_ = now + 0.4 + 0.2 * random01();
-  }
-
-  void pump() {
-    Secs const now = now_s();
-    if (!proposer_.idle() || now < next_round_ || now < way_until_ || !h_.born) return;
-    while (!calls_.empty() && calls_.front().until < now) {
-      Call const c = std::move(calls_.front());
-      calls_.pop_front();
-      c.done(nullptr);
-    }
-    State const* b = best();
-    if (calls_.empty() || b == nullptr) return;
-    batch_.clear();
-    while (!calls_.empty()) {
-      batch_.push_back(std::move(calls_.front()));
-      calls_.pop_front();
-    }
-    proposer_.saw(h_.acceptor->promised());
-    outs(proposer_.begin(
-        *b,
-        [this](State& s) {
-          bool any = false;
-          for (Call& c : batch_) any = c.change(s) || any;
-          return any;
-        },
-        now));
-  }
-
-  void outs(std::vector<Proposer::Out> const& v) {
-    for (auto const& o : v) send_out(o);
-    round_over();
-  }
-
-  void send_out(Proposer::Out const& o) {
-    if (o.ip == h_.st.ip) {
-      if (!h_.born) return;
-      if (o.is_prep) {
-        PrepR r;
-        auto const s = h_.acceptor->prepare(o.prep, r);
-        if (!s.write) {
-          after(h_.eb, 0, [this, r] { outs(proposer_.on_prep(h_.st.ip, r)); });
-          return;
-        }
-        h_.vellum->submit(vote_ops(false), [this, r](bool ok) {
-          if (ok) outs(proposer_.on_prep(h_.st.ip, r));
-        });
-      } else {
-        AccR r;
-        auto const s = h_.acceptor->accept(o.acc, r);
-        if (!s.write) {
-          after(h_.eb, 0, [this, r] { outs(proposer_.on_acc(h_.st.ip, r)); });
-          return;
-        }
-        h_.vellum->submit(vote_ops(true), [this, r, b = accepted()](bool ok) {
-          if (!ok) return;
-          durable_ = std::max(durable_, b);
-          outs(proposer_.on_acc(h_.st.ip, r));
-        });
-      }
-      return;
-    }
-    Mate& m = mate(o.ip);
-    if (!m.link) return;
-    if (o.is_prep)
-      m.link->send(Kind::prep, 0, o.prep);
-    else
-      m.link->send(Kind::acc, 0, o.acc);
-  }
-
-  void round_over() {
-    if (!proposer_.done() || batch_.empty()) return;
-    std::vector<Call> b;
-    b.swap(batch_);
-    Secs const now = now_s();
-    if (proposer_.won()) {
-      State const from = proposer_.base();
-      State const to = proposer_.value();
-      losses_ = 0;
-      Commit c;
-      c.bal = to.bal;
-      c.delta = proposer_.delta().empty() ? codec::pack(delta_of(from, to)) : proposer_.delta();
-      Parcel const pc = parcel(Kind::commit, codec::pack(c));
-      for (auto& [ip, m] : h_.mates)
-        if (m.link) m.link->send(pc);
-      learn(to);
-      for (Call& x : b) x.done(&to);
-    } else {
-      ++losses_;
-      next_round_ = now + (0.05 + 0.15 * random01()) * std::min(losses_, 6);
-      for (auto it = b.rbegin(); it != b.rend(); ++it) calls_.push_front(std::move(*it));
-    }
-    after(h_.eb, std::max(0.0, next_round_ - now), [this] { pump(); });
-  }
-
-  // Takes a committed value: in force from now on.
-  void learn(State const& s) {
-    if (h_.committed && s.bal <= h_.committed->bal) return;
-    std::optional<State> const old = std::move(h_.committed);
-    h_.committed = s;
-    proposer_.saw(s.bal);
-    if (s.bal >= way_for_ && way_until_ > 0) {
-      way_until_ = 0;
-      after(h_.eb, 0.02 * random01(), [this] { pump(); });
-    }
-    if (h_.acceptor->learn(s))
-      h_.vellum->submit(vote_ops(true), [this, b = s.bal](bool ok) {
-        if (ok) durable_ = std::max(durable_, b);
-      });
-    for (Member const& m : s.roster) mate(m.ip);
-    show(old ? &*old : nullptr, s);
-    duties_.duties_see(now_s());
-    drains_.see();
-    if (!old || old->epoch != s.epoch) {
-      LOG4CPLUS_INFO(lg_, "Roster of " << s.roster.size() << ".");
-      keys_->roster_changed();
-    }
-  }
-
-  // Tells the nodes we feed what they go by, if it changed, and remembers when each
-  // item did, so that who missed some gets just those.
-  void show(State const* old, State const& s) {
-    if (old != nullptr && s.open == h_.view.bal && h_.view.bal.v != 0) return;
-    State const was = std::move(h_.view);
-    h_.view = view_of(s);
-    duties_.reported_to(h_.view.to_fix);
-    News n;
-    if (old == nullptr) {
-      changed_since_ = h_.view.bal;
-      n.state = codec::pack(h_.view);
-      for (Item const& i : h_.view.items) see_partner(i);
-    } else {
-      Delta const d = delta_of(was, h_.view);
-      for (Item const& i : d.items) {
-        changed_[i.key] = h_.view.bal;
-        see_partner(i);
-      }
-      n.delta = codec::pack(d);
-    }
-    Parcel const pc = parcel(Kind::news, codec::pack(n));
-    for (auto& [id, p] : h_.peers)
-      if (p.feeding) p.ch->send(pc);
-  }
-
-  // What a node that has the view of `have` lacks of ours.
-  Parcel lacking(Ballot have) {
-    bool const some = have.v != 0 && have >= changed_since_ && have < h_.view.bal;
-    // After a loss of power everybody lacks all of it: it is made ready once.
-    if (!some && whole_of_ == h_.view.bal && !whole_.empty()) return whole_;
-    Commit c;
-    c.bal = h_.view.bal;
-    if (some) {
-      Delta d;
-      d.base = have;
-      d.bal = d.open = h_.view.bal;
-      d.epoch = h_.view.epoch;
-      for (Item const& i : h_.view.items)
-        if (auto const it = changed_.find(i.key); it != changed_.end() && it->second > have) d.items.push_back(i);
-      d.evacs_set = d.roster_set = d.duties_set = true;
-      d.evacs = h_.view.evacs;
-      d.roster = h_.view.roster;
-      d.duties = h_.view.duties;
-      d.to_fix = h_.view.to_fix;
-      c.delta = codec::pack(d);
-    } else {
-      c.state = codec::pack(h_.view);
-    }
-    Parcel p = parcel(Kind::commitR, codec::pack(c));
-    if (!some) {
-      whole_ = p;
-      whole_of_ = h_.view.bal;
-    }
-    return p;
-  }
-
-  void see_partner(Item const& i) {
-    if (i.key[0] == 'c') h_.partners.put(i);
-  }
-
-  void commit(Commit const& c, std::string const& from) {
-    if (c.bal <= bal()) return;
-    if (!c.state.empty()) {
-      learn(codec::unpack<State>(c.state));
-      return;
-    }
-    if (h_.acceptor->state() && h_.acceptor->state()->bal == c.bal) {
-      learn(*h_.acceptor->state());
-      return;
-    }
-    if (h_.committed) {
-      State s = *h_.committed;
-      if (apply(s, codec::unpack<Delta>(c.delta))) {
-        learn(s);
-        return;
-      }
-    }
-    if (h_.mates.count(from) > 0 && h_.mates[from].link) h_.mates[from].link->send(Kind::pull, 0, Pull{bal()});
-  }
+  void submit(std::function<bool(State&)> change, std::function<void(State const*)> done, Secs patience) { register_.submit(std::move(change), std::move(done), patience); }
 
   void admit(Member const& me) {
     submit([me](State& s) { return s.admit(me); }, [](State const*) {}, 2.0);
@@ -852,7 +506,7 @@
     d.digest = servers_.told_digest();
     d.bal = bal();
     d.life = h_.acceptor->life();
-    d.accepted = durable_;
+    d.accepted = register_.durable();
     d.wall = wall_s();
     d.node = h_.st.nodeName;
     d.fit = duties_.fit_at_once();
@@ -905,29 +559,14 @@
       m.link->tick(now);
       if (m.link->up()) m.heard = std::max(m.heard, m.link->heard());
     }
-    if (!proposer_.idle() && now - proposer_.since() > 1.2) {
-      proposer_.abandon();
-      std::vector<Call> b;
-      b.swap(batch_);
-      for (auto it = b.rbegin(); it != b.rend(); ++it) calls_.push_front(std::move(*it));
-    }
-    pump();
+    register_.tick(now);
     rollouts_.rollouts(now);
     duties_.tick(now);
     drains_.tick(now);
     sites_.tell_sites(now);
     join_roster(now);
     keys_->rebuild(now);
-    // A value accepted but not known to be committed is brought to an end.
-    if (h_.acceptor->state() && h_.acceptor->state()->bal > bal()) {
-      if (finish_at_ == 0) finish_at_ = now + 0.8 + 0.8 * random01();
-      if (now > finish_at_ && calls_.empty() && proposer_.idle()) {
-        finish_at_ = now + 1.0 + random01();
-        submit([](State&) { return false; }, [](State const*) {}, 1.5);
-      }
-    } else {
-      finish_at_ = 0;
-    }
+    register_.finish(now);
     if (now - slow_at_ < 0.6) return;
     slow_at_ = now;
     if (now - start_ > 3 * h_.st.beatPeriodS) servers_.tick(now);
@@ -947,7 +586,7 @@
       if (std::string const t = sent_by_kind(); !t.empty()) LOG4CPLUS_INFO(lg_, "Sent by kind, letters/bytes: " << t << ".");
     }
     bool const duty = duties_.handing();
-    if (h_.leaving > 0 && ((calls_.empty() && batch_.empty() && !duty && now - h_.leaving > 0.5) || now - h_.leaving > h_.st.bounds.gracePeriodS - 1.5)) event_base_loopbreak(h_.eb);
+    if (h_.leaving > 0 && ((register_.quiet() && !duty && now - h_.leaving > 0.5) || now - h_.leaving > h_.st.bounds.gracePeriodS - 1.5)) event_base_loopbreak(h_.eb);
   }
 
   House h_;
@@ -958,23 +597,13 @@
   SurveyDesk surveys_;
   DrainDesk drains_;
   std::unique_ptr<KeyDesk> keys_;
-  Proposer proposer_;
+  RegisterDesk register_;
   Door door_;
-  std::deque<Call> calls_;
-  std::vector<Call> batch_;
   evhttp *control_ = nullptr, *directory_ = nullptr;
   std::unique_ptr<Ticker> tick_;
-  Parcel whole_;                           // the whole view, ready to send
-  Ballot whole_of_;
-  Ballot changed_since_;                   // from here on `changed_` is whole
-  std::map<std::string, Ballot> changed_;  // item -> view that last changed it
-  Ballot durable_;  // of the newest value on our own disk
-  int losses_ = 0;
-  Ballot way_for_;
-  Secs way_until_ = 0;
   Secs measured_ = 0;
   bool asked_usher_ = false, warned_ = false;
-  Secs start_ = 0, finish_at_ = 0, join_at_ = 0, next_round_ = 0, slow_at_ = 0, last_tick_ = 0;
+  Secs start_ = 0, join_at_ = 0, slow_at_ = 0, last_tick_ = 0;
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("archivist");
 };
 
