Disk: the value as rows, written as what a vote changed, read back whole or not at all

Each vote wrote the whole value into one row; a promise named a ballot, but nothing told a torn or older file from a good one. Now items, terms, their counters, passes, units and the rest are rows, and a vote writes those it changed with a sealed head (promise, ballot, sum of all rows) in one transaction. Votes rest on the one before: after a failed write the next covers it (VoteWriter). What can't be read whole is put aside and the disk begins a new life; it founds nothing.

--- a/packages/desks/include/desks/keys.hpp
+++ b/packages/desks/include/desks/keys.hpp
@@ -35,7 +35,7 @@
       ops.push_back(key_op(k.key, holder, true));
     }
     if (rebuild_heard_.size() >= h_.committed->majority()) {
-      ops.push_back(Vellum::put_meta("whole", "1"));
+      ops.push_back(Vellum::put_meta("whole", Store::whole_word()));
       filling_ = true;
       h_.vellum->submit(std::move(ops), [this](bool ok) {
         filling_ = false;
--- a/packages/desks/include/desks/register.hpp
+++ b/packages/desks/include/desks/register.hpp
@@ -22,32 +22,29 @@
   sigc::signal<void(bool)> on_value;     // a value is in force; true: its roster is another
   sigc::signal<void()> on_first_failed;  // the disk took no first write
 
-  // Opens the disk and reads the vote back. True if this disk votes on keys. All that is
-  // read from it besides must be read before begin().
-  bool open() {
+  // Opens the disk and reads back what it holds. A disk that can't be read whole is as one
+  // that was lost: it begins a new life, and has no vote until the roster names that.
+  OnDisk open() {
     std::string const dir = h_.st.dataDir.empty() ? std::string("/tmp") : h_.st.dataDir;
     ::mkdir(dir.c_str(), 0755);
-    h_.vellum = std::make_unique<Vellum>(h_.eb, dir);
-    std::string const life = h_.vellum->meta("life");
-    bool const seed = std::any_of(h_.st.seeds.begin(), h_.st.seeds.end(), [&](Addr const& a) { return a.ip == h_.st.ip; });
-    Life l;
-    bool whole = false;
-    std::optional<State> s;
-    Ballot promised;
-    if (!life.empty()) {
-      l = Life(std::strtoull(life.c_str(), nullptr, 10));
-      whole = h_.vellum->meta("whole") == "1";
-      if (std::string const p = h_.vellum->meta("promised"); !p.empty()) promised = Ballot(std::strtoull(p.c_str(), nullptr, 10));
-      if (std::string const v = h_.vellum->meta("state"); !v.empty()) s = codec::unpack<State>(v);
-    } else {
-      // An empty disk is a new member, unless the system itself begins here.
-      bool const founder = h_.st.bootstrap && seed;
-      l = founder ? Life(1) : Life((random64() >> 2) | 2);
-      whole = founder;
-      first_.push_back(Vellum::put_meta("life", std::to_string(l.v)));
-      first_.push_back(Vellum::put_meta("whole", whole ? "1" : "0"));
+    OnDisk d;
+    try {
+      h_.vellum = std::make_unique<Vellum>(h_.eb, dir);
+      d = h_.vellum->load();
+    } catch (Unreadable const& e) {
+      LOG4CPLUS_ERROR(lg_, "The register in " << dir << " can't be read whole (" << e.what() << "); this disk begins a new life.");
+      h_.vellum.reset();
+      Store::set_aside(dir);
+      h_.vellum = std::make_unique<Vellum>(h_.eb, dir);
+      d = h_.vellum->load();
     }
-    if (!s && h_.st.bootstrap) {
+    bool const seed = std::any_of(h_.st.seeds.begin(), h_.st.seeds.end(), [&](Addr const& a) { return a.ip == h_.st.ip; });
+    // An empty disk is a new member, unless the system itself begins here.
+    bool const founder = d.fresh && h_.st.bootstrap && seed;
+    Life const l = d.head ? d.head->life : founder ? Life(1) : Life((random64() >> 2) | 2);
+    bool const first = !d.head;
+    if (first) d.keys_whole = founder;
+    if (!d.value && d.fresh && h_.st.bootstrap) {
       State f;
       for (Addr const& a : h_.st.seeds) {
         Member m;
@@ -58,30 +55,25 @@
         f.roster.push_back(m);
       }
       std::sort(f.roster.begin(), f.roster.end(), [](Member const& a, Member const& b) { return a.ip < b.ip; });
-      s = f;
-      h_.committed = f;
-      if (!first_.empty()) first_.push_back(Vellum::put_meta("state", codec::pack(f)));
-    } else if (s && s->bal == Ballot(0)) {
-      h_.committed = s;
+      d.value = f;
     }
-    h_.acceptor = std::make_unique<Acceptor>(l, promised, s);
-    proposer_.saw(promised);
-    if (first_.empty() && s) durable_ = s->bal;
-    return whole;
-  }
-
-  void begin(Secs now) {
-    finish_at_ = now + 0.2 + 0.6 * random01();
-    if (first_.empty()) {
+    if (d.value && d.value->bal == Ballot(0)) h_.committed = d.value;
+    h_.acceptor = std::make_unique<Acceptor>(l, d.head ? d.head->promised : Ballot(), d.value);
+    if (d.head) proposer_.saw(d.head->promised);
+    if (!first && d.value) durable_ = d.value->bal;
+    writer_ = std::make_unique<VoteWriter<Vellum>>(*h_.vellum, d.head ? d.head->seq : 0);
+    if (!first) {
       h_.born = true;
-      return;
+      return d;
     }
-    // Nothing is said in this life's name before the life is on disk.
-    h_.vellum->submit(std::move(first_), [this](bool ok) {
+    if (founder) h_.vellum->submit_lazy({Vellum::put_meta("whole", Store::whole_word())});
+    std::vector<ValueRow> rows;
+    if (d.value) rows = rows_of(*d.value);
+    vote(std::move(rows), [this](bool ok) {
       if (!ok) on_first_failed.emit();
       h_.born = ok;
     });
-    first_.clear();
+    return d;
   }
   // What was read back and is known to stand is in force from the start.
   void show_first() {
@@ -140,15 +132,15 @@
   void prep(Peer& p, u32 tag, Prep const& q, Secs now) {
     if (!h_.born) return;
     PrepR r;
-    auto const s = h_.acceptor->prepare(q, r);
+    Acceptor::Step s = h_.acceptor->prepare(q, r);
     if (r.ok) give_way(r.bal, now);
-    reply_after(p.ch, Kind::prepR, tag, r, s.write, false);
+    reply_after(p.ch, Kind::prepR, tag, r, std::move(s));
   }
   void acc(Peer& p, u32 tag, Acc const& a) {
     if (!h_.born) return;
     AccR r;
-    auto const s = h_.acceptor->accept(a, r);
-    reply_after(p.ch, Kind::accR, tag, r, s.write, true);
+    Acceptor::Step s = h_.acceptor->accept(a, r);
+    reply_after(p.ch, Kind::accR, tag, r, std::move(s));
   }
   void pull(Peer& p, Pull const& q) {
     if (!h_.committed) return;
@@ -215,6 +207,7 @@
   }
 
   // ---- time --------------------------------------------------------------------------
+  void begin(Secs now) { finish_at_ = now + 0.2 + 0.6 * random01(); }
   void tick(Secs now) {
     if (!proposer_.idle() && now - proposer_.since() > 1.2) {
       proposer_.abandon();
@@ -244,21 +237,17 @@
     Secs until = 0;
   };
 
-  std::vector<Vellum::Op> vote_ops(bool with_state) {
-    std::vector<Vellum::Op> v;
-    v.push_back(Vellum::put_meta("promised", std::to_string(h_.acceptor->promised().v)));
-    if (with_state && h_.acceptor->state()) v.push_back(Vellum::put_meta("state", codec::pack(*h_.acceptor->state())));
-    return v;
-  }
+  // Our vote as it is now, with what it changed of the value.
+  void vote(std::vector<ValueRow> rows, std::function<void(bool)> done) { writer_->write(h_.acceptor->head(), std::move(rows), std::move(done)); }
 
   template <class R>
-  void reply_after(ChannelP const& ch, Kind k, u32 tag, R const& r, bool write, bool state) {
-    if (!write) {
+  void reply_after(ChannelP const& ch, Kind k, u32 tag, R const& r, Acceptor::Step s) {
+    if (!s.write) {
       ch->send(k, tag, r);
       return;
     }
     std::weak_ptr<Channel> const w = ch;
-    h_.vellum->submit(vote_ops(state), [this, w, k, tag, r, b = state ? accepted() : Ballot()](bool ok) {
+    vote(std::move(s.rows), [this, w, k, tag, r, b = accepted()](bool ok) {
       if (!ok) return;  // a disk that takes nothing does not vote
       durable_ = std::max(durable_, b);
       if (auto const c = w.lock()) c->send(k, tag, r);
@@ -314,22 +303,22 @@
       if (!h_.born) return;
       if (o.is_prep) {
         PrepR r;
-        auto const s = h_.acceptor->prepare(o.prep, r);
+        Acceptor::Step s = h_.acceptor->prepare(o.prep, r);
         if (!s.write) {
           after(h_.eb, 0, [this, r] { outs(proposer_.on_prep(h_.st.ip, r)); });
           return;
         }
-        h_.vellum->submit(vote_ops(false), [this, r](bool ok) {
+        vote(std::move(s.rows), [this, r](bool ok) {
           if (ok) outs(proposer_.on_prep(h_.st.ip, r));
         });
       } else {
         AccR r;
-        auto const s = h_.acceptor->accept(o.acc, r);
+        Acceptor::Step s = h_.acceptor->accept(o.acc, r);
         if (!s.write) {
           after(h_.eb, 0, [this, r] { outs(proposer_.on_acc(h_.st.ip, r)); });
           return;
         }
-        h_.vellum->submit(vote_ops(true), [this, r, b = accepted()](bool ok) {
+        vote(std::move(s.rows), [this, r, b = accepted()](bool ok) {
           if (!ok) return;
           durable_ = std::max(durable_, b);
           outs(proposer_.on_acc(h_.st.ip, r));
@@ -380,8 +369,8 @@
       way_until_ = 0;
       after(h_.eb, 0.02 * random01(), [this] { pump(); });
     }
-    if (h_.acceptor->learn(s))
-      h_.vellum->submit(vote_ops(true), [this, b = s.bal](bool ok) {
+    if (Acceptor::Step w = h_.acceptor->learn(s))
+      vote(std::move(w.rows), [this, b = s.bal](bool ok) {
         if (ok) durable_ = std::max(durable_, b);
       });
     for (Member const& m : s.roster) h_.mate(m.ip);
@@ -422,7 +411,7 @@
 
   House& h_;
   Proposer proposer_;
-  std::vector<Vellum::Op> first_;  // what makes an empty disk a member's
+  std::unique_ptr<VoteWriter<Vellum>> writer_;
   std::deque<Call> calls_;
   std::vector<Call> batch_;
   Parcel whole_;  // the whole view, ready to send
--- a/packages/register/acceptor.cpp
+++ b/packages/register/acceptor.cpp
@@ -34,33 +34,54 @@
     return {true};
   }
   if (st_ && st_->bal > a.bal) return {};
-  State next;
+  RowDiff d;
   if (!a.state.empty()) {
-    next = codec::unpack<State>(a.state);
+    State next = codec::unpack<State>(a.state);
+    d = rows_between(st_ ? &*st_ : nullptr, next);
+    st_ = std::move(next);
   } else {
-    if (!st_) {
-      r.want_full = true;
-      return {};
-    }
-    next = *st_;
-    if (!apply(next, codec::unpack<Delta>(a.delta))) {
+    std::optional<RowDiff> by;
+    if (st_) by = apply_rows(*st_, codec::unpack<Delta>(a.delta));
+    if (!by) {
       r.want_full = true;
       return {};
     }
+    d = std::move(*by);
   }
   promised_ = a.bal;
-  st_ = std::move(next);
   r.ok = true;
   r.promised = promised_;
-  return {true};
+  return take(std::move(d));
 }
 
-bool Acceptor::learn(State const& s) {
-  if (st_ && st_->bal >= s.bal) return false;
+Acceptor::Step Acceptor::learn(State const& s) {
+  if (st_ && st_->bal >= s.bal) return {};
   // A majority holds s, so no lower ballot can still win; our promise only rises.
+  RowDiff d = rows_between(st_ ? &*st_ : nullptr, s);
   st_ = s;
   promised_ = std::max(promised_, s.bal);
-  return true;
+  return take(std::move(d));
+}
+
+Acceptor::Step Acceptor::take(RowDiff d) {
+  move_sum(d.sum);
+  return {true, std::move(d.rows)};
+}
+
+Head Acceptor::head() const {
+  Head h;
+  h.life = life_;
+  h.promised = promised_;
+  h.has = st_.has_value();
+  if (st_) {
+    h.bal = st_->bal;
+    h.epoch = st_->epoch;
+    h.open = st_->open;
+    h.to_fix = st_->to_fix;
+  }
+  h.sum = sum_.sum;
+  h.count = sum_.count;
+  return h;
 }
 
 }  // namespace dockbend
--- a/packages/register/include/register/acceptor.hpp
+++ b/packages/register/include/register/acceptor.hpp
@@ -1,19 +1,23 @@
 // One disk's vote. No I/O: every step hands out what must be on disk before the
 // reply may leave.
 #pragma once
-#include "register/state.hpp"
+#include "register/rows.hpp"
 
 namespace dockbend {
 
 // Invariants: promised >= accepted.bal; both only grow within one life. A reply
 // leaves only after the pair it speaks of is on disk. A vote counts only for the
-// life that the asker named.
+// life that the asker named. sum is that of the rows of state().
 class Acceptor {
  public:
-  Acceptor(Life life, Ballot promised, std::optional<State> st) : life_(life), promised_(promised), st_(std::move(st)) {}
+  Acceptor(Life life, Ballot promised, std::optional<State> st) : life_(life), promised_(promised), st_(std::move(st)) {
+    if (st_) move_sum(rows_between(nullptr, *st_).sum);
+  }
 
   struct Step {
-    bool write = false;  // persist promised() and state() before replying
+    bool write = false;           // persist head() and `rows` before replying
+    std::vector<ValueRow> rows;   // by which state() differs from what it was
+    operator bool() const { return write; }
   };
   Step prepare(Prep const& p, PrepR& r);
   Step accept(Acc const& a, AccR& r);
@@ -21,13 +25,22 @@
   Life life() const { return life_; }
   Ballot promised() const { return promised_; }
   std::optional<State> const& state() const { return st_; }
-  // Takes a value known to be committed (a majority holds it); true if it is news.
-  bool learn(State const& s);
+  // Takes a value known to be committed (a majority holds it); a write if it is news.
+  Step learn(State const& s);
+  // What stands beside the rows on disk; its seq is the writer's.
+  Head head() const;
 
  private:
+  void move_sum(RowSum by) {
+    sum_.sum += by.sum;
+    sum_.count += by.count;
+  }
+  Step take(RowDiff d);
+
   Life life_;
   Ballot promised_;
   std::optional<State> st_;
+  RowSum sum_;
 };
 
 }  // namespace dockbend
--- a/packages/register/state.cpp
+++ b/packages/register/state.cpp
@@ -138,15 +138,17 @@
 bool apply(State& st, Delta const& d) {
   if (st.bal != d.base) return false;
   if (!d.items.empty()) {
-    std::map<std::string, Item const*> put;
-    for (Item const& i : d.items) put[i.key] = &i;
-    for (Item& x : st.items)
-      if (auto const it = put.find(x.key); it != put.end()) {
-        x = *it->second;
-        put.erase(it);
-      }
-    for (auto const& [k, i] : put) st.items.push_back(*i);
-    std::sort(st.items.begin(), st.items.end(), [](Item const& a, Item const& b) { return a.key < b.key; });
+    auto const by_key = [](Item const& a, Item const& b) { return a.key < b.key; };
+    if (!std::is_sorted(st.items.begin(), st.items.end(), by_key)) std::sort(st.items.begin(), st.items.end(), by_key);
+    std::map<std::string, Item const*> fresh;
+    for (Item const& i : d.items) {
+      auto const it = std::lower_bound(st.items.begin(), st.items.end(), i, by_key);
+      if (it != st.items.end() && it->key == i.key) *it = i;
+      else fresh[i.key] = &i;
+    }
+    std::size_t const n = st.items.size();
+    for (auto const& [k, i] : fresh) st.items.push_back(*i);
+    std::inplace_merge(st.items.begin(), st.items.begin() + static_cast<std::ptrdiff_t>(n), st.items.end(), by_key);
   }
   if (d.duties_set) st.duties = d.duties;
   if (d.fixed_set) st.fixed = d.fixed;
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -71,15 +71,19 @@
   }
 
   void open_disk() {
-    keys_ = std::make_unique<KeyDesk>(h_, register_.open());
-    keys_->load(h_.vellum->keys(), h_.vellum->ret_sizes());
-    for (std::string const& r : h_.vellum->rows()) servers_.roll().load(codec::unpack<Row>(r), now_s());
-    if (std::string const v = h_.vellum->meta("sites"); !v.empty())
-      sites_.load(codec::unpack<News>(v).sites, now_s());
     register_.on_first_failed.connect([this] {
       LOG4CPLUS_ERROR(lg_, "The disk took no first write.");
       event_base_loopbreak(h_.eb);
     });
+    OnDisk const d = register_.open();
+    keys_ = std::make_unique<KeyDesk>(h_, d.keys_whole);
+    keys_->load(d.keys, d.answers);
+    try {  // what the beats bring anew, if it can't be read
+      for (std::string const& r : d.servers) servers_.roll().load(codec::unpack<Row>(r), now_s());
+      if (!d.sites.empty()) sites_.load(codec::unpack<News>(d.sites).sites, now_s());
+    } catch (codec::Malformed const&) {
+      LOG4CPLUS_WARN(lg_, "Rows of servers or sites on disk are malformed; the rest of them is left out.");
+    }
     register_.begin(now_s());
   }
 
