Register: a step of the roster counts by both rosters until it is known to be won

Cause: a round counted promises by the roster of the newest value it found, though that value, and with it its step, may never have been won. With two joins in one round (an usher's batch), or with a step upon a step that was not won, a proposer cut off with the newcomers alone won one value while the others won another.

A value keeps the roster that its step left (was) until a round's proposer knows the step to be won. Until then promises and accepts need majorities of both, and the round only writes the value again. Learning without a round follows the same count, which also catches the rewriting of a step that was not won.

--- a/packages/register/include/register/proposer.hpp
+++ b/packages/register/include/register/proposer.hpp
@@ -1,5 +1,9 @@
 // Brings one batch of changes through: promises from a majority, change, accepts
 // from a majority of the old roster and of the new one. No I/O.
+//
+// Invariant: the roster moves only upon a step that is known to be won. Upon one that
+// is not, both its rosters count, for promises and for accepts, and the round writes
+// the value found again and changes nothing.
 #pragma once
 #include <functional>
 #include <set>
@@ -22,8 +26,9 @@
 
   explicit Proposer(std::string const& my_ip);
 
-  // best: the newest value known here. Begins a round with every change queued.
-  std::vector<Out> begin(State const& best, Change change, Secs now);
+  // best: the newest value known here, won or not; known: the epoch of the newest value
+  // known to be won. Begins a round with every change queued.
+  std::vector<Out> begin(State const& best, Change change, Secs now, std::optional<Epoch> known);
   std::vector<Out> on_prep(std::string const& from, PrepR const& r);
   std::vector<Out> on_acc(std::string const& from, AccR const& r);
   std::vector<Out> resend(std::string const& ip);  // after the channel to ip came back
@@ -33,14 +38,23 @@
   // Set once the round is over.
   bool done() const { return done_; }
   bool won() const { return won_; }
+  // False: the round only brought another's step of the roster to its end.
+  bool changed() const { return settled(); }
   State const& value() const { return next_; }   // valid once won
   State const& base() const { return best_; }
   std::string const& delta() const { return delta_; }  // empty: founding value, no base
   Secs since() const { return since_; }
+  Phase phase() const { return phase_; }
+  Ballot ballot() const { return bal_; }
+  std::set<std::string> const& promised() const { return promised_; }  // "ip/life" each
+  std::set<std::string> const& accepted() const { return accepted_; }
   void saw(Ballot b) { counter_ = std::max(counter_, b.v >> 32); }
 
  private:
-  bool majority_of(State const& s, std::set<std::string> const& who) const;
+  // Is what was found not a step of the roster, or one known to be won?
+  bool settled() const { return best_.was.empty() || known_ == best_.epoch; }
+  std::vector<Out> ask_for_promises();
+  std::vector<std::vector<Member> const*> voters() const;
   std::vector<Out> try_accept();
   Acc acc_for(Member const& m, bool full) const;
 
@@ -50,6 +64,7 @@
   bool done_ = false, won_ = false;
   Secs since_ = 0;
   Ballot bal_;
+  std::optional<Epoch> known_;
   State best_, next_;
   Change change_;
   std::string delta_;  // from best_ to next_, packed once for all
--- a/packages/register/include/register/state.hpp
+++ b/packages/register/include/register/state.hpp
@@ -1,6 +1,7 @@
 // The register's one value: manifest items, evacuations, roster. It is replaced
 // by ballots (CASPaxos); inside it items join by their own generation.
 #pragma once
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -53,12 +54,14 @@
 // Invariants: bal is the ballot that wrote this value (0: founding); epoch is the
 // ballot that last changed who is in the roster, and so epoch <= bal; open is the
 // ballot that last changed what proxies and agents go by, and so open <= bal; to_fix
-// is the first window (0: none yet) whose report is not fixed, and it never falls.
+// is the first window (0: none yet) whose report is not fixed, and it never falls; was
+// is the roster that the step of this epoch left, kept until a round's proposer knew
+// that step to be won: as long as it stands here, a majority of it counts as well.
 struct State {
   DB_RECORD(State, (Ballot, bal), (Epoch, epoch), (std::vector<Item>, items),
                            (std::vector<Evac>, evacs), (std::vector<Member>, roster), (std::vector<Term>, duties),
                            (u64, to_fix), (std::vector<FixedWindow>, fixed), (Ballot, open), (std::vector<Pass>, passes),
-                           (std::vector<Unit>, units));
+                           (std::vector<Unit>, units), (std::vector<Member>, was));
   Pass const* pass(u64 id) const {
     for (Pass const& p : passes)
       if (p.id == id) return &p;
@@ -75,6 +78,14 @@
     return nullptr;
   }
   std::size_t majority() const { return roster.size() / 2 + 1; }
+  // Does this value stand, if just the disks for which on_disk(member) is true hold it?
+  template <class F>
+  bool stands(F on_disk) const {
+    auto most = [&](std::vector<Member> const& l) {
+      return static_cast<std::size_t>(std::count_if(l.begin(), l.end(), on_disk)) > l.size() / 2;
+    };
+    return most(roster) && (was.empty() || most(was));
+  }
   // Takes a member in, or a new disk at its address, or news of itself; false if
   // it must wait: a disk that can't vote on keys yet may come only while those
   // that can are a majority without it, or nobody could ever fill it.
@@ -92,7 +103,8 @@
                            (bool, evacs_set), (std::vector<Evac>, evacs), (bool, roster_set),
                            (std::vector<Member>, roster), (bool, duties_set), (std::vector<Term>, duties), (u64, to_fix),
                            (bool, fixed_set), (std::vector<FixedWindow>, fixed), (Ballot, open), (bool, passes_set),
-                           (std::vector<Pass>, passes), (std::vector<Unit>, units));
+                           (std::vector<Pass>, passes), (std::vector<Unit>, units), (bool, was_set),
+                           (std::vector<Member>, was));
 };
 // The part that proxies and agents go by, under the ballot that last changed it: no
 // renewals, no reports.
--- a/packages/register/proposer.cpp
+++ b/packages/register/proposer.cpp
@@ -12,19 +12,19 @@
   std::sscanf(ip.c_str(), "%u.%u.%u.%u", &a, &b, &c, &d);
   return static_cast<u64>(a) << 24 | b << 16 | c << 8 | d;
 }
+// Does a majority of who decides about s say so? alone: its step is known to be won.
+bool has_quorum(State const& s, std::set<std::string> const& who, bool alone) {
+  auto said = [&](Member const& m) { return who.count(id_of(m)) > 0; };
+  if (!alone) return s.stands(said);
+  return static_cast<std::size_t>(std::count_if(s.roster.begin(), s.roster.end(), said)) >= s.majority();
+}
 }  // namespace
 
 Proposer::Proposer(std::string const& my_ip) : node_(ip_num(my_ip)) {}
 
-bool Proposer::majority_of(State const& s, std::set<std::string> const& who) const {
-  std::size_t n = 0;
-  for (Member const& m : s.roster)
-    if (who.count(id_of(m)) > 0) ++n;
-  return n >= s.majority();
-}
-
-std::vector<Proposer::Out> Proposer::begin(State const& best, Change change, Secs now) {
+std::vector<Proposer::Out> Proposer::begin(State const& best, Change change, Secs now, std::optional<Epoch> known) {
   best_ = best;
+  known_ = known;
   change_ = std::move(change);
   saw(best.bal);
   bal_ = Ballot(++counter_ << 32 | node_);
@@ -34,13 +34,20 @@
   asked_.clear();
   promised_.clear();
   accepted_.clear();
+  return ask_for_promises();
+}
+
+std::vector<Proposer::Out> Proposer::ask_for_promises() {
   std::vector<Out> out;
-  for (Member const& m : best_.roster) {
-    asked_.insert(id_of(m));
-    Out o;
-    o.ip = m.ip;
-    o.prep = Prep{bal_, best_.bal, m.life};
-    out.push_back(std::move(o));
+  for (auto const* l : {&best_.roster, &best_.was}) {
+    if (l == &best_.was && settled()) break;
+    for (Member const& m : *l) {
+      if (!asked_.insert(id_of(m)).second) continue;
+      Out o;
+      o.ip = m.ip;
+      o.prep = Prep{bal_, best_.bal, m.life};
+      out.push_back(std::move(o));
+    }
   }
   return out;
 }
@@ -61,22 +68,24 @@
     State s = codec::unpack<State>(r.state);
     if (s.bal > best_.bal) {
       best_ = std::move(s);
-      for (Member const& m : best_.roster) {
-        if (!asked_.insert(id_of(m)).second) continue;
-        Out o;
-        o.ip = m.ip;
-        o.prep = Prep{bal_, best_.bal, m.life};
-        out.push_back(std::move(o));
-      }
+      out = ask_for_promises();
     }
   }
-  if (majority_of(best_, promised_)) {
+  if (has_quorum(best_, promised_, settled())) {
     auto more = try_accept();
     out.insert(out.end(), more.begin(), more.end());
   }
   return out;
 }
 
+// Whose votes this round may need.
+std::vector<std::vector<Member> const*> Proposer::voters() const {
+  std::vector<std::vector<Member> const*> v{&best_.roster};
+  if (!settled()) v.push_back(&best_.was);
+  if (phase_ == Phase::accepting) v.push_back(&next_.roster);
+  return v;
+}
+
 Acc Proposer::acc_for(Member const& m, bool full) const {
   Acc a;
   a.bal = bal_;
@@ -90,7 +99,10 @@
 
 std::vector<Proposer::Out> Proposer::try_accept() {
   next_ = best_;
-  change_(next_);
+  if (settled()) {
+    next_.was.clear();
+    change_(next_);
+  }
   // Even with nothing to change, the value found is written again: only so is it
   // known to be on a majority before anyone is told of it.
   next_.bal = bal_;
@@ -99,7 +111,10 @@
     Member const* o = best_.member(m.ip);
     if (o == nullptr || !o->same_disk(m)) moved = true;
   }
-  if (moved) next_.epoch = Epoch(bal_.v);
+  if (moved) {
+    next_.epoch = Epoch(bal_.v);
+    next_.was = best_.roster;
+  }
   if (!same_view(best_, next_)) next_.open = bal_;
   delta_ = best_.bal == Ballot(0) ? std::string() : codec::pack(delta_of(best_, next_));
   phase_ = Phase::accepting;
@@ -115,8 +130,7 @@
       out.push_back(std::move(o));
     }
   };
-  ask(best_.roster);
-  ask(next_.roster);
+  for (auto const* l : voters()) ask(*l);
   return out;
 }
 
@@ -125,14 +139,14 @@
   saw(r.promised);
   if (r.ok) {
     accepted_.insert(id_of(from, r.life));
-    if (majority_of(best_, accepted_) && majority_of(next_, accepted_)) {
+    if (has_quorum(best_, accepted_, settled()) && has_quorum(next_, accepted_, false)) {
       phase_ = Phase::idle;
       done_ = won_ = true;
     }
     return {};
   }
   if (r.want_full) {
-    for (auto const* l : {&next_.roster, &best_.roster})
+    for (auto const* l : voters())
       for (Member const& m : *l)
         if (m.ip == from && m.life == r.life) {
           Out o;
@@ -153,10 +167,10 @@
 std::vector<Proposer::Out> Proposer::resend(std::string const& ip) {
   std::vector<Out> out;
   if (phase_ == Phase::idle) return out;
-  for (auto const* l : {&best_.roster, &next_.roster}) {
-    if (phase_ == Phase::preparing && l == &next_.roster) break;
+  std::set<std::string> sent;
+  for (auto const* l : voters()) {
     for (Member const& m : *l) {
-      if (m.ip != ip) continue;
+      if (m.ip != ip || !sent.insert(id_of(m)).second) continue;
       Out o;
       o.ip = ip;
       o.is_prep = phase_ == Phase::preparing;
--- a/packages/register/state.cpp
+++ b/packages/register/state.cpp
@@ -124,6 +124,8 @@
   if (d.evacs_set) d.evacs = to.evacs;
   d.roster_set = !same(from.roster, to.roster);
   if (d.roster_set) d.roster = to.roster;
+  d.was_set = !same(from.was, to.was);
+  if (d.was_set) d.was = to.was;
   d.passes_set = !same(from.passes, to.passes);
   if (d.passes_set) d.passes = to.passes;
   if (!to.units.empty()) {  // only those that moved: a pass over many nodes costs each step its own size
@@ -154,6 +156,7 @@
   st.open = d.open;
   if (d.evacs_set) st.evacs = d.evacs;
   if (d.roster_set) st.roster = d.roster;
+  if (d.was_set) st.was = d.was;
   if (d.passes_set) st.passes = d.passes;
   if (!d.units.empty()) {
     std::unordered_map<std::string, std::size_t> at;
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -185,16 +185,12 @@
     m.accepted = acc;
     if (!h_.acceptor->state() || accepted() <= bal()) return;
     State const& s = *h_.acceptor->state();
-    if (s.epoch.v == s.bal.v) return;  // it changed the roster: two majorities count
-    std::size_t n = 0;
-    for (Member const& x : s.roster) {
-      if (x.ip == h_.st.ip) {
-        n += durable_ >= s.bal && x.life == h_.acceptor->life() ? 1 : 0;
-      } else if (auto const it = h_.mates.find(x.ip); it != h_.mates.end()) {
-        n += it->second.life == x.life && it->second.accepted == s.bal ? 1 : 0;
-      }
-    }
-    if (n >= s.majority()) learn(State(s));
+    auto on_disk = [&](Member const& x) {
+      if (x.ip == h_.st.ip) return durable_ >= s.bal && x.life == h_.acceptor->life();
+      auto const it = h_.mates.find(x.ip);
+      return it != h_.mates.end() && it->second.life == x.life && it->second.accepted == s.bal;
+    };
+    if (s.stands(on_disk)) learn(State(s));
   }
   Ballot bal() const { return h_.committed ? h_.committed->bal : Ballot(); }
 
@@ -430,7 +426,7 @@
           for (Call& c : batch_) any = c.change(s) || any;
           return any;
         },
-        now));
+        now, h_.committed ? std::optional<Epoch>(h_.committed->epoch) : std::nullopt));
   }
 
   void outs(std::vector<Proposer::Out> const& v) {
@@ -490,7 +486,10 @@
       for (auto& [ip, m] : h_.mates)
         if (m.link) m.link->send(pc);
       learn(to);
-      for (Call& x : b) x.done(&to);
+      if (proposer_.changed())
+        for (Call& x : b) x.done(&to);
+      else  // another's step of the roster was brought to its end first
+        for (auto it = b.rbegin(); it != b.rend(); ++it) calls_.push_front(std::move(*it));
     } else {
       ++losses_;
       next_round_ = now + (0.05 + 0.15 * random01()) * std::min(losses_, 6);
--- a/tests/net.hpp
+++ b/tests/net.hpp
@@ -72,7 +72,7 @@
     State const* b = n.best();
     if (b == nullptr) return;
     n.prop->saw(n.acc->promised());
-    send(n, n.prop->begin(*b, n.want, 0));
+    send(n, n.prop->begin(*b, n.want, 0, n.committed ? std::optional<Epoch>(n.committed->epoch) : std::nullopt));
   }
 
   // Takes one message out and delivers it; false if none is left.
--- a/tests/register_test.cpp
+++ b/tests/register_test.cpp
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <set>
+
 #include "net.hpp"
 
 using namespace dockbend;
@@ -207,3 +209,48 @@
   n.run();
   cr_assert(x.prop->won());
 }
+
+// A brings members in, but the accepts reach the newcomers only: the steps are not won.
+// The others go on without it; A, with the newcomers alone, must not.
+Test(register_, a_step_that_is_not_won_lends_nobody_a_majority) {
+  std::string const a = Net::name(0), b = Net::name(1), c = Net::name(2), d = Net::name(3), e = Net::name(4);
+  auto only = [](Net& n, std::set<std::string> const& who, auto lost) {
+    while (!n.bag.empty()) {
+      Msg const m = n.bag.front();
+      n.bag.erase(n.bag.begin());
+      if (who.count(m.from) > 0 && who.count(m.to) > 0 && !lost(m)) n.deliver(n.nodes.at(m.to), m);
+    }
+  };
+  auto none = [](Msg const&) { return false; };
+  for (bool const at_once : {true, false}) {
+    Net n(1, 3);
+    n.add(3, Life(50), false);
+    n.add(4, Life(51), false);
+    auto const join_d = join_member(d, Life(50)), join_e = join_member(e, Life(51));
+    std::vector<Proposer::Change> steps{join_d, join_e};
+    if (at_once) steps = {[=](State& s) { return join_d(s) && join_e(s); }};
+    for (auto const& s : steps) {
+      n.nodes.at(a).prop->abandon();
+      n.propose(a, s);
+      only(n, {a, b, c, d, e}, [&](Msg const& m) { return m.what == 2 && (m.to == b || m.to == c); });
+    }
+    cr_assert(n.history.empty());
+    for (int i = 0; i < 2; ++i) {
+      n.nodes.at(b).prop->abandon();
+      n.propose(b, put_item("r/x", 1, "b"));
+      only(n, {b, c}, none);
+    }
+    cr_assert_geq(n.history.size(), 1u);
+    n.nodes.at(a).prop->abandon();
+    n.propose(a, put_item("r/x", 1, "a"));
+    only(n, {a, d, e}, none);
+    cr_assert_not(n.nodes.at(a).prop->won(), "two values stand");
+    // Once all meet again, one outcome is left.
+    n.propose(a, put_item("r/x", 1, "a"));
+    n.run();
+    n.propose(a, put_item("r/x", 1, "a"));
+    n.run();
+    check_chain(n, at_once);
+    cr_assert_str_eq(n.history.back().by_key().at("r/x").body.c_str(), "b");
+  }
+}
