--- a/packages/register/rows.cpp
+++ b/packages/register/rows.cpp
@@ -45,6 +45,10 @@
   static std::string key(Member const& m) { return "m/" + m.ip; }
   static ValueRow row(Member const& m, std::size_t at) { return placed(key(m), m, at); }
 };
+struct WasRows {  // the roster that a step left, while it counts
+  static std::string key(Member const& m) { return "w/" + m.ip; }
+  static ValueRow row(Member const& m, std::size_t at) { return placed(key(m), m, at); }
+};
 struct TermRows {
   static std::string key(Term const& t) { return "t/" + t.duty; }
   static ValueRow row(Term const& t, std::size_t at) {
@@ -140,6 +144,7 @@
 void rest_between(State const& a, State const& b, RowDiff& d) {
   between<EvacRows>(a.evacs, b.evacs, d);
   between<MemberRows>(a.roster, b.roster, d);
+  between<WasRows>(a.was, b.was, d);
   between<TermRows>(a.duties, b.duties, d);
   between<CounterRows>(a.duties, b.duties, d);
   between<FixedRows>(a.fixed, b.fixed, d);
@@ -199,6 +204,7 @@
   bool const units = d.passes_set || !d.units.empty();
   if (d.evacs_set) was.evacs = st.evacs;
   if (d.roster_set) was.roster = st.roster;
+  if (d.was_set) was.was = st.was;
   if (d.duties_set) was.duties = st.duties;
   if (d.fixed_set) was.fixed = st.fixed;
   if (d.passes_set) was.passes = st.passes;
@@ -225,6 +231,7 @@
   auto all = [&] {
     lend(d.evacs_set, &State::evacs);
     lend(d.roster_set, &State::roster);
+    lend(d.was_set, &State::was);
     lend(d.duties_set, &State::duties);
     lend(d.fixed_set, &State::fixed);
     lend(d.passes_set, &State::passes);
@@ -240,7 +247,7 @@
   RowSum sum;
   State s;
   std::vector<Slot<Evac>> evacs;
-  std::vector<Slot<Member>> roster;
+  std::vector<Slot<Member>> roster, left;
   std::vector<Slot<Term>> duties;
   std::vector<Slot<Pass>> passes;
   std::vector<Slot<Unit>> units;
@@ -260,6 +267,7 @@
       }
       case 'e': read_placed(r, evacs); break;
       case 'm': read_placed(r, roster); break;
+      case 'w': read_placed(r, left); break;
       case 't': read_placed(r, duties); break;
       case 'n': counters[name] = codec::unpack<Count>(r.body).n; break;
       case 'f': s.fixed.push_back(codec::unpack<FixedWindow>(r.body)); break;
@@ -273,6 +281,7 @@
   std::sort(s.fixed.begin(), s.fixed.end(), [](FixedWindow const& a, FixedWindow const& b) { return a.window < b.window; });
   s.evacs = in_place(std::move(evacs));
   s.roster = in_place(std::move(roster));
+  s.was = in_place(std::move(left));
   s.duties = in_place(std::move(duties));
   s.passes = in_place(std::move(passes));
   s.units = in_place(std::move(units));
