The roster shrinks too: who leaves or was replaced is taken out by a round

Now a member that ends while another of its zone came in its place leaves by a round of its own, one that is silent and was replaced is taken out by those that remain, and an operator may take one out. A roster shrinks only as far as keys won under its widest size allow (may_shrink_to); a disk that left and came back is whole only if it was filled in that very membership (Member.since), so no late word makes it whole. RebuildR names the epoch copied.

The test of disks that wait now takes the member as the roster has it before it says that it is whole: a word on keys must name its membership, and is refused otherwise (member tests).

--- a/packages/desks/include/desks/keys.hpp
+++ b/packages/desks/include/desks/keys.hpp
@@ -10,7 +10,12 @@
 
 class KeyDesk {
  public:
-  KeyDesk(House& h, bool whole) : h_(h), ledger_(whole) {}
+  // said: what the disk says of its keys. It is the membership in which they became whole,
+  // plus one: a disk that left the roster since is not whole, and no write has to say so.
+  KeyDesk(House& h, std::string const& said) : h_(h), ledger_(false), filled_(std::strtoull(said.c_str(), nullptr, 10)) {
+    fit(h_.acceptor->state());
+  }
+  static std::string founder() { return "1"; }
 
   // A new disk copies the keys of a majority of the others before it votes.
   void rebuild(Secs now) {
@@ -27,7 +32,8 @@
   void rebuilt(std::string const& ip, RebuildR const& r) {
     if (ledger_.whole() || filling_ || !h_.committed || !r.ok) return;
     Member const* m = h_.committed->member(ip);
-    if (m == nullptr || m->life != r.life || !rebuild_heard_.insert(ip).second) return;
+    // An answer to what we asked under an earlier roster may lack what was won since.
+    if (m == nullptr || m->life != r.life || r.epoch < h_.committed->epoch || !rebuild_heard_.insert(ip).second) return;
     Secs const now = now_s();
     std::vector<Vellum::Op> ops;
     for (HeldKey const& k : r.keys) {
@@ -35,15 +41,18 @@
       ops.push_back(key_op(k.key, holder, true));
     }
     if (rebuild_heard_.size() >= h_.committed->majority()) {
-      ops.push_back(Vellum::put_meta("whole", "1"));
+      u64 const in = since_in(*h_.committed);
+      ops.push_back(Vellum::put_meta("whole", std::to_string(in)));
       filling_ = true;
-      h_.vellum->submit(std::move(ops), [this](bool ok) {
+      h_.vellum->submit(std::move(ops), [this, in](bool ok) {
         filling_ = false;
         if (!ok) {
           rebuild_heard_.clear();
           return;
         }
-        ledger_.set_whole();
+        filled_ = in;
+        fit(h_.acceptor->state());
+        if (!ledger_.whole()) return;  // out of the roster meanwhile
         on_whole.emit();
         LOG4CPLUS_INFO(lg_, "Keys are whole, " << ledger_.size() << " of them.");
       });
@@ -59,6 +68,7 @@
     r.life = h_.acceptor->life();
     if (c.life != r.life || !h_.born) return;
     Epoch const mine = h_.acceptor->state() ? h_.acceptor->state()->epoch : Epoch(~0ULL);
+    if (mine != fit_at_) fit(h_.acceptor->state());
     if (ledger_.claim(c, mine, now_s(), r) != Say::granted) {
       ch->send(Kind::claimR, tag, r);
       return;
@@ -133,14 +143,37 @@
       if (auto const c = w.lock()) c->send(Kind::fetchR, tag, r);
     });
   }
-  RebuildR copy_for(Rebuild const& q) const {
+  RebuildR copy_for(Rebuild const& q) {
+    if (h_.acceptor->state() && h_.acceptor->state()->epoch != fit_at_) fit(h_.acceptor->state());
     RebuildR r;
     r.life = h_.acceptor->life();
     r.ok = ledger_.whole() && h_.acceptor->state() && h_.acceptor->state()->epoch >= q.epoch;
-    if (r.ok) r.keys = ledger_.all();
+    if (r.ok) {
+      r.keys = ledger_.all();
+      r.epoch = h_.acceptor->state()->epoch;
+    }
     return r;
   }
-  void roster_changed() { rebuild_heard_.clear(); }
+  void roster_changed() {
+    rebuild_heard_.clear();
+    fit(h_.acceptor->state());
+  }
+  // Hands our first answers to that mate, the newest first, some at each call; true once
+  // all are on their way.
+  bool hand_on(std::string const& ip) {
+    if (handing_ != ip) {
+      handing_ = ip;
+      hand_ix_ = ret_order_.size();
+    }
+    for (int i = 0; i < 100 && hand_ix_ > 0; ++i) {
+      Kept const& k = ret_order_[--hand_ix_];
+      h_.vellum->find_ret(k.key, [this, ip](std::string const& v) {
+        auto const it = h_.mates.find(ip);
+        if (!v.empty() && it != h_.mates.end() && it->second.link && it->second.link->up()) it->second.link->ch()->send(Kind::store, 0, std::string_view(v));
+      });
+    }
+    return hand_ix_ == 0;
+  }
   void forget_old(Secs now) {
     auto const old = ledger_.forget(h_.st.bounds.keyHorizonS * 1.25 + 5, now, 200);
     if (old.empty()) return;
@@ -156,6 +189,19 @@
   Ledger const& ledger() const { return ledger_; }
 
  private:
+  // The membership of our disk in that roster, plus one; 0: it is not in it.
+  u64 since_in(State const& s) const {
+    Member const* m = s.member(h_.st.ip);
+    return m == nullptr || m->life != h_.acceptor->life() ? 0 : m->since.v + 1;
+  }
+  // Whole is what was filled in this very membership.
+  void fit(std::optional<State> const& s) {
+    if (!s) return;
+    fit_at_ = s->epoch;
+    u64 const in = since_in(*s);
+    ledger_.set_whole(in != 0 && in == filled_);
+  }
+
   static Vellum::Op key_op(std::string const& k, u64 holder, bool sealed) {
     Vellum::Op o;
     o.what = Vellum::Op::What::put_key;
@@ -177,6 +223,10 @@
   std::deque<Kept> ret_order_;  // oldest first
   std::size_t ret_bytes_ = 0;   // of all in it
   bool filling_ = false;
+  u64 filled_ = 0;         // the membership in which our keys became whole, plus one; 0: none
+  Epoch fit_at_{~0ULL};    // the epoch for which that was last looked at
+  std::string handing_;    // to whom our first answers go
+  std::size_t hand_ix_ = 0;
   Secs rebuild_at_ = 0;
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("archivist");
 };
--- a/packages/keys/include/keys/ledger.hpp
+++ b/packages/keys/include/keys/ledger.hpp
@@ -37,7 +37,8 @@
   DB_RECORD(HeldKey, (std::string, key), (u64, holder));
 };
 struct RebuildR {
-  DB_RECORD(RebuildR, (bool, ok), (Life, life), (std::vector<HeldKey>, keys));
+  // epoch: of the disk that was copied; nothing was granted under an earlier one after that.
+  DB_RECORD(RebuildR, (bool, ok), (Life, life), (std::vector<HeldKey>, keys), (Epoch, epoch));
 };
 
 // Invariants: a key has one holder until released by that holder or forgotten
@@ -67,7 +68,7 @@
   void load(std::string const& key, u64 holder, bool sealed, Secs now);
   std::vector<HeldKey> all() const;
   bool whole() const { return whole_; }
-  void set_whole() { whole_ = true; }
+  void set_whole(bool w = true) { whole_ = w; }
   std::size_t size() const { return m_.size(); }
 
  private:
--- a/packages/register/include/register/state.hpp
+++ b/packages/register/include/register/state.hpp
@@ -8,14 +8,23 @@
 
 namespace dockbend {
 
-// Invariants: at most one member an ip; (ip, life) names one disk for ever; whole
-// is set only once that disk holds every key that a majority held, so the members
-// that are whole are always a majority of the roster.
+// Invariants: at most one member an ip; (ip, life) names one disk for ever; since is the
+// ballot that took this disk in (0: a founder), and a disk that left and came back has
+// another; whole is set only once that disk holds every key that a majority held, in the
+// membership that since names, so the members that are whole are always a majority of the
+// roster.
 struct Member {
   DB_RECORD(Member, (std::string, ip), (Life, life), (std::string, zone), (std::string, region),
-                           (u32, control), (bool, whole));
+                           (u32, control), (bool, whole), (Epoch, since));
   bool same_disk(Member const& o) const { return ip == o.ip && life == o.life; }
 };
+// Stands for since while a round is being made; its ballot takes the place.
+inline constexpr Epoch unnamed{~0ULL};
+// A disk that an operator took out. Invariant: it is not in the roster, and does not come
+// back in that life before an operator says so.
+struct Retired {
+  DB_RECORD(Retired, (std::string, ip), (Life, life));
+};
 
 // Who carries out a duty that one node at a time has. Invariants: fence rises with
 // every holder and never falls; counter rises with every renewal under one fence; next
@@ -53,12 +62,13 @@
 // Invariants: bal is the ballot that wrote this value (0: founding); epoch is the
 // ballot that last changed who is in the roster, and so epoch <= bal; open is the
 // ballot that last changed what proxies and agents go by, and so open <= bal; to_fix
-// is the first window (0: none yet) whose report is not fixed, and it never falls.
+// is the first window (0: none yet) whose report is not fixed, and it never falls; widest
+// is at least the size of every roster under which a key may have been won that still binds.
 struct State {
   DB_RECORD(State, (Ballot, bal), (Epoch, epoch), (std::vector<Item>, items),
                            (std::vector<Evac>, evacs), (std::vector<Member>, roster), (std::vector<Term>, duties),
                            (u64, to_fix), (std::vector<FixedWindow>, fixed), (Ballot, open), (std::vector<Pass>, passes),
-                           (std::vector<Unit>, units));
+                           (std::vector<Unit>, units), (u32, widest), (std::vector<Retired>, retired));
   Pass const* pass(u64 id) const {
     for (Pass const& p : passes)
       if (p.id == id) return &p;
@@ -79,6 +89,17 @@
   // it must wait: a disk that can't vote on keys yet may come only while those
   // that can are a majority without it, or nobody could ever fill it.
   bool admit(Member const& me);
+  // Takes that disk out; false if it is no member in that life, or if too few disks that
+  // vote on keys would be left. Who asks has looked at what the roster is to bear.
+  bool dismiss(std::string const& ip, Life life);
+  // May a roster of n disks follow? A key won under the widest roster is on all whole disks
+  // but ceil(widest/2)-1 at most; no majority of n may consist of such disks alone.
+  bool may_shrink_to(std::size_t n) const;
+  bool is_retired(std::string const& ip, Life life) const {
+    for (Retired const& r : retired)
+      if (r.ip == ip && r.life == life) return true;
+    return false;
+  }
   std::map<std::string, Item> by_key() const {
     std::map<std::string, Item> m;
     for (Item const& i : items) m[i.key] = i;
@@ -92,7 +113,7 @@
                            (bool, evacs_set), (std::vector<Evac>, evacs), (bool, roster_set),
                            (std::vector<Member>, roster), (bool, duties_set), (std::vector<Term>, duties), (u64, to_fix),
                            (bool, fixed_set), (std::vector<FixedWindow>, fixed), (Ballot, open), (bool, passes_set),
-                           (std::vector<Pass>, passes), (std::vector<Unit>, units));
+                           (std::vector<Pass>, passes), (std::vector<Unit>, units), (u32, widest), (std::vector<Retired>, retired));
 };
 // The part that proxies and agents go by, under the ballot that last changed it: no
 // renewals, no reports.
--- a/packages/register/proposer.cpp
+++ b/packages/register/proposer.cpp
@@ -95,9 +95,11 @@
   // known to be on a majority before anyone is told of it.
   next_.bal = bal_;
   bool moved = next_.roster.size() != best_.roster.size();
-  for (Member const& m : next_.roster) {
+  for (Member& m : next_.roster) {
     Member const* o = best_.member(m.ip);
-    if (o == nullptr || !o->same_disk(m)) moved = true;
+    if (o != nullptr && o->same_disk(m) && o->since == m.since) continue;
+    moved = true;
+    m.since = Epoch(bal_.v);
   }
   if (moved) next_.epoch = Epoch(bal_.v);
   if (!same_view(best_, next_)) next_.open = bal_;
--- a/packages/register/state.cpp
+++ b/packages/register/state.cpp
@@ -12,9 +12,12 @@
 }
 bool same(std::vector<Member> const& a, std::vector<Member> const& b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](Member const& x, Member const& y) {
-    return x.same_disk(y) && x.zone == y.zone && x.region == y.region && x.control == y.control && x.whole == y.whole;
+    return x.same_disk(y) && x.zone == y.zone && x.region == y.region && x.control == y.control && x.whole == y.whole && x.since == y.since;
   });
 }
+bool same(std::vector<Retired> const& a, std::vector<Retired> const& b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](Retired const& x, Retired const& y) { return x.ip == y.ip && x.life == y.life; });
+}
 bool same(std::vector<Term> const& a, std::vector<Term> const& b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](Term const& x, Term const& y) {
     return x.duty == y.duty && x.holder == y.holder && x.ip == y.ip && x.fence == y.fence && x.counter == y.counter && x.next == y.next;
@@ -88,17 +91,46 @@
     ++n;
     whole += m.whole ? 1 : 0;
   }
-  bool const must_wait = !me.whole && whole < n / 2 + 1;
-  for (Member& m : roster) {
-    if (m.ip != me.ip) continue;
-    if (!m.same_disk(me) && must_wait) return false;
-    if (m.same_disk(me) && m.zone == me.zone && m.region == me.region && m.control == me.control && m.whole == me.whole) return false;
-    m = me;
+  if (is_retired(me.ip, me.life)) return false;
+  Member const* const was = member(me.ip);
+  if (was != nullptr && was->same_disk(me)) {
+    // What it says of its keys must be said of this membership, not of an earlier one.
+    bool const whole_now = me.since == was->since ? me.whole : was->whole;
+    if (was->zone == me.zone && was->region == me.region && was->control == me.control && was->whole == whole_now) return false;
+    for (Member& m : roster) {
+      if (m.ip != me.ip) continue;
+      Epoch const since = m.since;
+      m = me;
+      m.since = since;
+      m.whole = whole_now;
+    }
     return true;
   }
-  if (must_wait) return false;
+  // A disk that comes in has missed what was won without it, whatever it held before.
+  if (whole < n / 2 + 1) return false;
+  if (was != nullptr) std::erase_if(roster, [&](Member const& m) { return m.ip == me.ip; });
   roster.push_back(me);
+  roster.back().whole = false;
+  roster.back().since = unnamed;
   std::sort(roster.begin(), roster.end(), [](Member const& a, Member const& b) { return a.ip < b.ip; });
+  widest = std::max(widest, static_cast<u32>(roster.size()));
+  return true;
+}
+
+bool State::may_shrink_to(std::size_t n) const {
+  std::size_t const w = std::max<std::size_t>(widest, roster.size());
+  return n > 0 && (w + 1) / 2 - 1 < n / 2 + 1;
+}
+
+bool State::dismiss(std::string const& ip, Life life) {
+  Member const* const m = member(ip);
+  if (m == nullptr || m->life != life) return false;
+  std::size_t const n = roster.size() - 1;
+  std::size_t whole = 0;
+  for (Member const& x : roster) whole += x.whole && x.ip != ip ? 1 : 0;
+  if (whole < n / 2 + 1 || !may_shrink_to(n)) return false;
+  widest = std::max(widest, static_cast<u32>(roster.size()));
+  std::erase_if(roster, [&](Member const& x) { return x.ip == ip; });
   return true;
 }
 
@@ -122,8 +154,12 @@
   d.to_fix = to.to_fix;
   d.evacs_set = !same(from.evacs, to.evacs);
   if (d.evacs_set) d.evacs = to.evacs;
-  d.roster_set = !same(from.roster, to.roster);
-  if (d.roster_set) d.roster = to.roster;
+  d.roster_set = !same(from.roster, to.roster) || from.widest != to.widest || !same(from.retired, to.retired);
+  if (d.roster_set) {  // what belongs to the roster goes with it
+    d.roster = to.roster;
+    d.widest = to.widest;
+    d.retired = to.retired;
+  }
   d.passes_set = !same(from.passes, to.passes);
   if (d.passes_set) d.passes = to.passes;
   if (!to.units.empty()) {  // only those that moved: a pass over many nodes costs each step its own size
@@ -153,7 +189,11 @@
   st.to_fix = d.to_fix;
   st.open = d.open;
   if (d.evacs_set) st.evacs = d.evacs;
-  if (d.roster_set) st.roster = d.roster;
+  if (d.roster_set) {
+    st.roster = d.roster;
+    st.widest = d.widest;
+    st.retired = d.retired;
+  }
   if (d.passes_set) st.passes = d.passes;
   if (!d.units.empty()) {
     std::unordered_map<std::string, std::size_t> at;
--- a/packages/stacks/include/stacks/settings.hpp
+++ b/packages/stacks/include/stacks/settings.hpp
@@ -58,6 +58,7 @@
   std::optional<Addr> drainHook;  // restarts a proxy that a pass has emptied; none: the operator does
   bool bootstrap = false;
   double toleranceMachines = 0;  // disks that may be lost at once
+  double toleranceZones = 0, toleranceRegions = 0;  // or so many whole zones, or regions
   bool lossCounted = false;
   double beatPeriodS = 1.5;
   double linkMbps = 0, memoryMb = 256, fdLimit = 1024, cpuShare = 1, diskMb = 0;
--- a/packages/stacks/settings.cpp
+++ b/packages/stacks/settings.cpp
@@ -73,6 +73,8 @@
   known["lossCounted"] = [&](auto const& f, auto const& v) { st.lossCounted = boolean(f, v); };
   num("beatPeriodS", st.beatPeriodS, 0.01, 3600);
   num("tolerance.machines", st.toleranceMachines);
+  num("tolerance.zones", st.toleranceZones);
+  num("tolerance.regions", st.toleranceRegions);
   num("limits.memoryMb", st.memoryMb);
   num("limits.diskMb", st.diskMb);
   num("limits.linkMbps", st.linkMbps);
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -16,6 +16,7 @@
 #include "desks/drains.hpp"
 #include "desks/duties.hpp"
 #include "desks/keys.hpp"
+#include "desks/members.hpp"
 #include "desks/rollouts.hpp"
 #include "desks/servers.hpp"
 #include "desks/sites.hpp"
@@ -35,14 +36,14 @@
     h_.submit = [this](auto change, auto done, Secs patience) { submit(std::move(change), std::move(done), patience); };
     h_.mate = [this](std::string const& ip) -> Mate& { return mate(ip); };
     open_disk();
-    keys_->on_whole.connect([this] { join_at_ = 0; });
+    members_ = std::make_unique<MemberDesk>(h_, *keys_, now_s());
+    keys_->on_whole.connect([this] { members_->hurry(); });
     door_.on_channel.connect([this](ChannelP c) { took(std::move(c)); });
     for (Addr const& s : h_.st.seeds) mate(s.ip);
     control_ = serve("control", [](evhttp_request* r, void* p) { static_cast<Archivist*>(p)->control(r); });
     directory_ = serve("directory", [](evhttp_request* r, void* p) { static_cast<Archivist*>(p)->sites_.directory(r); });
     start_ = now_s();
     finish_at_ = start_ + 0.2 + 0.6 * random01();
-    join_at_ = start_ + 0.3 + 1.2 * random01();
     if (h_.committed) {
       show(nullptr, *h_.committed);
       duties_.duties_see(start_);
@@ -61,6 +62,7 @@
     if (h_.leaving > 0) return;
     h_.leaving = now_s();
     duties_.leave();
+    members_->term(h_.leaving);
   }
 
  private:
@@ -79,22 +81,22 @@
     std::string const life = h_.vellum->meta("life");
     bool const seed = std::any_of(h_.st.seeds.begin(), h_.st.seeds.end(), [&](Addr const& a) { return a.ip == h_.st.ip; });
     Life l;
-    bool whole = false;
+    std::string whole = "0";
     std::optional<State> s;
     Ballot promised;
     std::vector<Vellum::Op> first;
     if (!life.empty()) {
       l = Life(std::strtoull(life.c_str(), nullptr, 10));
-      whole = h_.vellum->meta("whole") == "1";
+      whole = h_.vellum->meta("whole");
       if (std::string const p = h_.vellum->meta("promised"); !p.empty()) promised = Ballot(std::strtoull(p.c_str(), nullptr, 10));
       if (std::string const v = h_.vellum->meta("state"); !v.empty()) s = codec::unpack<State>(v);
     } else {
       // An empty disk is a new member, unless the system itself begins here.
       bool const founder = h_.st.bootstrap && seed;
       l = founder ? Life(1) : Life((random64() >> 2) | 2);
-      whole = founder;
+      if (founder) whole = KeyDesk::founder();
       first.push_back(Vellum::put_meta("life", std::to_string(l.v)));
-      first.push_back(Vellum::put_meta("whole", whole ? "1" : "0"));
+      first.push_back(Vellum::put_meta("whole", whole));
     }
     if (!s && h_.st.bootstrap) {
       State f;
@@ -340,7 +342,7 @@
       }
       case Kind::sites: sites_.mate_sites(p.hello.ip, l.as<SiteNote>(), now); break;
       case Kind::join:
-        if (h_.committed && h_.born && h_.leaving == 0) admit(l.as<Member>());
+        if (h_.committed && h_.born && h_.leaving == 0) members_->admit(l.as<Member>());
         break;
       case Kind::sitesAsk: sites_.whole_for(*p.ch, now); break;
       case Kind::tally: duties_.join(l.as<TallyNote>()); break;
@@ -603,38 +605,6 @@
     if (h_.mates.count(from) > 0 && h_.mates[from].link) h_.mates[from].link->send(Kind::pull, 0, Pull{bal()});
   }
 
-  void admit(Member const& me) {
-    submit([me](State& s) { return s.admit(me); }, [](State const*) {}, 2.0);
-  }
-  // Who takes others in: the first of the roster that is up, ourselves counted; "": we do.
-  std::string usher() const {
-    for (Member const& m : h_.committed->roster)
-      if (h_.up(m.ip)) return m.ip == h_.st.ip ? std::string() : m.ip;
-    return "";
-  }
-
-  void join_roster(Secs now) {
-    if (!h_.committed || !h_.born || now < join_at_) return;
-    Member const* m = h_.committed->member(h_.st.ip);
-    if (m != nullptr && m->life == h_.acceptor->life() && !m->zone.empty() && m->whole == keys_->ledger().whole()) return;
-    join_at_ = now + 0.6 + 0.6 * random01();
-    Member me;
-    me.ip = h_.st.ip;
-    me.life = h_.acceptor->life();
-    me.zone = h_.st.zone;
-    me.region = h_.st.region;
-    me.control = control_port();
-    me.whole = keys_->ledger().whole();
-    // One node brings many joins through in one round; who waits in vain does it itself.
-    if (std::string const by = usher(); !asked_usher_ && !by.empty()) {
-      asked_usher_ = true;
-      h_.mates[by].link->send(Kind::join, 0, me);
-      return;
-    }
-    asked_usher_ = false;
-    admit(me);
-  }
-
   // ---- HTTP ----------------------------------------------------------------------------
   evhttp* serve(char const* what, void (*cb)(evhttp_request*, void*)) {
     auto const it = h_.st.bind.find(what);
@@ -717,6 +687,7 @@
       std::string const pre = servers ? "/-/Rotation." : "/-/Drain.";
       if (uri.compare(0, pre.size(), pre) == 0) return drains_.call(r, uri.substr(pre.size()), servers, post, body);
     }
+    if (is("/-/Member.", rest)) return members_->call(r, rest, post);
     if (uri == "/-/Survey") return surveys_.survey_call(r);
     if (uri == "/-/Status") return h_.write(r, CallRet{200, status()});
     h_.write(r, fault(404, "no such call"));
@@ -777,20 +748,7 @@
     w.Bool(keys_->ledger().whole());
     w.Key("keys");
     w.Uint64(keys_->ledger().size());
-    w.Key("members");
-    w.StartArray();
-    if (h_.committed)
-      for (Member const& m : h_.committed->roster) {
-        w.StartObject();
-        w.Key("address");
-        w.String(m.ip.c_str());
-        w.Key("zone");
-        w.String(m.zone.c_str());
-        w.Key("up");
-        w.Bool(h_.up(m.ip));
-        w.EndObject();
-      }
-    w.EndArray();
+    members_->write_members(w);
     w.Key("items");
     w.StartArray();
     if (h_.committed)
@@ -916,7 +874,7 @@
     duties_.tick(now);
     drains_.tick(now);
     sites_.tell_sites(now);
-    join_roster(now);
+    members_->tick(now);
     keys_->rebuild(now);
     // A value accepted but not known to be committed is brought to an end.
     if (h_.acceptor->state() && h_.acceptor->state()->bal > bal()) {
@@ -947,7 +905,7 @@
       if (std::string const t = sent_by_kind(); !t.empty()) LOG4CPLUS_INFO(lg_, "Sent by kind, letters/bytes: " << t << ".");
     }
     bool const duty = duties_.handing();
-    if (h_.leaving > 0 && ((calls_.empty() && batch_.empty() && !duty && now - h_.leaving > 0.5) || now - h_.leaving > h_.st.bounds.gracePeriodS - 1.5)) event_base_loopbreak(h_.eb);
+    if (h_.leaving > 0 && ((calls_.empty() && batch_.empty() && !duty && !members_->holds_up(now) && now - h_.leaving > 0.5) || now - h_.leaving > h_.st.bounds.gracePeriodS - 1.5)) event_base_loopbreak(h_.eb);
   }
 
   House h_;
@@ -958,6 +916,7 @@
   SurveyDesk surveys_;
   DrainDesk drains_;
   std::unique_ptr<KeyDesk> keys_;
+  std::unique_ptr<MemberDesk> members_;
   Proposer proposer_;
   Door door_;
   std::deque<Call> calls_;
@@ -973,8 +932,8 @@
   Ballot way_for_;
   Secs way_until_ = 0;
   Secs measured_ = 0;
-  bool asked_usher_ = false, warned_ = false;
-  Secs start_ = 0, finish_at_ = 0, join_at_ = 0, next_round_ = 0, slow_at_ = 0, last_tick_ = 0;
+  bool warned_ = false;
+  Secs start_ = 0, finish_at_ = 0, next_round_ = 0, slow_at_ = 0, last_tick_ = 0;
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("archivist");
 };
 
--- a/tests/register_test.cpp
+++ b/tests/register_test.cpp
@@ -62,6 +62,7 @@
   cr_assert(s.admit(d));
   cr_assert(s.admit(e));
   cr_assert_not(s.admit(f), "3 whole disks of 6 are no majority");
+  d = *s.member(d.ip);  // what it says of its keys names its membership
   d.whole = true;
   cr_assert(s.admit(d));
   cr_assert(s.admit(f));
