--- a/packages/register/acceptor.cpp
+++ b/packages/register/acceptor.cpp
@@ -20,7 +20,7 @@
       r.state = codec::pack(*st_);
     }
   }
-  return {true};
+  return {true, {}};
 }
 
 Acceptor::Step Acceptor::accept(Acc const& a, AccR& r) {
@@ -31,7 +31,7 @@
   if (a.bal < promised_) return {};
   if (st_ && st_->bal == a.bal) {  // a repeat of what stands
     r.ok = true;
-    return {true};
+    return {true, {}};
   }
   if (st_ && st_->bal > a.bal) return {};
   RowDiff d;
@@ -78,6 +78,7 @@
     h.epoch = st_->epoch;
     h.open = st_->open;
     h.to_fix = st_->to_fix;
+    h.widest = st_->widest;
   }
   h.sum = sum_.sum;
   h.count = sum_.count;
--- a/packages/register/include/register/store.hpp
+++ b/packages/register/include/register/store.hpp
@@ -28,7 +28,7 @@
   bool fresh = false;  // nothing was ever written here
   std::optional<Head> head;
   std::optional<State> value;
-  bool keys_whole = false;
+  u64 keys_filled = 0;  // the membership in which the keys became whole, plus one; 0: they are not
   std::vector<DiskKey> keys;
   std::vector<std::string> servers;
   std::vector<std::pair<std::string, std::size_t>> answers;  // key, bytes
@@ -52,8 +52,9 @@
     o.v = std::move(v);
     return o;
   }
-  // Meta `whole` is this word once the disk holds all keys; no flip of a bit makes it.
-  static char const* whole_word() { return "whole"; }
+  // Meta `whole` once the disk holds all keys of that membership (OnDisk::keys_filled); no flip
+  // of a bit makes it.
+  static std::string whole_word(u64 filled) { return sealed(std::to_string(filled)); }
   struct Write {
     std::vector<Op> ops;
     std::optional<VoteWrite> vote;
--- a/packages/register/rows.cpp
+++ b/packages/register/rows.cpp
@@ -49,6 +49,10 @@
   static std::string key(Member const& m) { return "w/" + m.ip; }
   static ValueRow row(Member const& m, std::size_t at) { return placed(key(m), m, at); }
 };
+struct RetiredRows {
+  static std::string key(Retired const& r) { return "r/" + r.ip + "/" + digits(r.life.v); }
+  static ValueRow row(Retired const& r, std::size_t at) { return placed(key(r), r, at); }
+};
 struct TermRows {
   static std::string key(Term const& t) { return "t/" + t.duty; }
   static ValueRow row(Term const& t, std::size_t at) {
@@ -145,6 +149,7 @@
   between<EvacRows>(a.evacs, b.evacs, d);
   between<MemberRows>(a.roster, b.roster, d);
   between<WasRows>(a.was, b.was, d);
+  between<RetiredRows>(a.retired, b.retired, d);
   between<TermRows>(a.duties, b.duties, d);
   between<CounterRows>(a.duties, b.duties, d);
   between<FixedRows>(a.fixed, b.fixed, d);
@@ -204,6 +209,7 @@
   bool const units = d.passes_set || !d.units.empty();
   if (d.evacs_set) was.evacs = st.evacs;
   if (d.roster_set) was.roster = st.roster;
+  if (d.roster_set) was.retired = st.retired;
   if (d.was_set) was.was = st.was;
   if (d.duties_set) was.duties = st.duties;
   if (d.fixed_set) was.fixed = st.fixed;
@@ -231,6 +237,7 @@
   auto all = [&] {
     lend(d.evacs_set, &State::evacs);
     lend(d.roster_set, &State::roster);
+    lend(d.roster_set, &State::retired);
     lend(d.was_set, &State::was);
     lend(d.duties_set, &State::duties);
     lend(d.fixed_set, &State::fixed);
@@ -248,6 +255,7 @@
   State s;
   std::vector<Slot<Evac>> evacs;
   std::vector<Slot<Member>> roster, left;
+  std::vector<Slot<Retired>> retired;
   std::vector<Slot<Term>> duties;
   std::vector<Slot<Pass>> passes;
   std::vector<Slot<Unit>> units;
@@ -268,6 +276,7 @@
       case 'e': read_placed(r, evacs); break;
       case 'm': read_placed(r, roster); break;
       case 'w': read_placed(r, left); break;
+      case 'r': read_placed(r, retired); break;
       case 't': read_placed(r, duties); break;
       case 'n': counters[name] = codec::unpack<Count>(r.body).n; break;
       case 'f': s.fixed.push_back(codec::unpack<FixedWindow>(r.body)); break;
@@ -282,6 +291,7 @@
   s.evacs = in_place(std::move(evacs));
   s.roster = in_place(std::move(roster));
   s.was = in_place(std::move(left));
+  s.retired = in_place(std::move(retired));
   s.duties = in_place(std::move(duties));
   s.passes = in_place(std::move(passes));
   s.units = in_place(std::move(units));
@@ -291,6 +301,7 @@
   s.epoch = h.epoch;
   s.open = h.open;
   s.to_fix = h.to_fix;
+  s.widest = h.widest;
   return s;
 }
 
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -14,6 +14,7 @@
 #include "desks/drains.hpp"
 #include "desks/duties.hpp"
 #include "desks/keys.hpp"
+#include "desks/members.hpp"
 #include "desks/register.hpp"
 #include "desks/rollouts.hpp"
 #include "desks/servers.hpp"
@@ -39,13 +40,13 @@
       drains_.see();
       if (moved) keys_->roster_changed();
     });
-    keys_->on_whole.connect([this] { join_at_ = 0; });
+    members_ = std::make_unique<MemberDesk>(h_, *keys_, now_s());
+    keys_->on_whole.connect([this] { members_->hurry(); });
     door_.on_channel.connect([this](ChannelP c) { took(std::move(c)); });
     for (Addr const& s : h_.st.seeds) mate(s.ip);
     control_ = serve("control", [](evhttp_request* r, void* p) { static_cast<Archivist*>(p)->control(r); });
     directory_ = serve("directory", [](evhttp_request* r, void* p) { static_cast<Archivist*>(p)->sites_.directory(r); });
     start_ = now_s();
-    join_at_ = start_ + 0.3 + 1.2 * random01();
     register_.show_first();
     tick_ = std::make_unique<Ticker>(eb, 0.1, [this] { tick(); });
   }
@@ -60,6 +61,7 @@
     if (h_.leaving > 0) return;
     h_.leaving = now_s();
     duties_.leave();
+    members_->term(h_.leaving);
   }
 
  private:
@@ -76,7 +78,7 @@
       event_base_loopbreak(h_.eb);
     });
     OnDisk const d = register_.open();
-    keys_ = std::make_unique<KeyDesk>(h_, d.keys_whole);
+    keys_ = std::make_unique<KeyDesk>(h_, d.keys_filled);
     keys_->load(d.keys, d.answers);
     try {  // what the beats bring anew, if it can't be read
       for (std::string const& r : d.servers) servers_.roll().load(codec::unpack<Row>(r), now_s());
@@ -230,7 +232,7 @@
       }
       case Kind::sites: sites_.mate_sites(p.hello.ip, l.as<SiteNote>(), now); break;
       case Kind::join:
-        if (h_.committed && h_.born && h_.leaving == 0) admit(l.as<Member>());
+        if (h_.committed && h_.born && h_.leaving == 0) members_->admit(l.as<Member>());
         break;
       case Kind::sitesAsk: sites_.whole_for(*p.ch, now); break;
       case Kind::tally: duties_.join(l.as<TallyNote>()); break;
@@ -261,38 +263,6 @@
   // ---- register ----------------------------------------------------------------------
   void submit(std::function<bool(State&)> change, std::function<void(State const*)> done, Secs patience) { register_.submit(std::move(change), std::move(done), patience); }
 
-  void admit(Member const& me) {
-    submit([me](State& s) { return s.admit(me); }, [](State const*) {}, 2.0);
-  }
-  // Who takes others in: the first of the roster that is up, ourselves counted; "": we do.
-  std::string usher() const {
-    for (Member const& m : h_.committed->roster)
-      if (h_.up(m.ip)) return m.ip == h_.st.ip ? std::string() : m.ip;
-    return "";
-  }
-
-  void join_roster(Secs now) {
-    if (!h_.committed || !h_.born || now < join_at_) return;
-    Member const* m = h_.committed->member(h_.st.ip);
-    if (m != nullptr && m->life == h_.acceptor->life() && !m->zone.empty() && m->whole == keys_->ledger().whole()) return;
-    join_at_ = now + 0.6 + 0.6 * random01();
-    Member me;
-    me.ip = h_.st.ip;
-    me.life = h_.acceptor->life();
-    me.zone = h_.st.zone;
-    me.region = h_.st.region;
-    me.control = control_port();
-    me.whole = keys_->ledger().whole();
-    // One node brings many joins through in one round; who waits in vain does it itself.
-    if (std::string const by = usher(); !asked_usher_ && !by.empty()) {
-      asked_usher_ = true;
-      h_.mates[by].link->send(Kind::join, 0, me);
-      return;
-    }
-    asked_usher_ = false;
-    admit(me);
-  }
-
   // ---- HTTP ----------------------------------------------------------------------------
   evhttp* serve(char const* what, void (*cb)(evhttp_request*, void*)) {
     auto const it = h_.st.bind.find(what);
@@ -375,6 +345,7 @@
       std::string const pre = servers ? "/-/Rotation." : "/-/Drain.";
       if (uri.compare(0, pre.size(), pre) == 0) return drains_.call(r, uri.substr(pre.size()), servers, post, body);
     }
+    if (is("/-/Member.", rest)) return members_->call(r, rest, post);
     if (uri == "/-/Survey") return surveys_.survey_call(r);
     if (uri == "/-/Status") return h_.write(r, CallRet{200, status()});
     h_.write(r, fault(404, "no such call"));
@@ -435,20 +406,7 @@
     w.Bool(keys_->ledger().whole());
     w.Key("keys");
     w.Uint64(keys_->ledger().size());
-    w.Key("members");
-    w.StartArray();
-    if (h_.committed)
-      for (Member const& m : h_.committed->roster) {
-        w.StartObject();
-        w.Key("address");
-        w.String(m.ip.c_str());
-        w.Key("zone");
-        w.String(m.zone.c_str());
-        w.Key("up");
-        w.Bool(h_.up(m.ip));
-        w.EndObject();
-      }
-    w.EndArray();
+    members_->write_members(w);
     w.Key("items");
     w.StartArray();
     if (h_.committed)
@@ -568,7 +526,7 @@
     duties_.tick(now);
     drains_.tick(now);
     sites_.tell_sites(now);
-    join_roster(now);
+    members_->tick(now);
     keys_->rebuild(now);
     register_.finish(now);
     if (now - slow_at_ < 0.6) return;
@@ -590,7 +548,7 @@
       if (std::string const t = sent_by_kind(); !t.empty()) LOG4CPLUS_INFO(lg_, "Sent by kind, letters/bytes: " << t << ".");
     }
     bool const duty = duties_.handing();
-    if (h_.leaving > 0 && ((register_.quiet() && !duty && now - h_.leaving > 0.5) || now - h_.leaving > h_.st.bounds.gracePeriodS - 1.5)) event_base_loopbreak(h_.eb);
+    if (h_.leaving > 0 && ((register_.quiet() && !duty && !members_->holds_up(now) && now - h_.leaving > 0.5) || now - h_.leaving > h_.st.bounds.gracePeriodS - 1.5)) event_base_loopbreak(h_.eb);
   }
 
   House h_;
@@ -601,13 +559,14 @@
   SurveyDesk surveys_;
   DrainDesk drains_;
   std::unique_ptr<KeyDesk> keys_;
+  std::unique_ptr<MemberDesk> members_;
   RegisterDesk register_;
   Door door_;
   evhttp *control_ = nullptr, *directory_ = nullptr;
   std::unique_ptr<Ticker> tick_;
   Secs measured_ = 0;
-  bool asked_usher_ = false, warned_ = false;
-  Secs start_ = 0, join_at_ = 0, slow_at_ = 0, last_tick_ = 0;
+  bool warned_ = false;
+  Secs start_ = 0, slow_at_ = 0, last_tick_ = 0;
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("archivist");
 };
 
