Claims on keys as a core without I/O; answers fenced by connection, holder and roster

Cause: the agent matched votes and first answers by a tag alone, and a tag begins anew with the process. Mended after reading, without a test of their own: a survey was answered to whoever asked last; an answer to an earlier keepalive or digest was taken for the newest one's and told the time wrongly; a hand-over meant for an earlier holder of a duty was carried out by the next.

Whoever releases claims no more. keys.first_come_and_only_one let a holder claim again after its own release, which no agent does: now that claim is refused and a third one gets the key.

What is dropped is counted, logged, and shown in `dockbend status`.

--- a/packages/catalog/include/catalog/catalog.hpp
+++ b/packages/catalog/include/catalog/catalog.hpp
@@ -20,6 +20,7 @@
   u64 channel = 0;   // of the site's own registration here; 0: told by a mate
   std::string via;   // the directory that is the site's primary; empty: this one
   DrainWord drain;   // what it says of itself while it is being drained
+  u64 strays = 0;        // what its agent dropped because no open question fits it
   bool current = false;  // it holds the configuration in force, as far as is known
 };
 
--- a/packages/desks/include/desks/duties.hpp
+++ b/packages/desks/include/desks/duties.hpp
@@ -146,6 +146,7 @@
     DutyCmd c;
     c.duty = duty;
     c.node = node;
+    c.fence = t->fence;
     h_.mates[t->ip].link->send(Kind::dutyCmd, 0, c);
     h_.write(r, CallRet{200, "{}"});
   }
@@ -232,7 +233,11 @@
     return x;
   }
   void told(DutyCmd const& c) {
-    if (auto const it = duties_.find(c.duty); it != duties_.end()) it->second.hand_over(c.node);
+    auto const it = duties_.find(c.duty);
+    if (it == duties_.end()) return;
+    // Meant for a term that is over: whoever has the duty now was not spoken of.
+    if (c.fence != it->second.fence()) return h_.strays.drop(Stray::term);
+    it->second.hand_over(c.node);
   }
   void mate_clock(std::string const& ip, Secs steady, Wall said) { clock_.mate(ip, steady, said); }
   void join(TallyNote const& n) {
--- a/packages/desks/include/desks/house.hpp
+++ b/packages/desks/include/desks/house.hpp
@@ -14,6 +14,7 @@
 #include "register/vellum.hpp"
 #include "stacks/log.hpp"
 #include "stacks/program.hpp"
+#include "stacks/strays.hpp"
 
 namespace dockbend {
 
@@ -33,6 +34,7 @@
   std::unique_ptr<Link> link;  // null: ourselves
   Mismatch off;
   Secs pulled = 0, digest_sent = 0;
+  u32 digests = 0;  // names the newest; an answer to an earlier one tells no time
   bool fit = false;  // may take a duty over at once
   std::string node;
   std::vector<std::string> told_known;  // mates we named to it last
@@ -63,6 +65,7 @@
   std::map<u64, Peer> peers;
   std::map<std::string, Unit> out;  // units of passes that are cordoned or further, not back, by name
   bool born = false;  // our disk's life is on disk
+  Strays strays;      // what was dropped here because no open question fits it
   Secs leaving = 0;   // since when; 0: we stay
   // Brings a change to the register; done gets the value, or null if it is not known
   // to stand.
--- a/packages/desks/include/desks/keys.hpp
+++ b/packages/desks/include/desks/keys.hpp
@@ -57,16 +57,18 @@
   void claim(ChannelP const& ch, u32 tag, Claim const& c) {
     ClaimR r;
     r.life = h_.acceptor->life();
-    if (c.life != r.life || !h_.born) return;
+    if (c.life != r.life) return h_.strays.drop(Stray::disk_life);
+    if (!h_.born) return;
     Epoch const mine = h_.acceptor->state() ? h_.acceptor->state()->epoch : Epoch(~0ULL);
+    u64 const late = ledger_.late();
     if (ledger_.claim(c, mine, now_s(), r) != Say::granted) {
+      h_.strays.drop(Stray::late_claim, ledger_.late() - late);
       ch->send(Kind::claimR, tag, r);
       return;
     }
     std::weak_ptr<Channel> const w = ch;
     h_.vellum->submit({key_op(c.key, c.holder, false)}, [this, w, tag, r, key = c.key, holder = c.holder](bool ok) {
-      ledger_.written(key, holder, ok);
-      if (!ok) return;
+      if (!ledger_.written(key, holder, ok)) return;
       if (auto const cp = w.lock()) cp->send(Kind::claimR, tag, r);
     });
   }
--- a/packages/desks/include/desks/sites.hpp
+++ b/packages/desks/include/desks/sites.hpp
@@ -152,6 +152,7 @@
     if (b.front.empty() || h_.st.region_of(b.zone) != b.region) return;
     Site s = site_of(b, now);
     s.channel = p.ch->id();
+    s.strays = b.strays;
     s.current = b.bal >= h_.view.bal;
     if (b.primary) {
       fresh_sites_.insert(b.front);
--- a/packages/duty/include/duty/duty.hpp
+++ b/packages/duty/include/duty/duty.hpp
@@ -12,8 +12,8 @@
   Secs renew = 1.0;
 };
 
-struct DutyCmd {  // an operator's word to the holder
-  DB_RECORD(DutyCmd, (std::string, duty), (std::string, node));
+struct DutyCmd {  // an operator's word to the holder of that fence
+  DB_RECORD(DutyCmd, (std::string, duty), (std::string, node), (u64, fence));
 };
 
 // One node's part in one duty. Invariants:
--- a/packages/gossip/include/gossip/roll.hpp
+++ b/packages/gossip/include/gossip/roll.hpp
@@ -80,10 +80,11 @@
 struct DrainSaid {
   DB_RECORD(DrainSaid, (u32, stage), (u64, life));
 };
-// Registration and keepalive. primary: this directory tells the others of the site.
+// Registration and keepalive. primary: this directory tells the others of the site. strays:
+// what its agent has dropped because no open question fits it.
 struct SiteBeat {
   DB_RECORD(SiteBeat, (std::string, front), (std::string, zone), (std::string, region), (bool, ready),
-                           (double, load), (Ballot, bal), (bool, primary), (DrainWord, drain));
+                           (double, load), (Ballot, bal), (bool, primary), (DrainWord, drain), (u64, strays));
 };
 // What a directory tells its mates of the sites it is the primary of. age: since the
 // site was last heard, so that a row ends when it would have ended there.
--- a/packages/keys/include/keys/ask.hpp
+++ b/packages/keys/include/keys/ask.hpp
@@ -10,8 +10,9 @@
 struct Ask {
   DB_RECORD(Ask, (std::string, key), (u64, holder), (u32, work_ms), (std::vector<std::string>, homes));
 };
+// holder: whose ask this answers; a tag alone may be another's by now.
 struct AskR {
-  DB_RECORD(AskR, (Leave, leave), (std::string, ret));
+  DB_RECORD(AskR, (Leave, leave), (std::string, ret), (u64, holder));
 };
 enum class Outcome : u8 { not_run = 1, returned = 2, lost = 3 };
 struct Told {
--- a/packages/keys/include/keys/ledger.hpp
+++ b/packages/keys/include/keys/ledger.hpp
@@ -1,7 +1,9 @@
 // One disk's part of the keys: who holds a key. First come, and only one.
 #pragma once
 #include "stacks/record.hpp"
+#include <deque>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "stacks/codec.hpp"
 
@@ -12,6 +14,7 @@
 struct Claim {
   DB_RECORD(Claim, (std::string, key), (u64, holder), (Epoch, epoch), (Life, life), (u32, work_ms));
 };
+// holder: whose claim this answers.
 struct ClaimR {
   DB_RECORD(ClaimR, (Say, say), (u64, holder), (Epoch, epoch), (Life, life), (bool, at_work));
 };
@@ -56,9 +59,12 @@
 
   // granted: put it on disk, then call durable() and reply.
   Say claim(Claim const& c, Epoch mine, Secs now, ClaimR& r);
-  // The write of this holder's entry came to its end.
-  void written(std::string const& key, u64 holder, bool ok);
+  // The write of this holder's entry came to its end; true: the grant stands and may be
+  // said. It may have been released, and given to another, while it was written.
+  bool written(std::string const& key, u64 holder, bool ok);
+  // Whoever released claims no more: a claim of it that comes later was overtaken.
   bool release(Release const& r);
+  u64 late() const { return late_; }  // claims that their release had overtaken
   static constexpr u64 nobody = 0;
   // The holder to keep on disk.
   u64 seal(std::string const& key, u64 holder, Secs now);
@@ -71,8 +77,12 @@
   std::size_t size() const { return m_.size(); }
 
  private:
+  static constexpr std::size_t most_given_up = 4096;
   bool whole_;
   std::unordered_map<std::string, Entry> m_;
+  std::unordered_set<u64> given_up_;  // holders that released lately, the newest of them
+  std::deque<u64> given_up_order_;
+  u64 late_ = 0;
 };
 
 // The asker's side: counts grants until a majority of one epoch's roster holds.
--- a/packages/keys/ledger.cpp
+++ b/packages/keys/ledger.cpp
@@ -6,8 +6,13 @@
 
 Say Ledger::claim(Claim const& c, Epoch mine, Secs now, ClaimR& r) {
   r.epoch = mine;
+  r.holder = c.holder;
   if (!whole_) return r.say = Say::unready;
   if (c.epoch != mine) return r.say = Say::epoch;
+  if (given_up_.count(c.holder) > 0) {  // its release overtook it
+    ++late_;
+    return r.say = Say::held;
+  }
   auto const [it, fresh] = m_.try_emplace(c.key);
   Entry& e = it->second;
   if (fresh) {
@@ -17,23 +22,31 @@
     return r.say = Say::granted;
   }
   if (e.holder == c.holder && !e.sealed) return r.say = Say::granted;
-  r.holder = e.holder;
   r.at_work = now < e.work_until;
   return r.say = Say::held;
 }
 
-void Ledger::written(std::string const& key, u64 holder, bool ok) {
+bool Ledger::written(std::string const& key, u64 holder, bool ok) {
   auto const it = m_.find(key);
-  if (it == m_.end() || it->second.holder != holder) return;
+  if (it == m_.end() || it->second.holder != holder) return false;
   if (ok)
     it->second.durable = true;
   else if (!it->second.durable)
     m_.erase(it);
+  return ok;
 }
 
 bool Ledger::release(Release const& r) {
+  if (r.holder == nobody) return false;
+  if (given_up_.insert(r.holder).second) {
+    given_up_order_.push_back(r.holder);
+    if (given_up_order_.size() > most_given_up) {
+      given_up_.erase(given_up_order_.front());
+      given_up_order_.pop_front();
+    }
+  }
   auto const it = m_.find(r.key);
-  if (it == m_.end() || it->second.holder != r.holder || r.holder == nobody) return false;
+  if (it == m_.end() || it->second.holder != r.holder) return false;
   m_.erase(it);
   return true;
 }
@@ -92,6 +105,7 @@
       if (r.epoch == epoch_) add(yes_);
       break;
     case Say::held:
+      if (r.epoch != epoch_) break;
       at_work_ = at_work_ || r.at_work;
       add(no_);
       break;
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -161,6 +161,7 @@
   // Where else to try; asked anew each time.
   void relays(std::function<std::vector<Addr>()> f) { relays_ = std::move(f); }
   Channel* ch() { return up() ? ch_.get() : nullptr; }
+  u64 connection() const { return ch_ ? ch_->id() : 0; }  // no second one in this process has it
   Addr const& to() const { return to_; }
   template <codec::Record T>
   void send(Kind k, u32 tag, T const& x) {
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -217,7 +217,8 @@
       case Kind::rebuildR: keys_->rebuilt(ip, l.as<RebuildR>()); break;
       case Kind::digestR: {
         Digest const d = l.as<Digest>();
-        if (d.wall > 0 && m.digest_sent > 0) duties_.mate_clock(ip, 0.5 * (m.digest_sent + now_s()), d.wall);
+        if (l.tag != m.digests) h_.strays.drop(Stray::no_question);
+        else if (d.wall > 0) duties_.mate_clock(ip, 0.5 * (m.digest_sent + now_s()), d.wall);
         digest(ip, d);
         break;
       }
@@ -309,7 +310,7 @@
       case Kind::rows: servers_.rows(l.as<News>().rows, p.hello.ip); break;
       case Kind::digest: {
         Digest const d = l.as<Digest>();
-        p.ch->send(Kind::digestR, 0, own_digest(false));
+        p.ch->send(Kind::digestR, l.tag, own_digest(false));
         if (h_.mates.count(p.hello.ip) > 0 && h_.mates[p.hello.ip].link) digest(p.hello.ip, d);
         break;
       }
@@ -327,7 +328,7 @@
           p.counts_told = sites_.turn();
           r.sites = sites_.counted();
         }
-        p.ch->send(Kind::beatR, 0, r);
+        p.ch->send(Kind::beatR, l.tag, r);
         break;
       }
       case Kind::feed: {
@@ -777,6 +778,13 @@
     w.Bool(keys_->ledger().whole());
     w.Key("keys");
     w.Uint64(keys_->ledger().size());
+    w.Key("dropped");  // what no open question fitted, by reason
+    w.StartObject();
+    h_.strays.each([&](Stray s, u64 n) {
+      w.Key(name_of(s));
+      w.Uint64(n);
+    });
+    w.EndObject();
     w.Key("members");
     w.StartArray();
     if (h_.committed)
@@ -840,6 +848,10 @@
       w.Bool(s.ready);
       w.Key("load");
       w.Double(s.load);
+      if (s.strays > 0) {
+        w.Key("dropped");
+        w.Uint64(s.strays);
+      }
       w.EndObject();
     }
     w.EndArray();
@@ -882,7 +894,7 @@
       m.digest_sent = now;
       // Who is known is told again only when that changed.
       bool const told = m.told_known == d.mates;
-      m.link->send(Kind::digest, 0, told ? quiet : d);
+      m.link->send(Kind::digest, ++m.digests, told ? quiet : d);
       m.told_known = d.mates;
     }
   }
@@ -945,6 +957,7 @@
     if (now - measured_ > 10) {
       measured_ = now;
       if (std::string const t = sent_by_kind(); !t.empty()) LOG4CPLUS_INFO(lg_, "Sent by kind, letters/bytes: " << t << ".");
+      if (std::string const t = h_.strays.news(); !t.empty()) LOG4CPLUS_INFO(lg_, "Dropped, for no open question fits: " << t << ".");
     }
     bool const duty = duties_.handing();
     if (h_.leaving > 0 && ((calls_.empty() && batch_.empty() && !duty && now - h_.leaving > 0.5) || now - h_.leaving > h_.st.bounds.gracePeriodS - 1.5)) event_base_loopbreak(h_.eb);
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -590,6 +590,7 @@
     auto const it = asks_.find(tag);
     if (it == asks_.end()) return;
     Errand* const e = slab_.get(it->second);
+    if (e != nullptr && a.holder != e->holder) return;  // the answer to another ask
     asks_.erase(it);
     if (e == nullptr || !e->asking) return;
     e->asking = false;
--- a/programs/page.cpp
+++ b/programs/page.cpp
@@ -9,8 +9,9 @@
 #include <set>
 
 #include "allowance/allowance.hpp"
+#include "atlas/survey.hpp"
 #include "gossip/roll.hpp"
-#include "keys/ask.hpp"
+#include "keys/claims.hpp"
 #include "register/state.hpp"
 #include "rollout/rollout.hpp"
 #include "stacks/log.hpp"
@@ -26,34 +27,13 @@
   bool feeding = false;
   Mismatch off;
   Secs pulled = 0, beat_sent = 0, hello_sent = 0, behind = 0;  // behind: since when it names a newer manifest
+  u32 beats = 0;  // names the newest keepalive; an answer to an earlier one tells no time
 
   double rtt = 0.1;
   std::map<std::string, u32> sites;
   Life life;
 };
 
-// One claim on its way. Invariant: `sent` names every disk that may hold a grant
-// of this holder.
-struct Job {
-  std::string key;
-  u64 holder = 0;
-  u32 work_ms = 0, tag = 0;
-  std::vector<std::string> homes;
-  std::weak_ptr<Channel> to;
-  std::unique_ptr<Quest> q;
-  std::set<std::string> sent, asked;  // asked: in this quest
-  Secs start = 0, widen_at = 0, end_at = 0;
-  bool fetching = false, at_work = false, widened = false;
-  std::size_t fetch_left = 0;
-  Secs fetch_end = 0;
-};
-
-struct Held {
-  std::string key;
-  std::set<std::string> sent;
-  Secs since = 0;
-};
-
 // The keepalive of the design: 5 s and three misses to begin with. Here a site's
 // machine may be gone between two breaths, and a list that still names it costs its
 // zone everything, so it is shorter.
@@ -61,7 +41,7 @@
 
 class Agent {
  public:
-  Agent(event_base* eb, Settings const& st) : eb_(eb), st_(st), door_(eb, Addr{"127.0.0.1", st.agent()}) {
+  Agent(event_base* eb, Settings const& st) : eb_(eb), st_(st), door_(eb, Addr{"127.0.0.1", st.agent()}), claims_(st.zone, st.region, st.nodeName) {
     door_.on_channel.connect([this](ChannelP c) { took(std::move(c)); });
     for (Addr const& s : st_.seeds) mate(s.ip);
     if (st_.relay() != 0) {
@@ -107,22 +87,24 @@
       mates_[ip].hello_sent = now_s();
       feeds();
       if (mates_[ip].feeding) beat(ip, mates_[ip]);
+      claims_.up(ip, l.connection());
+      say_claims();
     });
     m.link->on_down.connect([this, ip](Link&) {
       Mate& x = mates_[ip];
       x.feeding = false;
       x.off.reset();
       x.sites.clear();
+      claims_.down(ip);
+      say_claims();
       if (ip == primary_) {
         primary_.clear();
         tally_all_ = true;  // whoever told the others of our counts may have lost them
         feeds();
         beat_all();
       }
-      for (auto& [id, j] : jobs_)
-        if (!j.fetching) j.widen_at = 0;
     });
-    m.link->on_letter.connect([this, ip](Link&, Letter const& l) { letter(ip, l); });
+    m.link->on_letter.connect([this, ip](Link& k, Letter const& l) { letter(ip, k, l); });
     return m;
   }
 
@@ -137,13 +119,10 @@
   }
 
   // Up mates, nearest first; among equals an order that differs from page to page.
-  std::vector<std::string> by_distance(bool members_only) const {
+  std::vector<std::string> by_distance() const {
     std::vector<std::pair<std::pair<int, u64>, std::string>> v;
-    for (auto const& [ip, m] : mates_) {
-      if (!m.link->up()) continue;
-      if (members_only && state_.member(ip) == nullptr) continue;
-      v.push_back({{tier(ip), hash64(ip + st_.nodeName)}, ip});
-    }
+    for (auto const& [ip, m] : mates_)
+      if (m.link->up()) v.push_back({{tier(ip), hash64(ip + st_.nodeName)}, ip});
     std::sort(v.begin(), v.end());
     std::vector<std::string> out;
     for (auto const& x : v) out.push_back(x.second);
@@ -160,8 +139,9 @@
     b.bal = have_ ? state_.bal : Ballot();
     b.primary = ip == primary_;
     if (said_.stage > 0) b.drain = word_;
+    b.strays = claims_.strays().all();
     m.beat_sent = now_s();
-    m.link->send(Kind::beat, 0, b);
+    m.link->send(Kind::beat, ++m.beats, b);
   }
   // The site registers with the directories that feed it; the nearest tells the rest.
   void beat_all() {
@@ -169,7 +149,7 @@
       if (m.feeding && m.link->up()) beat(ip, m);
   }
 
-  void letter(std::string const& ip, Letter const& l) {
+  void letter(std::string const& ip, Link& link, Letter const& l) {
     Mate& m = mates_[ip];
     Secs const now = now_s();
     switch (l.kind) {
@@ -178,6 +158,7 @@
         m.life = h.life;
         if (m.hello_sent > 0) {
           m.rtt = std::min(1.0, now - m.hello_sent);
+          claims_.rtt(ip, m.rtt);
           if (h.wall > 0) clock_.mate(ip, now - 0.5 * m.rtt, h.wall);
           m.hello_sent = 0;
         }
@@ -186,8 +167,11 @@
       }
       case Kind::beatR: {
         SiteBeatR const r = l.as<SiteBeatR>();
-        m.rtt = m.rtt * 0.7 + 0.3 * (now - m.beat_sent);
-        if (r.wall > 0) clock_.mate(ip, now - 0.5 * (now - m.beat_sent), r.wall);
+        if (l.tag == m.beats) {
+          m.rtt = m.rtt * 0.7 + 0.3 * (now - m.beat_sent);
+          claims_.rtt(ip, m.rtt);
+          if (r.wall > 0) clock_.mate(ip, now - 0.5 * (now - m.beat_sent), r.wall);
+        }
         if (!r.sites.empty()) {  // said only when it changed
           m.sites.clear();
           for (ZoneCount const& z : r.sites) m.sites[z.zone] = z.n;
@@ -227,11 +211,14 @@
         break;
       }
       case Kind::survey: {
-        surveyor_ = ip;
+        surveyed_by_[l.as<SurveyAsk>().id] = {ip, now + 10};
         if (proxy_) proxy_->send(Kind::survey, l.tag, l.body);
         break;
       }
-      case Kind::claimR: claim_ret(ip, l.tag, l.as<ClaimR>()); break;
+      case Kind::claimR:
+        claims_.heard(ip, link.connection(), l.tag, l.as<ClaimR>(), now);
+        say_claims();
+        break;
       case Kind::hold: {
         // The proxy says whether it holds it; without a proxy nobody answers.
         Hold const h = l.as<Hold>();
@@ -240,7 +227,10 @@
         else held_by_[h.id] = {ip, now + h.for_ms / 1000.0};
         break;
       }
-      case Kind::fetchR: fetch_ret(l.tag, l.as<FetchR>()); break;
+      case Kind::fetchR:
+        claims_.heard(ip, link.connection(), l.tag, l.as<FetchR>());
+        say_claims();
+        break;
       default: break;
     }
   }
@@ -270,25 +260,27 @@
   // Takes what a majority holds; a node never steps back.
   void take(State s, Delta const* d = nullptr) {
     if (have_ && s.bal <= state_.bal) return;
-    bool const fresh = !have_ || s.epoch != state_.epoch;
     state_ = std::move(s);
     have_ = true;
     for (Member const& m : state_.roster) mate(m.ip);
     tell_state(d);
     totals_.forget(Window(state_.to_fix));
-    if (fresh)
-      for (auto& [id, j] : jobs_)
-        if (!j.fetching) open_quest(id, j);
+    claims_.roster(state_, now_s());
+    say_claims();
   }
 
   // ---- the proxy -----------------------------------------------------------------
   void took(ChannelP c) {
     if (proxy_) proxy_->close();
     proxy_ = c;
+    claims_.proxy(c->id());
+    say_claims();
     c->on_letter.connect([this](Channel& ch, Letter const& l) { from_proxy(ch, l); });
     c->on_down.connect([this](Channel& ch) {
       if (proxy_.get() == &ch) {
         ready_ = false;
+        claims_.proxy(0);
+        say_claims();
         after(eb_, 0, [this, p = proxy_] {
           if (proxy_ == p) proxy_.reset();
         });
@@ -377,8 +369,14 @@
         if (was != ready_) beat_all();
         break;
       }
-      case Kind::ask: ask(ch, l.tag, l.as<Ask>()); break;
-      case Kind::done: told(l.as<Told>()); break;
+      case Kind::ask:
+        claims_.ask(ch.id(), l.tag, l.as<Ask>(), now_s());
+        say_claims();
+        break;
+      case Kind::done:
+        claims_.told(l.as<Told>());
+        say_claims();
+        break;
       case Kind::tally:
         for (TallyRow const& r : l.as<TallyNote>().rows) totals_.join(r);
         break;
@@ -389,7 +387,9 @@
         break;
       }
       case Kind::surveyR:
-        if (auto const it = mates_.find(surveyor_); it != mates_.end() && it->second.link->up()) it->second.link->ch()->send(Kind::surveyR, l.tag, l.body);
+        // To whoever asked this one; another may ask meanwhile.
+        if (auto const it = surveyed_by_.find(l.as<Survey>().id); it != surveyed_by_.end())
+          if (Mate& m = mates_[it->second.first]; m.link->up()) m.link->ch()->send(Kind::surveyR, l.tag, l.body);
         break;
       case Kind::holdR: {
         HoldR const r = l.as<HoldR>();
@@ -403,183 +403,28 @@
     }
   }
 
-  // ---- keys ------------------------------------------------------------------------
-  void answer(Job const& j, Leave leave, std::string ret = "") {
-    if (auto const c = j.to.lock()) {
-      AskR a;
-      a.leave = leave;
-      a.ret = std::move(ret);
-      c->send(Kind::askR, j.tag, a);
-    }
-  }
-
-  void ask(Channel& ch, u32 tag, Ask const& a) {
-    u32 const id = ++next_;
-    Job& j = jobs_[id];
-    j.key = a.key;
-    j.holder = a.holder;
-    j.work_ms = a.work_ms;
-    j.tag = tag;
-    j.homes = a.homes;
-    j.to = ch.weak_from_this();
-    j.start = now_s();
-    j.end_at = j.start + std::min(2.0, a.work_ms / 1000.0 * 0.7);
-    if (!have_) {
-      answer(j, Leave::unavailable);
-      jobs_.erase(id);
-      return;
-    }
-    open_quest(id, j);
-  }
-
-  void open_quest(u32 id, Job& j) {
-    j.q = std::make_unique<Quest>(state_.roster.size(), state_.epoch);
-    j.widened = false;
-    j.asked.clear();
-    // A majority of the nearest disks is asked; the others only if one of these
-    // keeps us waiting, for bytes between regions are dear.
-    auto const near = by_distance(true);
-    std::size_t const want = std::min(near.size(), state_.majority());
-    double worst = 0;
-    for (std::size_t i = 0; i < want; ++i) {
-      claim(id, j, near[i]);
-      worst = std::max(worst, mates_[near[i]].rtt);
-    }
-    j.widen_at = now_s() + 0.06 + 1.5 * worst;
-  }
-
-  void claim(u32 id, Job& j, std::string const& ip) {
-    Member const* m = state_.member(ip);
-    if (m == nullptr) return;
-    Claim c;
-    c.key = j.key;
-    c.holder = j.holder;
-    c.epoch = state_.epoch;
-    c.life = m->life;
-    c.work_ms = j.work_ms;
-    j.sent.insert(ip);
-    j.asked.insert(ip);
-    mates_[ip].link->send(Kind::claim, id, c);
-  }
-
-  void widen(u32 id, Job& j) {
-    j.widened = true;
-    for (std::string const& ip : by_distance(true))
-      if (j.asked.count(ip) == 0) claim(id, j, ip);
-  }
-
-  void claim_ret(std::string const& ip, u32 id, ClaimR const& r) {
-    auto const it = jobs_.find(id);
-    if (it == jobs_.end() || it->second.fetching) return;
-    Job& j = it->second;
-    Member const* m = state_.member(ip);
-    if (m == nullptr || m->life != r.life) return;
-    Quest::End const e = j.q->hear(ip, r);
-    if (e == Quest::End::granted) {
-      held_[j.holder] = Held{j.key, j.sent, now_s()};
-      answer(j, Leave::run);
-      jobs_.erase(it);
-      return;
-    }
-    if (e == Quest::End::held) {
-      j.at_work = j.q->at_work();
-      release(j.key, j.holder, j.sent);
-      fetch(id, j);
-      return;
-    }
-    if (r.say == Say::held && j.q->refusals() == 1) widen(id, j);
-    if (r.say == Say::unready && !j.widened) widen(id, j);
-    if (r.say == Say::epoch && r.epoch > state_.epoch) {
-      Mate& mt = mates_[ip];
-      if (now_s() - mt.pulled > 0.05) {
-        mt.pulled = now_s();
-        mt.link->send(Kind::pull, 0, Pull{state_.bal});
-      }
-    }
-  }
-
-  void release(std::string const& key, u64 holder, std::set<std::string> const& ips) {
-    Release r;
-    r.key = key;
-    r.holder = holder;
-    for (std::string const& ip : ips) {
-      auto const it = mates_.find(ip);
-      if (it != mates_.end()) it->second.link->send(Kind::release, 0, r);
-    }
-  }
-
-  bool is_home(std::string const& ip, std::vector<std::string> const& homes) const {
-    Member const* m = state_.member(ip);
-    if (m == nullptr) return false;
-    return homes.empty() || std::find(homes.begin(), homes.end(), m->region) != homes.end();
+  // ---- keys: what the claims want sent -----------------------------------------------
+  void say_claims() {
+    for (ClaimStep const& x : claims_.take()) std::visit([this](auto const& y) { say(y); }, x);
   }
-
-  void fetch(u32 id, Job& j) {
-    j.fetching = true;
-    j.fetch_left = 0;
-    double worst = 0;
-    Fetch f;
-    f.key = j.key;
-    for (std::string const& ip : by_distance(true)) {
-      if (!is_home(ip, j.homes)) continue;
-      ++j.fetch_left;
-      worst = std::max(worst, mates_[ip].rtt);
-      mates_[ip].link->send(Kind::fetch, id, f);
-    }
-    j.fetch_end = now_s() + 0.1 + 2 * worst;
-    if (j.fetch_left == 0) no_return(id, j);
+  template <class T>
+  void to_disk(std::string const& ip, Kind k, u32 tag, T const& x) {
+    if (auto const it = mates_.find(ip); it != mates_.end()) it->second.link->send(k, tag, x);
   }
-
-  void no_return(u32 id, Job& j) {
-    answer(j, j.at_work ? Leave::at_work : Leave::lost);
-    jobs_.erase(id);
+  void say(ClaimOut const& x) { to_disk(x.to, Kind::claim, x.tag, x.claim); }
+  void say(ReleaseOut const& x) { to_disk(x.to, Kind::release, 0, x.release); }
+  void say(FetchOut const& x) { to_disk(x.to, Kind::fetch, x.tag, x.fetch); }
+  void say(StoreOut const& x) {
+    if (Channel* const c = mates_[x.to].link->ch(); c != nullptr) c->send(Kind::store, 1, std::string_view(x.answer));  // it sees to the second copy
   }
-
-  void fetch_ret(u32 id, FetchR const& r) {
-    auto const it = jobs_.find(id);
-    if (it == jobs_.end() || !it->second.fetching) return;
-    Job& j = it->second;
-    if (r.have) {
-      Return const ret = codec::unpack<Return>(r.ret);
-      answer(j, ret.lost ? Leave::lost : Leave::repeat, r.ret);
-      jobs_.erase(it);
-      return;
-    }
-    if (--j.fetch_left == 0) no_return(id, j);
+  void say(PullOut const& x) {
+    Mate& m = mates_[x.to];
+    if (now_s() - m.pulled <= 0.05) return;
+    m.pulled = now_s();
+    m.link->send(Kind::pull, 0, Pull{state_.bal});
   }
-
-  void told(Told const& t) {
-    for (auto it = jobs_.begin(); it != jobs_.end(); ++it)
-      if (it->second.holder == t.holder) {  // the client's time ran out first
-        release(t.key, t.holder, it->second.sent);
-        jobs_.erase(it);
-        return;
-      }
-    std::set<std::string> sent;
-    if (auto const it = held_.find(t.holder); it != held_.end()) {
-      sent = it->second.sent;
-      held_.erase(it);
-    } else {
-      for (Member const& m : state_.roster) sent.insert(m.ip);
-    }
-    if (t.outcome == Outcome::not_run) {
-      release(t.key, t.holder, sent);
-      return;
-    }
-    std::string ret = t.ret;
-    if (t.outcome == Outcome::lost) {
-      Return r;
-      r.key = t.key;
-      r.holder = t.holder;
-      r.lost = true;
-      r.homes = t.homes;
-      ret = codec::pack(r);
-    }
-    for (std::string const& ip : by_distance(true)) {
-      if (!is_home(ip, t.homes)) continue;
-      mates_[ip].link->ch()->send(Kind::store, 1, std::string_view(ret));  // it sees to the second copy
-      break;
-    }
+  void say(AnswerOut const& x) {
+    if (proxy_ && proxy_->id() == x.asker) proxy_->send(Kind::askR, x.tag, x.answer);
   }
 
   // ---- loops -------------------------------------------------------------------------
@@ -593,36 +438,17 @@
     tell_rows(now);
     tell_clock(now);
     tell_tally(now);
-    std::vector<u32> ids;
-    for (auto& [id, j] : jobs_) ids.push_back(id);
-    for (u32 const id : ids) {
-      auto const it = jobs_.find(id);
-      if (it == jobs_.end()) continue;
-      Job& j = it->second;
-      if (j.fetching) {
-        if (now > j.fetch_end) no_return(id, j);
-        continue;
-      }
-      if (now > j.end_at) {
-        release(j.key, j.holder, j.sent);
-        if (j.q->refusals() > 0 && j.q->grants() == 0)
-          answer(j, j.q->at_work() ? Leave::at_work : Leave::unavailable);
-        else
-          answer(j, Leave::unavailable);
-        jobs_.erase(it);
-        continue;
-      }
-      if (!j.widened && now > j.widen_at) widen(id, j);
-    }
+    claims_.tick(now);
+    say_claims();
     if (now - measured_ > 10) {
       measured_ = now;
       if (std::string const t = sent_by_kind(); !t.empty()) LOG4CPLUS_INFO(lg_, "Sent by kind, letters/bytes: " << t << ".");
+      if (std::string const t = claims_.strays().news(); !t.empty()) LOG4CPLUS_INFO(lg_, "Dropped, for no open question fits: " << t << ".");
     }
     if (now - last_beat_ > keepalive_s) {
       last_beat_ = now;
       beat_all();
-      for (auto it = held_.begin(); it != held_.end();) it = now - it->second.since > 60 ? held_.erase(it) : std::next(it);
-      for (auto it = held_by_.begin(); it != held_by_.end();) it = it->second.second < now ? held_by_.erase(it) : std::next(it);
+      for (auto* const l : {&held_by_, &surveyed_by_}) std::erase_if(*l, [&](auto const& x) { return x.second.second < now; });
       roll_.purge(90, now);
     }
     feeds();
@@ -632,7 +458,7 @@
   // Wanted: the two nearest directories feed us, and the nearest is our primary. The
   // loop works out the rest.
   void feeds() {
-    auto const near = by_distance(false);
+    auto const near = by_distance();
     std::set<std::string> want(near.begin(), near.begin() + static_cast<long>(std::min<std::size_t>(2, near.size())));
     std::string const first = near.empty() ? std::string() : near.front();
     if (first != primary_) {
@@ -659,7 +485,7 @@
   bool have_ = false, ready_ = false, draining_ = false, rows_all_ = true, tally_all_ = false;
   std::set<std::string> rows_dirty_;     // rows that the proxy has yet to hear of
   std::optional<Ballot> told_bal_;       // what the proxy has on this channel
-  std::string primary_, surveyor_;
+  std::string primary_;
   std::unique_ptr<Relay> relay_;         // for mates that are cut off from the core
   std::vector<Addr> relays_;             // mates that would do as much for us
   TrueClock clock_;
@@ -672,10 +498,9 @@
   Secs proxy_heard_ = 0, last_beat_ = 0, drain_at_ = 0, last_tick_ = 0;
   Roll roll_;
   std::map<std::string, u32> sites_told_;
-  std::map<u32, Job> jobs_;
-  std::map<u64, Held> held_;
-  std::map<u64, std::pair<std::string, Secs>> held_by_;  // rollouts held: who asked, until when
-  u32 next_ = 0;
+  Claims<> claims_;
+  std::map<u64, std::pair<std::string, Secs>> held_by_;      // rollouts held: who asked, until when
+  std::map<u64, std::pair<std::string, Secs>> surveyed_by_;  // the same of surveys
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("page");
 };
 
--- a/tests/keys_test.cpp
+++ b/tests/keys_test.cpp
@@ -34,7 +34,22 @@
   cr_assert_not(l.release(rel), "only its holder gives it back");
   rel.holder = 7;
   cr_assert(l.release(rel));
-  cr_assert(l.claim(claim("k", 8), Epoch(1), 2, r) == Say::granted);
+  cr_assert(l.claim(claim("k", 8), Epoch(1), 2, r) == Say::held, "whoever released claims no more");
+  cr_assert_eq(l.late(), 1u);
+  cr_assert(l.claim(claim("k", 9), Epoch(1), 2, r) == Say::granted);
+}
+
+// Claimed twice by one holder; the first write fails, another gets the key, and only then
+// the second write ends.
+Test(keys, a_grant_that_another_has_meanwhile_is_not_said) {
+  Ledger l(true);
+  ClaimR r{};
+  l.claim(claim("k", 7), Epoch(1), 0, r);
+  l.claim(claim("k", 7), Epoch(1), 0, r);
+  cr_assert_not(l.written("k", 7, false));
+  cr_assert(l.claim(claim("k", 8), Epoch(1), 0, r) == Say::granted);
+  cr_assert_not(l.written("k", 7, true));
+  cr_assert(l.written("k", 8, true));
 }
 
 Test(keys, a_write_that_failed_grants_nothing) {
