Calls of operators that may yet stand get 504; copies and votes of another roster don't count

Cause: a change whose round was lost may stand all the same, and 503 promises elsewhere that nothing was done. Refusals of an earlier roster counted in the quest of the next, and a copy of keys asked for under one roster towards the majority of the next; the first could refuse a key that is free, the second we found no harm of. A copy's question now carries the roster in its tag. keys.says_of_another_roster_are_no_votes.

--- a/packages/desks/include/desks/drains.hpp
+++ b/packages/desks/include/desks/drains.hpp
@@ -336,7 +336,7 @@
     if (h_.leaving > 0) return h_.write(r, fault(503, "leaving"));
     h_.submit(std::move(f),
               [this, r, got](State const* s) {
-                if (s == nullptr) return h_.write(r, fault(503, "no majority in time"));
+                if (s == nullptr) return h_.write(r, unsure());
                 if (got->second.code != 200) return h_.write(r, got->second);
                 h_.write(r, CallRet{200, "{\"id\":\"" + std::to_string(got->first) + "\"}"});
               },
--- a/packages/desks/include/desks/house.hpp
+++ b/packages/desks/include/desks/house.hpp
@@ -30,6 +30,10 @@
   return {code, json::render(f)};
 }
 
+// A change that is not known to stand may yet: its call is never answered with a code that
+// promises that nothing was done.
+inline CallRet unsure() { return fault(504, "no majority in time; it may yet stand"); }
+
 struct Mate {
   std::unique_ptr<Link> link;  // null: ourselves
   Mismatch off;
--- a/packages/desks/include/desks/rollouts.hpp
+++ b/packages/desks/include/desks/rollouts.hpp
@@ -175,7 +175,7 @@
           return true;
         },
         [done, o](State const* s) {
-          if (s == nullptr) return done(fault(503, "no majority in time"));
+          if (s == nullptr) return done(unsure());
           switch (o->how) {
             case Joined::changed:
             case Joined::same: return done(CallRet{200, "{}"});
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -214,7 +214,7 @@
       case Kind::prepR: outs(proposer_.on_prep(ip, l.as<PrepR>())); break;
       case Kind::accR: outs(proposer_.on_acc(ip, l.as<AccR>())); break;
       case Kind::commitR: commit(l.as<Commit>(), ip); break;
-      case Kind::rebuildR: keys_->rebuilt(ip, l.as<RebuildR>()); break;
+      case Kind::rebuildR: keys_->rebuilt(ip, l.tag, l.as<RebuildR>()); break;
       case Kind::digestR: {
         Digest const d = l.as<Digest>();
         if (l.tag != m.digests) h_.strays.drop(Stray::no_question);
@@ -753,7 +753,7 @@
           return true;
         },
         [this, r](State const* s) {
-          if (s == nullptr) return h_.write(r, fault(503, "no majority in time"));
+          if (s == nullptr) return h_.write(r, unsure());
           h_.write(r, CallRet{200, "{}"});
         },
         h_.patience());
--- a/tests/keys_test.cpp
+++ b/tests/keys_test.cpp
@@ -74,6 +74,18 @@
   cr_assert(n.claim(claim("k", 7), Epoch(1), 0, r) == Say::held, "what was copied is not granted, not even to its holder");
 }
 
+Test(keys, says_of_another_roster_are_no_votes) {
+  Quest q(3, Epoch(2));
+  ClaimR r{};
+  r.epoch = Epoch(1);
+  for (Say const s : {Say::held, Say::granted})
+    for (char const* d : {"a", "b", "c"}) {
+      r.say = s;
+      cr_assert(q.hear(d, r) == Quest::End::open);
+    }
+  cr_assert_eq(q.grants() + q.refusals(), 0u);
+}
+
 Test(keys, kept_past_the_horizon_and_anew_after_a_restart) {
   Ledger l(true);
   ClaimR r{};
