--- a/packages/keys/include/keys/claims.hpp
+++ b/packages/keys/include/keys/claims.hpp
@@ -134,6 +134,7 @@
   }
   void ask(u64 asker, u32 tag, Ask const& a, Secs now) {
     if (asker != proxy_) return strays_.drop(Stray::connection);
+    if (by_holder_.count(a.holder) > 0 || held_.count(a.holder) > 0) return strays_.drop(Stray::twice);
     do ++next_;
     while (next_ == 0 || jobs_.count(next_) > 0);
     Job& j = jobs_[next_];
--- a/tests/claims_test.cpp
+++ b/tests/claims_test.cpp
@@ -50,7 +50,6 @@
       if (agents_[a].claims->held() > 0) return "a hold is left behind";
       for (auto const& [tag, q] : agents_[a].asks) {
         if (q.stage == Stage::asking) return "a request waits for ever";
-        if (q.answers > 1) return "two answers for one ask";
       }
     }
     if (!may_leave_)
@@ -69,7 +68,6 @@
     u64 holder = 0;
     Stage stage = Stage::asking;
     Secs until = 0;
-    int answers = 0;
   };
   struct Agent {  // and its proxy
     std::unique_ptr<Claims<P>> claims;
@@ -268,7 +266,10 @@
   void out(int a, FetchOut const& m) { to_disk(a, m); }
   void out(int a, StoreOut const& m) { to_disk(a, m); }
   void out(int a, PullOut const&) { agents_[a].claims->roster(state_, now_); }
-  void out(int a, AnswerOut const& m) { post(ToProxy{a, m}); }
+  void out(int a, AnswerOut const& m) {
+    if (++said_[{m.asker, m.answer.holder}] > 1) wrong_ = "two answers for one ask";
+    post(ToProxy{a, m});
+  }
 
   bool frozen(Message const& m) const {
     if (auto const* x = std::get_if<ToDisk>(&m)) return disks_[x->disk].frozen > now_ || disks_[x->disk].back_at > now_;
@@ -315,7 +316,6 @@
     auto const it = g.asks.find(x.m.tag);
     if (it == g.asks.end() || it->second.stage != Stage::asking || it->second.holder != x.m.answer.holder) return;
     Request& q = it->second;
-    ++q.answers;
     q.stage = Stage::over;
     if (x.m.answer.leave == Leave::repeat) {
       if (codec::unpack<Return>(x.m.answer.ret).key != q.key) wrong_ = "another's answer";
@@ -411,6 +411,7 @@
   std::map<std::string, std::string> answers_;
   std::map<std::string, std::set<u64>> ran_;
   std::set<u64> unknown_;
+  std::map<std::pair<u64, u64>, int> said_;  // answers, by connection and holder
   Secs now_ = 0;
   u64 connections_ = 0;
   int sent_ = 0;
