Pairing on the data side: fences counted, claims given back, a let-go attempt sends nothing

Cause: a review of each place where the proxy pairs a question with its answer. - A refusal without X-Attempt-Id counted as proof that this request had not run; a surplus one of an earlier request could take its place and a second run follow. Only an answer with the id proves anything now; an answer with two ids, or a success that says it has not run, is none. - A request with two X-Attempt-Ids or two X-Operation-Keys was taken by the first of them: 400. - The ask for a claim stayed in the table when the client's time ran out first; what became of a claim while the agent was away was lost, and the key barred. It is kept (4 MiB) and said to the next agent. - A first answer is checked to be of the key that was asked for. - A channel that is let go is cut at once. Until now nothing left it only because libevent runs a callback without delay before it polls again; the order is no longer relied on. - What libevent throws away at a reset was taken for a send: a kept channel closed in the turn of the send is now known to have sent nothing, goes on to another server, and its server is not shunned. - An answer to a HEAD was taken for one that ends early. What a fence drops is counted by cause, logged each 10 s, and told in the survey.

--- a/packages/atlas/include/atlas/survey.hpp
+++ b/packages/atlas/include/atlas/survey.hpp
@@ -28,10 +28,13 @@
   // told: dev is said, and may be 0.
   DB_RECORD(Speed, (std::string, id), (double, lat), (double, dev), (bool, told));
 };
+struct Dropped {  // by a fence, since the proxy began
+  DB_RECORD(Dropped, (std::string, cause), (u64, n));
+};
 struct Survey {
   DB_RECORD(Survey, (u64, id), (std::string, front), (std::string, zone), (std::string, region), (double, span),
             (std::vector<LaneRate>, lanes), (std::vector<SentRate>, sent), (std::vector<Speed>, speeds), (std::string, node),
-            (std::vector<Held>, held));
+            (std::vector<Held>, held), (std::vector<Dropped>, dropped));
 };
 
 // Rates over the last whole seconds. Invariant: a rate counts each errand once, in
--- a/packages/errand/heads.cpp
+++ b/packages/errand/heads.cpp
@@ -67,22 +67,31 @@
 
 bool promise_code(int code) { return code == 429 || code == 503 || code == 408 || code == 421; }
 
-End judge(Reply const& r, std::string_view attempt_id) {
+Judged examine(Reply const& r, std::string_view attempt_id) {
   u64 len = 0;
   Framing const f = framing_of(r.heads, len);
-  bool const bodiless = r.code == 204 || r.code == 304;
-  if (f == Framing::ambiguous || (f == Framing::none && !bodiless)) return End::broken;
-  if (f == Framing::length && !bodiless && len != r.body) return End::broken;
-  if (r.code < 200 || r.code > 599) return End::broken;
-  std::string const* id = find_head(r.heads, "X-Attempt-Id");
-  if (id != nullptr && *id != attempt_id) return End::broken;  // another errand's answer
-  bool const not_run = find_head(r.heads, "X-Not-Run") != nullptr;
-  if (r.code == 421) return End::misdirected;
-  if (not_run) return End::not_run;
-  if (id == nullptr) return End::broken;
-  if (r.code < 300 && find_head(r.heads, "X-Server-Seal") == nullptr) return End::broken;
-  if (promise_code(r.code)) return End::broken;
-  return End::whole;
+  bool const bodiless = r.code == 204 || r.code == 304 || r.head;
+  if (f == Framing::ambiguous || (f == Framing::none && !bodiless)) return {End::broken, Drop::broken_frame};
+  if (f == Framing::length && !bodiless && len != r.body) return {End::broken, Drop::broken_frame};
+  if (r.code < 200 || r.code > 599) return {End::broken, Drop::broken_frame};
+  bool named = false, not_run = false, sealed = false;
+  for (auto const& [k, v] : r.heads) {
+    if (same_name(k, "X-Attempt-Id")) {
+      if (v != attempt_id) return {End::broken, named ? Drop::two_ids : Drop::other_id};
+      named = true;
+    } else if (same_name(k, "X-Not-Run")) {
+      not_run = true;
+    } else if (same_name(k, "X-Server-Seal")) {
+      sealed = true;
+    }
+  }
+  // A refusal without an id may be a surplus one, of a request that went before.
+  if (!named) return {End::broken, Drop::no_id};
+  if (r.code == 421) return {End::misdirected, std::nullopt};
+  if (not_run && r.code >= 400) return {End::not_run, std::nullopt};
+  if (r.code < 300 && !sealed) return {End::broken, Drop::no_seal};
+  if (promise_code(r.code) || not_run) return {End::broken, Drop::bare_promise};
+  return {End::whole, std::nullopt};
 }
 
 }  // namespace dockbend
--- a/packages/errand/include/errand/heads.hpp
+++ b/packages/errand/include/errand/heads.hpp
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "errand/fence.hpp"
 #include "stacks/types.hpp"
 
 namespace dockbend {
@@ -38,9 +39,16 @@
   int code = 0;
   Heads heads;
   std::size_t body = 0;
+  bool head = false;  // to a HEAD: it names a length and has no body
 };
-// What a whole answer on the wire means for an errand with this id.
-End judge(Reply const& r, std::string_view attempt_id);
+struct Judged {
+  End end = End::broken;
+  std::optional<Drop> why;  // what kept it out
+};
+// What a whole answer on the wire means for the request with this id. Only an answer that
+// bears the id proves anything, be it that the request ran or that it did not.
+Judged examine(Reply const& r, std::string_view attempt_id);
+inline End judge(Reply const& r, std::string_view attempt_id) { return examine(r, attempt_id).end; }
 
 // What the proxy says of its own. One place writes it.
 struct Verdict {
--- a/packages/shelf/include/shelf/shelf.hpp
+++ b/packages/shelf/include/shelf/shelf.hpp
@@ -14,7 +14,8 @@
 class Shelf;
 
 // Invariants: one errand at a time; a channel that is dead is in no list and only
-// waits to be freed; on the shelf exactly while neither busy nor dead.
+// waits to be freed, and writes nothing; on the shelf exactly while neither busy nor dead;
+// sent: at least one byte of the request is in the socket. While it is false not one has left.
 struct Chan {
   Shelf* shelf = nullptr;
   evhttp_connection* ec = nullptr;
@@ -29,6 +30,7 @@
  public:
   // A try on the channel ended; null: with no whole answer. The channel is still busy.
   sigc::signal<void(Chan&, evhttp_request*)> on_return;
+  u64 late = 0;  // answers on channels that were let go
 
   Shelf(event_base* eb, Assign& as) : eb_(eb), as_(as) {}
   Shelf(Shelf const&) = delete;
--- a/packages/shelf/shelf.cpp
+++ b/packages/shelf/shelf.cpp
@@ -12,12 +12,16 @@
   Chan* const c = static_cast<Chan*>(p);
   if (!c->busy) c->shelf->doom(*c);
 }
+// Bytes leave the buffer by being written, or by being thrown away after the socket was
+// taken from it: the second is no send.
 void out_cb(evbuffer*, evbuffer_cb_info const* i, void* p) {
-  if (i->n_deleted > 0) static_cast<Chan*>(p)->sent = true;
+  Chan* const c = static_cast<Chan*>(p);
+  if (i->n_deleted > 0 && bufferevent_getfd(evhttp_connection_get_bufferevent(c->ec)) >= 0) c->sent = true;
 }
 void done_cb(evhttp_request* r, void* p) {
   Chan* const c = static_cast<Chan*>(p);
   if (!c->dead && c->busy) c->shelf->on_return.emit(*c, r);
+  else if (r != nullptr && evhttp_request_get_response_code(r) != 0) ++c->shelf->late;
 }
 }  // namespace
 
@@ -79,7 +83,9 @@
   if (t.uses == c.uses && t.idle > 0) --t.idle;
 }
 
-// A dead channel is freed once libevent is out of its callbacks.
+// A dead channel is freed once libevent is out of its callbacks. From this moment on
+// nothing more is written to it, not even if its connect came up in this very turn of the
+// loop: whoever lets go of an attempt that has sent nothing goes by that.
 void Shelf::doom(Chan& c) {
   if (c.dead) return;
   c.dead = true;
@@ -87,6 +93,9 @@
   Target& t = as_.at(c.server);
   if (t.uses == c.uses && t.chans > 0) --t.chans;
   evhttp_connection_set_closecb(c.ec, nullptr, nullptr);
+  bufferevent* const bev = evhttp_connection_get_bufferevent(c.ec);
+  bufferevent_setcb(bev, nullptr, nullptr, nullptr, nullptr);
+  bufferevent_disable(bev, EV_READ | EV_WRITE);
   after(eb_, 0, [p = &c] {
     evhttp_connection_free(p->ec);
     delete p;
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -62,6 +62,7 @@
   Chan* chan = nullptr;
   ServerIx server;
   u64 holder = 0;
+  u32 tag = 0;  // of the ask for its claim
   bool asking = false, granted = false, parked = false;
   Borrower::Token token;
   u32 counted = 0;  // tries that the tally has
@@ -176,6 +177,7 @@
   void news(News const& n) {
     Secs const now = now_s();
     if (!n.state.empty()) {
+      tell_held_back();
       State const s = codec::unpack<State>(n.state);
       // A node never steps back in one life.
       if (!have_state_ || s.bal > bal_) {
@@ -278,15 +280,43 @@
     return as_.pool(n);
   }
 
+  // Whether a claim was granted meanwhile can't be known: it is given back once there is
+  // an agent again.
   void page_down() {
-    for (auto const& [tag, h] : asks_) {
+    std::unordered_map<u32, Handle> l;
+    l.swap(asks_);
+    for (auto const& [tag, h] : l) {
       Errand* const e = slab_.get(h);
-      if (e != nullptr && e->asking) {
-        e->asking = false;
-        finish(*e, Verdict{503, "Service Unavailable", 0.3, false});
-      }
+      if (e == nullptr || !e->asking) continue;
+      e->asking = false;
+      tell_claim(*e, Outcome::not_run);
+      finish(*e, Verdict{503, "Service Unavailable", 0.3, false});
+    }
+  }
+
+  // ---- what becomes of a claim on a key ----------------------------------------
+  void tell_claim(Errand const& e, Outcome o, std::string ret = "") {
+    Told t;
+    t.key = e.key;
+    t.holder = e.holder;
+    t.homes = e.home_names;
+    t.outcome = o;
+    t.ret = std::move(ret);
+    if (page_.up()) return page_.send(Kind::done, 0, t);
+    // Kept for the next agent: a claim that nobody gives back bars its key for long.
+    held_back_.push_back(codec::pack(t));
+    held_back_bytes_ += held_back_.back().size();
+    while (held_back_bytes_ > held_back_most) {
+      held_back_bytes_ -= held_back_.front().size();
+      held_back_.pop_front();
     }
-    asks_.clear();
+  }
+  // An agent that has just said what stands knows whom to tell.
+  void tell_held_back() {
+    if (!page_.up()) return;
+    for (std::string const& b : held_back_) page_.ch()->send(Kind::done, 0, std::string_view(b));
+    held_back_.clear();
+    held_back_bytes_ = 0;
   }
 
   void tell_load() {
@@ -378,12 +408,15 @@
     bool const wrong = f == Framing::ambiguous || (f == Framing::length && len != body) || (f == Framing::none && body > 0) ||
                        (f == Framing::chunked && evhttp_request_get_command(r) != EVHTTP_REQ_POST && evhttp_request_get_command(r) != EVHTTP_REQ_PUT &&
                         evhttp_request_get_command(r) != EVHTTP_REQ_PATCH);
-    std::size_t hb = 0, hosts = 0;
+    std::size_t hb = 0, hosts = 0, ids = 0, keys = 0;
     for (auto const& [k, v] : heads) {
       hb += k.size() + v.size() + 4;
       hosts += same_name(k, "Host") ? 1 : 0;
+      ids += same_name(k, "X-Attempt-Id") ? 1 : 0;
+      keys += same_name(k, "X-Operation-Key") ? 1 : 0;
     }
-    if (wrong || hosts != 1) return write(r, own(400, true), id);
+    // Two names for one request: we would go by the one and the server by the other.
+    if (wrong || hosts != 1 || ids > 1 || keys > 1) return write(r, own(400, true), id);
     LimitsDef const& lim = man_.limits();
     readings_.whole(r);
     std::string const uri = evhttp_request_get_uri(r);
@@ -548,14 +581,7 @@
   // Ends an errand with an answer of our own.
   void finish(Errand& e, Verdict const& v) {
     if (!e.course.maybe_run()) refund(e);
-    if (e.granted) {
-      Told t;
-      t.key = e.key;
-      t.holder = e.holder;
-      t.homes = e.home_names;
-      t.outcome = e.course.maybe_run() ? Outcome::lost : Outcome::not_run;
-      page_.send(Kind::done, 0, t);
-    }
+    if (e.granted) tell_claim(e, e.course.maybe_run() ? Outcome::lost : Outcome::not_run);
     write(e.req, v, e.attempt_id);
     end(e);
   }
@@ -575,7 +601,7 @@
     if (!page_.up()) return finish(e, own(503, false, 0.3));
     e.holder = random64() | 1;
     e.asking = true;
-    u32 const tag = ++next_tag_;
+    u32 const tag = e.tag = ++next_tag_;
     asks_[tag] = e.h;
     Ask a;
     a.key = e.key;
@@ -588,10 +614,10 @@
 
   void asked(u32 tag, AskR const& a) {
     auto const it = asks_.find(tag);
-    if (it == asks_.end()) return;
+    if (it == asks_.end()) return fence_.drop(Drop::late_claim);
     Errand* const e = slab_.get(it->second);
     asks_.erase(it);
-    if (e == nullptr || !e->asking) return;
+    if (e == nullptr || !e->asking) return fence_.drop(Drop::late_claim);
     e->asking = false;
     switch (a.leave) {
       case Leave::run:
@@ -600,6 +626,10 @@
         break;
       case Leave::repeat: {
         Return const r = codec::unpack<Return>(a.ret);
+        if (r.key != e->key) {
+          fence_.drop(Drop::other_key);
+          return finish(*e, own(502));
+        }
         evkeyvalq* out = evhttp_request_get_output_headers(e->req);
         for (std::string const& h : r.heads) {
           auto const c = h.find(':');
@@ -681,7 +711,9 @@
     // tried again need not wait long to learn it; what may not gets the longer time,
     // for giving up on it helps nobody.
     bool const far = !(t.region == as_.region(st_.region));
+    Handle const h = e.h;
     if (!shelf_.send(c, u, e.cmd, e.uri.c_str(), rep ? (far ? 600 : 250) : 2000)) return ended(e, End::unsent);
+    if (slab_.get(h) == nullptr || e.chan != &c) return;  // it ended within the call
     bytes_out_ += static_cast<double>(e.body) + 600;
     if (far) far_out_ += static_cast<double>(e.body) + 600;
     if (far) ++far_n_;
@@ -693,7 +725,10 @@
 
   void returned(Chan& c, evhttp_request* r) {
     Errand* const e = slab_.get(Handle::of(c.owner));
-    if (e == nullptr || e->chan != &c) return shelf_.doom(c);
+    if (e == nullptr || e->chan != &c) {
+      fence_.drop(Drop::late_answer);
+      return shelf_.doom(c);
+    }
     Secs const now = now_s();
     if (r == nullptr || evhttp_request_get_response_code(r) == 0) {
       // An idle channel that the server had forgotten: reset with no byte back.
@@ -705,12 +740,16 @@
     rep.heads = heads_of(evhttp_request_get_input_headers(r));
     evbuffer* body = evhttp_request_get_input_buffer(r);
     rep.body = evbuffer_get_length(body);
+    rep.head = e->cmd == EVHTTP_REQ_HEAD;
     bytes_in_ += static_cast<double>(rep.body) + 400;
     bytes_out_ += static_cast<double>(rep.body) + 400;
     if (!(as_.at(c.server).region == as_.region(st_.region))) far_in_ += static_cast<double>(rep.body) + 400;
-    End const en = judge(rep, e->attempt_id);
+    Judged const jd = examine(rep, e->attempt_id);
+    End const en = jd.end;
+    if (jd.why) fence_.drop(*jd.why);
     bufferevent* bev = evhttp_connection_get_bufferevent(c.ec);
     bool const surplus = evbuffer_get_length(bufferevent_get_input(bev)) > 0;
+    if (surplus) fence_.drop(Drop::surplus);
     std::string const* cn = find_head(rep.heads, "Connection");
     bool const closing = cn != nullptr && same_name(*cn, "close");
     if (std::string const* cl = find_head(rep.heads, "X-Cold-Remaining"); cl != nullptr) {
@@ -741,11 +780,6 @@
   // A whole answer goes on unchanged.
   void pass(Errand& e, evhttp_request* r, Reply const& rep, evbuffer* body) {
     if (e.granted) {
-      Told t;
-      t.key = e.key;
-      t.holder = e.holder;
-      t.homes = e.home_names;
-      t.outcome = Outcome::returned;
       Return ret;
       ret.key = e.key;
       ret.holder = e.holder;
@@ -757,12 +791,11 @@
         if (!hop_only(k) && !same_name(k, "Date")) ret.heads.push_back(k + ":" + v);
       ret.body.resize(rep.body);
       evbuffer_copyout(body, ret.body.data(), rep.body);
-      t.ret = codec::pack(ret);
-      page_.send(Kind::done, 0, t);
+      tell_claim(e, Outcome::returned, codec::pack(ret));
     }
     evkeyvalq* out = evhttp_request_get_output_headers(e.req);
     for (auto const& [k, v] : rep.heads)
-      if (!hop_only(k)) evhttp_add_header(out, k.c_str(), v.c_str());
+      if (!hop_only(k) || (rep.head && same_name(k, "Content-Length"))) evhttp_add_header(out, k.c_str(), v.c_str());
     if (closing()) evhttp_add_header(out, "Connection", "close");
     char const* line = evhttp_request_get_response_code_line(r);
     evhttp_send_reply(e.req, rep.code, line != nullptr && *line != '\0' ? line : reason_of(rep.code), body);
@@ -781,12 +814,14 @@
   void ended(Errand& e, End en) {
     Secs const now = now_s();
     ServerIx const s = e.server;
+    bool const kept = e.chan != nullptr && e.chan->idle_was >= 0;
     let_go(e);
     as_.dropped(s);
     e.course.ended(en);
     if (!surely_not_run(en)) count(e);
     switch (en) {
-      case End::unsent: as_.shun(s, 0.4, now); break;
+      // A server that closes a kept channel does well; only one that lets nobody in is shunned.
+      case End::unsent: if (!kept) as_.shun(s, 0.4, now); break;
       case End::misdirected: as_.misdirected(s); break;
       case End::not_run: as_.full(s, now); break;
       case End::broken: as_.shun(s, now - e.course.try_at() > 0.2 ? 0.4 : 0.1, now); break;
@@ -819,12 +854,8 @@
   void expired(Errand& e, Secs now) {
     if (e.asking) {
       e.asking = false;
-      Told t;  // whatever was granted meanwhile is given back
-      t.key = e.key;
-      t.holder = e.holder;
-      t.homes = e.home_names;
-      t.outcome = Outcome::not_run;
-      page_.send(Kind::done, 0, t);
+      asks_.erase(e.tag);
+      tell_claim(e, Outcome::not_run);  // whatever was granted meanwhile is given back
       return finish(e, own(503, false, 0.2));
     }
     if (e.chan != nullptr) {
@@ -910,6 +941,10 @@
       return;
     }
     atlas_.fill(s, now);
+    for (u8 i = 0; i < static_cast<u8>(Drop::count); ++i) {
+      Drop const d = static_cast<Drop>(i);
+      if (fence_.dropped(d) > 0) s.dropped.push_back(Dropped{drop_name(d), fence_.dropped(d)});
+    }
     for (Target const& t : as_.targets()) {
       if (!t.ready || t.lat <= 0) continue;
       Speed x;
@@ -938,6 +973,11 @@
       far_out_ = far_in_ = 0;
       far_n_ = 0;
     }
+    while (shelf_.late > 0 && shelf_.late--) fence_.drop(Drop::late_answer);
+    if (now - fenced_at_ > 10) {
+      fenced_at_ = now;
+      if (std::string const d = fence_.since(); !d.empty()) LOG4CPLUS_INFO(lg_, "Dropped as not the answer that was waited for: " << d << ".");
+    }
     if (now - said_at_ > 10 && !given_up_.empty()) {
       said_at_ = now;
       std::string line;
@@ -992,6 +1032,11 @@
   };
   std::vector<Parked> parked_;
   Observer atlas_;
+  Fence fence_;
+  std::deque<std::string> held_back_;  // ends of claims, for an agent that is away
+  std::size_t held_back_bytes_ = 0;
+  static constexpr std::size_t held_back_most = 4 << 20;
+  Secs fenced_at_ = 0;
   u64 to_fix_ = 0;
   std::map<std::string, u64> given_up_;  // by reason, since it was last logged
   Secs said_at_ = 0;
--- a/tests/errand_test.cpp
+++ b/tests/errand_test.cpp
@@ -31,11 +31,31 @@
   cr_assert(with([](Reply& r) { r.code = 503, r.heads.emplace_back("X-Not-Run", "1"); }) == End::not_run);
   cr_assert(with([](Reply& r) { r.code = 503, r.heads[1].second = "a2", r.heads.emplace_back("X-Not-Run", "1"); }) == End::broken,
             "a refusal of another errand proves nothing of this one");
+  cr_assert(with([](Reply& r) { r.heads.emplace_back("X-Attempt-Id", "a2"); }) == End::broken, "two ids");
+  for (int const c : {503, 421, 400})
+    cr_assert(with([c](Reply& r) { r.code = c, r.heads.erase(r.heads.begin() + 1), r.heads.emplace_back("X-Not-Run", "1"); }) == End::broken,
+              "a refusal without an id, %d, may be of an earlier request", c);
+  cr_assert(with([](Reply& r) { r.heads.emplace_back("X-Not-Run", "1"); }) == End::broken, "a success that says it has not run");
+  cr_assert(with([](Reply& r) { r.head = true, r.body = 0; }) == End::whole, "an answer to a HEAD has no body");
   cr_assert(with([](Reply& r) { r.code = 421; }) == End::misdirected);
   cr_assert(with([](Reply& r) { r.code = 500; }) == End::whole);
   cr_assert_not(surely_not_run(End::broken) || surely_not_run(End::silent) || surely_not_run(End::whole));
 }
 
+Test(errand, what_a_fence_drops_is_counted_by_cause) {
+  Reply r = good();
+  r.heads[1].second = "a2";
+  Fence f;
+  f.drop(*examine(r, "a1").why);
+  f.drop(Drop::late_answer);
+  f.drop(Drop::late_answer);
+  std::string const said = f.since();
+  cr_assert_str_eq(said.c_str(), "other id 1, late answer 2");
+  cr_assert(f.since().empty());
+  cr_assert_eq(f.dropped(Drop::late_answer), 2u);
+  cr_assert_not(examine(good(), "a1").why.has_value());
+}
+
 Test(errand, ambiguous_framing_of_a_request) {
   u64 n = 0;
   cr_assert(framing_of({{"Content-Length", "5"}}, n) == Framing::length && n == 5);
--- /dev/null
+++ b/tests/shelf_test.cpp
@@ -0,0 +1,184 @@
+// Channels to servers against a bare socket in the same process and the same loop.
+#include <criterion/criterion.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include <functional>
+
+#include "shelf/shelf.hpp"
+#include "stacks/courier.hpp"
+
+using namespace dockbend;
+
+namespace {
+
+// A server's bare socket on loopback: counts what it got, answers and closes when told to.
+struct Sink {
+  event_base* eb = precise();
+  evconnlistener* ls = nullptr;
+  std::vector<bufferevent*> conns;
+  std::size_t bytes = 0;
+  u32 port = 0;
+  static event_base* precise() {
+    event_config* const c = event_config_new();
+    event_config_set_flag(c, EVENT_BASE_FLAG_PRECISE_TIMER);
+    event_base* const b = event_base_new_with_config(c);
+    event_config_free(c);
+    return b;
+  }
+  Sink() {
+    sockaddr_in sa{};
+    sa.sin_family = AF_INET;
+    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ls = evconnlistener_new_bind(
+        eb,
+        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* p) {
+          Sink* const s = static_cast<Sink*>(p);
+          bufferevent* const b = bufferevent_socket_new(s->eb, fd, BEV_OPT_CLOSE_ON_FREE);
+          bufferevent_setcb(
+              b, [](bufferevent* x, void* q) { static_cast<Sink*>(q)->bytes += evbuffer_get_length(bufferevent_get_input(x)); }, nullptr, [](bufferevent*, short, void*) {}, s);
+          bufferevent_enable(b, EV_READ | EV_WRITE);
+          s->conns.push_back(b);
+        },
+        this, LEV_OPT_CLOSE_ON_FREE, 8, reinterpret_cast<sockaddr*>(&sa), sizeof sa);
+    cr_assert(ls != nullptr);
+    socklen_t n = sizeof sa;
+    getsockname(evconnlistener_get_fd(ls), reinterpret_cast<sockaddr*>(&sa), &n);
+    port = ntohs(sa.sin_port);
+  }
+  ~Sink() {
+    for (bufferevent* b : conns) bufferevent_free(b);
+    evconnlistener_free(ls);
+    event_base_free(eb);
+  }
+  void turn(int n) {
+    for (int i = 0; i < n; ++i) event_base_loop(eb, EVLOOP_NONBLOCK);
+  }
+  template <class F>
+  void until(F f) {
+    for (int i = 0; i < 100000 && !f(); ++i) turn(1);
+    cr_assert(f());
+  }
+  // Runs f in one turn with what the sockets hold by then: behind their events, before
+  // what these put off to the end of the turn.
+  void within_the_turn(std::function<void()> f, std::function<void()> first = [] {}) {
+    bool ran = false;
+    after(eb, 1e-5, [&] {
+      ran = true;
+      f();
+    });
+    for (Secs const t = now_s(); now_s() - t < 0.001;) {}
+    first();
+    turn(1);
+    cr_assert(ran);
+  }
+  void answer(std::string const& a) { bufferevent_write(conns.at(0), a.data(), a.size()); turn(1); }
+  void close() {
+    shutdown(bufferevent_getfd(conns.at(0)), SHUT_RDWR);
+    bufferevent_free(conns.at(0));
+    conns.clear();
+  }
+};
+
+Settings settings() {
+  Settings st;
+  st.zone = "elm";
+  st.region = "east";
+  st.zones["elm"] = "east";
+  return st;
+}
+
+struct Desk {
+  Sink sink;
+  Settings st = settings();
+  Assign as{st};
+  Shelf shelf{sink.eb, as};
+  int returns = 0;
+  bool whole = false;
+  Desk() {
+    Assign::Seen s;
+    s.id = "s1";
+    s.service = "p";
+    s.address = "127.0.0.1:" + std::to_string(sink.port);
+    s.zone = "elm";
+    s.ready = true;
+    as.table({s}, 0);
+    shelf.on_return.connect([this](Chan&, evhttp_request* r) {
+      ++returns;
+      whole = r != nullptr && evhttp_request_get_response_code(r) == 200;
+    });
+  }
+  Chan& send(Secs now) {
+    Chan& c = shelf.take(ServerIx(0), 60, now, nullptr);
+    evhttp_request* const u = shelf.request(c);
+    evhttp_add_header(evhttp_request_get_output_headers(u), "Connection", "keep-alive");
+    cr_assert(shelf.send(c, u, EVHTTP_REQ_GET, "/x", 1000));
+    return c;
+  }
+};
+
+}  // namespace
+
+// Let go at each turn of the loop from the connect to the first byte, and within the turn
+// in which the connect comes up: as long as the channel says that nothing left, nothing
+// ever does.
+Test(shelf, let_go_before_the_first_byte_sends_none_later) {
+  int before = 0;
+  for (int turns = -1; turns < 8; ++turns) {
+    Desk d;
+    Chan& c = d.send(0);
+    bool left = false;
+    auto const let_go = [&] {
+      left = c.sent;
+      c.busy = false;
+      d.shelf.doom(c);
+    };
+    if (turns < 0) {
+      d.sink.within_the_turn(let_go);
+    } else {
+      d.sink.turn(turns);
+      let_go();
+    }
+    d.sink.turn(20);
+    if (left) break;
+    ++before;
+    cr_assert_eq(d.sink.bytes, 0u, "after %d turns", turns);
+    cr_assert_eq(d.returns, 0);
+  }
+  cr_assert_gt(before, 1);
+}
+
+// A kept channel that its server closes in the very turn in which a request is made on
+// it: libevent neither sends it again nor elsewhere, and what it throws away is no send.
+Test(shelf, a_close_met_by_a_send_is_known_to_have_sent_nothing) {
+  Desk d;
+  Chan& c = d.send(0);
+  d.sink.until([&] { return d.sink.bytes > 0; });
+  cr_assert(c.sent);
+  d.sink.answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  d.sink.until([&] { return d.returns == 1; });
+  cr_assert(d.whole);
+  d.shelf.keep(c, 4, 1);
+  d.sink.bytes = 0;
+  bool same = false;
+  d.sink.within_the_turn([&] { same = &d.send(1.1) == &c; }, [&] { d.sink.close(); });
+  cr_assert(same);
+  d.sink.turn(20);
+  cr_assert_eq(d.returns, 2);
+  cr_assert_not(d.whole || c.sent);
+  cr_assert(d.sink.conns.empty() && d.sink.bytes == 0);
+}
+
+// After the first byte a close says nothing of whether it ran; and it is not sent again.
+Test(shelf, a_close_after_the_first_byte_leaves_it_open_and_sends_nothing_again) {
+  Desk d;
+  Chan& c = d.send(0);
+  d.sink.until([&] { return d.sink.bytes > 0; });
+  std::size_t const n = d.sink.bytes;
+  d.sink.answer("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok");
+  d.sink.close();
+  d.sink.until([&] { return d.returns == 1; });
+  cr_assert(c.sent && !d.whole, "an answer that ends early is none");
+  d.sink.turn(20);
+  cr_assert(d.sink.conns.empty() && d.sink.bytes == n);
+}
