The course of a request as a core without I/O; its messages spoiled one at a time

Tests: request (3): each message of an idempotent, an effectful and a keyed exchange lost, doubled, late into the slot's second use, cut short, split, with another, no or two ids, another status, at a reset, behind one, with servers killed or frozen, the agent killed, draining; 150 storms by seed; 8 planted faults, each found.

--- a/packages/errand/heads.cpp
+++ b/packages/errand/heads.cpp
@@ -53,10 +53,12 @@
   switch (code) {
     case 200: return "OK";
     case 400: return "Bad Request";
+    case 401: return "Unauthorized";
     case 404: return "Not Found";
     case 405: return "Method Not Allowed";
     case 409: return "Conflict";
     case 413: return "Content Too Large";
+    case 429: return "Too Many Requests";
     case 431: return "Request Header Fields Too Large";
     case 502: return "Bad Gateway";
     case 503: return "Service Unavailable";
--- a/packages/errand/include/errand/course.hpp
+++ b/packages/errand/include/errand/course.hpp
@@ -30,9 +30,10 @@
     limit_ = now + patience;
     connect_ = now + connect;
   }
-  void ended(End e) {
+  void ended(End e) { ended(e, surely_not_run(e)); }
+  void ended(End e, bool not_run) {
     if (e != End::unsent) ++arrivals_;
-    if (!surely_not_run(e)) maybe_run_ = true;
+    if (!not_run) maybe_run_ = true;
   }
 
   // May it go to another server, as far as it alone decides? The budget of all
--- a/packages/errand/include/errand/heads.hpp
+++ b/packages/errand/include/errand/heads.hpp
@@ -61,5 +61,6 @@
 // that nothing ran; without X-Not-Run the server promised no such thing.
 bool promise_code(int code);
 char const* reason_of(int code);
+inline Verdict verdict_of(int code, Secs retry_after = -1, bool close = false) { return Verdict{code, reason_of(code), retry_after, close}; }
 
 }  // namespace dockbend
--- /dev/null
+++ b/packages/errand/include/errand/request.hpp
@@ -0,0 +1,148 @@
+// The course of one request through the proxy: budget, claim on its key, choice of a
+// server, attempts, answer. Events go in, a Step comes out that says what the sockets and
+// timers round it are to do next. No I/O.
+#pragma once
+#include <string>
+#include <utility>
+
+#include "errand/course.hpp"
+
+namespace dockbend {
+
+// What becomes of the claim on a key. not_run gives it back, and needs a proof.
+enum class ClaimEnd : u8 { none, not_run, lost, returned };
+
+struct Step {
+  enum class Do : u8 {
+    wait,    // for the next event
+    claim,   // ask the agent for the key
+    choose,  // a server, and send
+    pass,    // the server's answer goes to the client
+    repeat,  // the first answer of the key goes to the client
+    say,     // the verdict goes to the client
+  };
+  Do what = Do::wait;
+  Verdict verdict;
+  char const* why = nullptr;  // for the log
+  ClaimEnd claim = ClaimEnd::none;
+  bool refund = false;  // the partner's token goes back
+};
+
+// What each promise rests on. Tests put a fault in place of one of these.
+struct Rules {
+  static Judged examine(Reply const& r, std::string_view id) { return dockbend::examine(r, id); }
+  static bool proves_not_run(End e) { return surely_not_run(e); }
+  static bool may_refuse(Course const& c) { return !c.maybe_run(); }
+  static bool may_give_back(Course const& c) { return !c.maybe_run(); }
+  static bool may_go_on(Course const& c, Secs now) { return c.may_try_again(now); }
+};
+
+// Invariants: pass, repeat or say comes once, and after it every event comes to nothing;
+// a refusal (429, 503) is said, and a claim or token given back, only if nothing may have
+// run; an event that does not fit the phase changes nothing.
+template <class P = Rules>
+class BasicRequest {
+ public:
+  enum class Phase : u8 { budget, claim, choice, attempt, over };
+
+  BasicRequest() = default;
+  BasicRequest(std::string id, bool keyed, Course c) : id_(std::move(id)), keyed_(keyed), course_(c) {}
+
+  std::string const& id() const { return id_; }
+  Course const& course() const { return course_; }
+  Phase phase() const { return phase_; }
+  bool granted() const { return granted_; }
+
+  // ---- the partner's budget ----
+  Step admitted() {
+    if (phase_ != Phase::budget) return {};
+    phase_ = keyed_ ? Phase::claim : Phase::choice;
+    return go(keyed_ ? Step::Do::claim : Step::Do::choose);
+  }
+  Step overdrawn(Secs wait) { return phase_ == Phase::budget ? say(verdict_of(429, wait)) : Step{}; }
+
+  // ---- the claim on its key ----
+  Step claim_granted() {
+    if (phase_ != Phase::claim) return {};
+    granted_ = true;
+    phase_ = Phase::choice;
+    return go(Step::Do::choose);
+  }
+  Step claim_repeated() {
+    if (phase_ != Phase::claim) return {};
+    Step s = go(Step::Do::repeat);
+    phase_ = Phase::over;
+    s.refund = true;  // what was answered before costs nothing
+    return s;
+  }
+  // at work: 409; lost: 502; unavailable: 503.
+  Step claim_refused(Verdict v, char const* why = nullptr) { return phase_ == Phase::claim ? say(v, why) : Step{}; }
+  // No word may come any more: whatever was granted meanwhile is given back.
+  Step claim_unknown(Secs wait) {
+    if (phase_ != Phase::claim) return {};
+    Step s = say(verdict_of(503, wait));
+    s.claim = ClaimEnd::not_run;
+    return s;
+  }
+
+  // ---- attempts ----
+  // Nobody takes it.
+  Step none(Secs now, Secs wait, char const* why) {
+    return phase_ == Phase::choice ? give_up(now, wait, why) : Step{};
+  }
+  void began(Secs now, Secs patience, Secs connect) {
+    phase_ = Phase::attempt;
+    course_.began(now, patience, connect);
+  }
+  Judged judge(Reply const& r) const { return P::examine(r, id_); }
+  // spend: asks the budget of further attempts; called at most once, if one is due.
+  template <class F>
+  Step ended(End e, Secs now, Secs wait, F spend) {
+    if (phase_ != Phase::attempt) return {};
+    course_.ended(e, P::proves_not_run(e));
+    if (e == End::whole) {
+      Step s = go(Step::Do::pass);
+      phase_ = Phase::over;
+      if (granted_) s.claim = ClaimEnd::returned;
+      return s;
+    }
+    phase_ = Phase::choice;
+    if (!P::may_go_on(course_, now) || (course_.costs_budget() && !spend())) return give_up(now, wait, "tries used up");
+    return go(Step::Do::choose);
+  }
+  // Its time is over.
+  Step expired(bool sent) {
+    if (phase_ == Phase::claim) return claim_unknown(0.2);
+    if (phase_ == Phase::over) return {};
+    if (phase_ == Phase::attempt && sent) course_.ended(End::silent, P::proves_not_run(End::silent));
+    return say(P::may_refuse(course_) ? verdict_of(503, 0.1) : verdict_of(504));
+  }
+
+ private:
+  static Step go(Step::Do d) {
+    Step s;
+    s.what = d;
+    return s;
+  }
+  Step give_up(Secs now, Secs wait, char const* why) {
+    if (P::may_refuse(course_)) return say(verdict_of(503, wait), why);
+    return say(verdict_of(course_.deadline() - now < 0.01 ? 504 : 502), why);
+  }
+  Step say(Verdict v, char const* why = nullptr) {
+    phase_ = Phase::over;
+    Step s = go(Step::Do::say);
+    s.verdict = v;
+    s.why = why;
+    s.refund = !course_.maybe_run();
+    if (granted_) s.claim = P::may_give_back(course_) ? ClaimEnd::not_run : ClaimEnd::lost;
+    return s;
+  }
+
+  std::string id_;
+  bool keyed_ = false, granted_ = false;
+  Phase phase_ = Phase::budget;
+  Course course_;
+};
+using Request = BasicRequest<>;
+
+}  // namespace dockbend
--- a/packages/errand/include/errand/slab.hpp
+++ b/packages/errand/include/errand/slab.hpp
@@ -1,5 +1,5 @@
-// Continuations in a slab: a handle names a place and a turn, and a handle of an
-// earlier turn finds nothing.
+// Continuations in a slab: a handle names a slot and its generation (turn), and a handle
+// of an earlier one finds nothing.
 #pragma once
 #include <memory>
 #include <vector>
@@ -8,7 +8,11 @@
 
 namespace dockbend {
 
-template <class T>
+struct Generations {
+  static bool same(u32 a, u32 b) { return a == b; }
+};
+
+template <class T, class Turns = Generations>
 class Slab {
  public:
   struct Handle {
@@ -32,7 +36,7 @@
     ++n_;
     return {i, v_[i].turn};
   }
-  T* get(Handle h) { return h.ix < v_.size() && v_[h.ix].turn == h.turn ? v_[h.ix].x.get() : nullptr; }
+  T* get(Handle h) { return h.ix < v_.size() && Turns::same(v_[h.ix].turn, h.turn) ? v_[h.ix].x.get() : nullptr; }
   void drop(Handle h) {
     if (get(h) == nullptr) return;
     v_[h.ix].x.reset();
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -19,8 +19,8 @@
 #include "assign/assign.hpp"
 #include "atlas/survey.hpp"
 #include "drain/leaver.hpp"
-#include "errand/course.hpp"
-#include "errand/slab.hpp"
+#include "errand/request.hpp"
+#include "errand/table.hpp"
 #include "gossip/roll.hpp"
 #include "keys/ask.hpp"
 #include "manifest/manifest.hpp"
@@ -38,12 +38,12 @@
 namespace {
 
 struct Errand;
-using ErrandSlab = Slab<Errand>;
-using Handle = ErrandSlab::Handle;
+using Requests = RequestTable<Errand>;
+using Handle = Requests::Handle;
 
-// Invariants: an errand that may not repeat is sent again only after a proof
-// that it has not run; req is answered exactly once, then the place is dropped;
-// token is given back if and only if nothing ran.
+// The sockets and timers of one request; its course is the core's. Invariants: req is
+// answered exactly once, then the slot is dropped; chan is set exactly while the core is
+// in an attempt.
 struct Errand {
   Handle h;
   evhttp_request* req = nullptr;
@@ -51,24 +51,25 @@
   TenantP tenant;     // null: the lane is keyless, or there are no customers
   bool gated = false;  // there are customers: the client's key stays here
   evhttp_cmd_type cmd = EVHTTP_REQ_GET;
-  std::string uri, attempt_id, key;
+  std::string uri, key;
   std::vector<PlaceIx> homes;
   std::vector<std::string> home_names;
   std::vector<ServerIx> tried;
   PoolIx pool;
   Secs start = 0;
   u32 rank = 0;
-  Course course;
+  Request core;
   Chan* chan = nullptr;
   ServerIx server;
   u64 holder = 0;
   u32 tag = 0;  // of the ask for its claim
-  bool asking = false, granted = false, parked = false;
+  bool parked = false;
   Borrower::Token token;
   u32 counted = 0;  // tries that the tally has
   event* timer = nullptr;
   std::size_t body = 0;
-  Secs deadline() const { return course.deadline(); }
+  Course const& course() const { return core.course(); }
+  Secs deadline() const { return course().deadline(); }
   ~Errand() {
     if (timer != nullptr) event_free(timer);
   }
@@ -134,7 +135,7 @@
     draining_ = true;
     drain_at_ = now_s();
     tell_load();
-    LOG4CPLUS_INFO(lg_, "Draining. " << slab_.size() << " errands at work.");
+    LOG4CPLUS_INFO(lg_, "Draining. " << requests_.size() << " errands at work.");
   }
 
   void settings(Settings const& s) { st_.bounds = s.bounds; }
@@ -283,15 +284,7 @@
   // Whether a claim was granted meanwhile can't be known: it is given back once there is
   // an agent again.
   void page_down() {
-    std::unordered_map<u32, Handle> l;
-    l.swap(asks_);
-    for (auto const& [tag, h] : l) {
-      Errand* const e = slab_.get(h);
-      if (e == nullptr || !e->asking) continue;
-      e->asking = false;
-      tell_claim(*e, Outcome::not_run);
-      finish(*e, Verdict{503, "Service Unavailable", 0.3, false});
-    }
+    requests_.agent_gone([this](Errand& e) { carry(e, e.core.claim_unknown(0.3)); });
   }
 
   // ---- what becomes of a claim on a key ----------------------------------------
@@ -343,7 +336,7 @@
     l.load = load_;
     u32 keyed = 0, uploads = 0;
     if (leaver_.concerned()) {
-      slab_.each([&](Errand const& e) {
+      requests_.each([&](Errand const& e) {
         keyed += e.lane->kind == LaneKind::keyed ? 1 : 0;
         uploads += is_upload(e) ? 1 : 0;
       });
@@ -369,7 +362,7 @@
 
   // ---- a drain that an operator wants -----------------------------------------
   void told_to_drain(DrainSaid const& d) {
-    if (leaver_.told(d, now_s())) LOG4CPLUS_INFO(lg_, (drains() ? "Drains for maintenance. " : "Drains no more. ") << slab_.size() << " errands at work.");
+    if (leaver_.told(d, now_s())) LOG4CPLUS_INFO(lg_, (drains() ? "Drains for maintenance. " : "Drains no more. ") << requests_.size() << " errands at work.");
     tell_load();
   }
   bool drains() const { return leaver_.drains(); }
@@ -394,7 +387,7 @@
     evbuffer_free(b);
   }
 
-  static Verdict own(int code, bool close = false, Secs retry = -1) { return Verdict{code, reason_of(code), retry, close}; }
+  static Verdict own(int code, bool close = false, Secs retry = -1) { return verdict_of(code, retry, close); }
 
   void arrive(evhttp_request* r) {
     Secs const now = now_s();
@@ -455,7 +448,6 @@
     e.rank = tenant && tenant->rank ? *tenant->rank : lane->rank;
     e.cmd = evhttp_request_get_command(r);
     e.uri = uri;
-    e.attempt_id = id;
     e.start = now;
     e.body = body;
     double left = lane->deadline;
@@ -467,7 +459,7 @@
     e.pool = pool_ix(*svc);
     PoolDef const* const d = man_.pool(*svc);
     bool const repeatable = lane->kind == LaneKind::idempotent || (lane->kind == LaneKind::keyed && d != nullptr && d->dedupes);
-    e.course = Course(repeatable, lane->max_tries, now + left);
+    e.core = Request(id, lane->kind == LaneKind::keyed, Course(repeatable, lane->max_tries, now + left));
     bool homeless = false;
     e.home_names = homes_of(*lane, tenant.get(), homeless);
     for (std::string const& h : e.home_names) e.homes.push_back(as_.region(h));
@@ -482,7 +474,7 @@
     if (homeless) ++given_up_["homes have nothing in common"];
     if (homeless) return write(r, own(503, false, 1.0), id);
     e.timer = event_new(eb_, -1, 0, timer_cb, &e);
-    e.h = slab_.add(std::move(up));
+    requests_.open(std::move(up));
     as_.budget(e.pool).errand(now);
     atlas_.errand(lane->name, as_.pool_name(e.pool), e.home_names, e.body > 16384 || lane->kind == LaneKind::inflow, now);
     admit(e, now);
@@ -512,11 +504,11 @@
 
   // ---- a partner's budget: it comes first, then rank and worth ------------------
   void admit(Errand& e, Secs now) {
-    if (!e.tenant || !borrower_.has(e.tenant->name)) return go(e);
+    if (!e.tenant || !borrower_.has(e.tenant->name)) return carry(e, e.core.admitted());
     std::string const& t = e.tenant->name;
     bool const high = is_high(e);
     e.token = borrower_.take(t, high, now);
-    if (e.token) return go(e);
+    if (e.token) return carry(e, e.core.admitted());
     // The lender may have some. It is asked at once and waited for as long as that is
     // of use; nothing is held back after its answer.
     if (!e.parked && page_.up()) {
@@ -525,18 +517,15 @@
       lend(now);
       return set_timer(e, std::min(e.deadline(), now + std::max(0.02, 0.2 * e.lane->setpoint)));
     }
-    borrower_.refused(t);
-    finish(e, own(429, false, borrower_.wait_of(t)));
+    overdrawn(e);
   }
 
   // Every rank but the lowest that lanes have may use the reserve.
   bool is_high(Errand const& e) const { return e.lane->rank < man_.lowest_rank(); }
 
-  void go(Errand& e) {
-    if (e.lane->kind == LaneKind::keyed)
-      ask(e);
-    else
-      attempt(e);
+  void overdrawn(Errand& e) {
+    borrower_.refused(e.tenant->name);
+    carry(e, e.core.overdrawn(borrower_.wait_of(e.tenant->name)));
   }
 
   void lend(Secs now) {
@@ -552,7 +541,7 @@
     std::vector<Parked> l;
     l.swap(parked_);
     for (Parked const& p : l) {
-      Errand* const e = slab_.get(p.h);
+      Errand* const e = requests_.find(p.h);
       if (e == nullptr || !e->parked || e->token) continue;
       if (p.ask > r.seq) parked_.push_back(p);
       else admit(*e, now);
@@ -575,34 +564,34 @@
   void end(Errand& e) {
     if (e.lane->kind == LaneKind::keyed) leaver_.answered(now_s());
     event_del(e.timer);
-    slab_.drop(e.h);
-  }
-
-  // Ends an errand with an answer of our own.
-  void finish(Errand& e, Verdict const& v) {
-    if (!e.course.maybe_run()) refund(e);
-    if (e.granted) tell_claim(e, e.course.maybe_run() ? Outcome::lost : Outcome::not_run);
-    write(e.req, v, e.attempt_id);
-    end(e);
+    requests_.close(e);
   }
 
-  // Nobody can take it: it has not run, so the client is told when to come back.
-  void give_up(Errand& e, char const* why) {
-    ++given_up_[why];
-    if (e.course.maybe_run()) {
-      finish(e, own(e.deadline() - now_s() < 0.01 ? 504 : 502));
-    } else {
-      finish(e, own(503, false, 0.05 + 0.25 * e.lane->setpoint * (0.5 + random01())));
+  // Does what the core wants next. An answer that goes on is written by whoever holds it.
+  void carry(Errand& e, Step const& s) {
+    if (s.refund) refund(e);
+    if (s.claim == ClaimEnd::not_run) tell_claim(e, Outcome::not_run);
+    if (s.claim == ClaimEnd::lost) tell_claim(e, Outcome::lost);
+    if (s.why != nullptr) ++given_up_[s.why];
+    switch (s.what) {
+      case Step::Do::claim: return ask(e);
+      case Step::Do::choose: return attempt(e);
+      case Step::Do::say: write(e.req, s.verdict, e.core.id()); return end(e);
+      case Step::Do::wait:
+      case Step::Do::pass:
+      case Step::Do::repeat: break;
     }
   }
 
+  static Secs wait_of(Errand const& e) { return 0.05 + 0.25 * e.lane->setpoint * (0.5 + random01()); }
+  // Nobody can take it: if it has not run, the client is told when to come back.
+  void give_up(Errand& e, char const* why) { carry(e, e.core.none(now_s(), wait_of(e), why)); }
+
   // ---- keys ------------------------------------------------------------------
   void ask(Errand& e) {
-    if (!page_.up()) return finish(e, own(503, false, 0.3));
+    if (!page_.up()) return carry(e, e.core.claim_refused(own(503, false, 0.3)));
     e.holder = random64() | 1;
-    e.asking = true;
-    u32 const tag = e.tag = ++next_tag_;
-    asks_[tag] = e.h;
+    u32 const tag = requests_.ask(e);
     Ask a;
     a.key = e.key;
     a.holder = e.holder;
@@ -613,23 +602,19 @@
   }
 
   void asked(u32 tag, AskR const& a) {
-    auto const it = asks_.find(tag);
-    if (it == asks_.end()) return fence_.drop(Drop::late_claim);
-    Errand* const e = slab_.get(it->second);
-    asks_.erase(it);
-    if (e == nullptr || !e->asking) return fence_.drop(Drop::late_claim);
-    e->asking = false;
+    Errand* const e = requests_.asked(tag);
+    if (e == nullptr) return;
     switch (a.leave) {
       case Leave::run:
-        e->granted = true;
-        attempt(*e);
+        carry(*e, e->core.claim_granted());
         break;
       case Leave::repeat: {
         Return const r = codec::unpack<Return>(a.ret);
         if (r.key != e->key) {
-          fence_.drop(Drop::other_key);
-          return finish(*e, own(502));
+          requests_.fence().drop(Drop::other_key);
+          return carry(*e, e->core.claim_refused(own(502)));
         }
+        carry(*e, e->core.claim_repeated());
         evkeyvalq* out = evhttp_request_get_output_headers(e->req);
         for (std::string const& h : r.heads) {
           auto const c = h.find(':');
@@ -638,9 +623,8 @@
           if (same_name(k, "X-Attempt-Id")) continue;
           evhttp_add_header(out, k.c_str(), h.substr(c + 1).c_str());
         }
-        evhttp_add_header(out, "X-Attempt-Id", e->attempt_id.c_str());
+        evhttp_add_header(out, "X-Attempt-Id", e->core.id().c_str());
         if (closing()) evhttp_add_header(out, "Connection", "close");
-        refund(*e);  // what was answered before costs nothing
         evbuffer* b = evbuffer_new();
         evbuffer_add(b, r.body.data(), r.body.size());
         evhttp_send_reply(e->req, static_cast<int>(r.code), r.reason.c_str(), b);
@@ -648,12 +632,9 @@
         end(*e);
         break;
       }
-      case Leave::at_work: finish(*e, own(409, false, 0.1 + 0.3 * e->lane->setpoint)); break;
-      case Leave::lost: finish(*e, own(502)); break;
-      case Leave::unavailable:
-        ++given_up_["key not granted"];
-        finish(*e, own(503, false, 0.2 + 0.2 * random01()));
-        break;
+      case Leave::at_work: carry(*e, e->core.claim_refused(own(409, false, 0.1 + 0.3 * e->lane->setpoint))); break;
+      case Leave::lost: carry(*e, e->core.claim_refused(own(502))); break;
+      case Leave::unavailable: carry(*e, e->core.claim_refused(own(503, false, 0.2 + 0.2 * random01()), "key not granted")); break;
     }
   }
 
@@ -673,18 +654,18 @@
     if (e.deadline() - now < 0.002) return give_up(e, "no time left");
     Assign::Choice const c = as_.choose(wish_of(e), now);
     if (!c.ix) return give_up(e, c.no == Assign::No::none ? "nobody may take it" : "all full");
-    if (e.course.tries() == 0 && make_way(e.rank, c.est, e.lane->setpoint)) return give_up(e, "made way");
+    if (e.course().tries() == 0 && make_way(e.rank, c.est, e.lane->setpoint)) return give_up(e, "made way");
     send(e, *c.ix, now);
   }
 
   void send(Errand& e, ServerIx s, Secs now) {
     Target& t = as_.at(s);
-    bool const rep = e.course.repeatable();
+    bool const rep = e.course().repeatable();
     Chan& c = shelf_.take(s, as_.idle_safe(s, rep, now), now, e.h.ptr());
     as_.took(s, now);
     e.chan = &c;
     e.server = s;
-    e.course.began(now, std::max(4 * as_.lat_of(e.pool), e.lane->setpoint * 0.85), connect_limit(e));
+    e.core.began(now, std::max(4 * as_.lat_of(e.pool), e.lane->setpoint * 0.85), connect_limit(e));
     e.tried.push_back(s);
     atlas_.sent(e.lane->name, as_.zone_name(t.zone), now);
 
@@ -713,26 +694,23 @@
     bool const far = !(t.region == as_.region(st_.region));
     Handle const h = e.h;
     if (!shelf_.send(c, u, e.cmd, e.uri.c_str(), rep ? (far ? 600 : 250) : 2000)) return ended(e, End::unsent);
-    if (slab_.get(h) == nullptr || e.chan != &c) return;  // it ended within the call
+    if (requests_.find(h) == nullptr || e.chan != &c) return;  // it ended within the call
     bytes_out_ += static_cast<double>(e.body) + 600;
     if (far) far_out_ += static_cast<double>(e.body) + 600;
     if (far) ++far_n_;
-    if (e.tenant) uncounted_.push_back({e.h, e.course.tries(), now});
-    set_timer(e, e.course.next(now, true, false));
+    if (e.tenant) uncounted_.push_back({e.h, e.course().tries(), now});
+    set_timer(e, e.course().next(now, true, false));
   }
 
   Secs connect_limit(Errand const& e) { return as_.at(e.server).region == as_.region(st_.region) ? 0.25 : std::max(0.25, std::min(0.5, e.lane->setpoint)); }
 
   void returned(Chan& c, evhttp_request* r) {
-    Errand* const e = slab_.get(Handle::of(c.owner));
-    if (e == nullptr || e->chan != &c) {
-      fence_.drop(Drop::late_answer);
-      return shelf_.doom(c);
-    }
+    Errand* const e = requests_.on(Handle::of(c.owner), &c);
+    if (e == nullptr) return shelf_.doom(c);
     Secs const now = now_s();
     if (r == nullptr || evhttp_request_get_response_code(r) == 0) {
-      // An idle channel that the server had forgotten: reset with no byte back.
-      if (c.sent && c.idle_was > 0 && now - e->course.try_at() < 0.3) as_.idle_lost(c.server, c.idle_was, now);
+      // An idle channel that the server had closed or forgotten: no byte came back.
+      if (c.idle_was > 0 && now - e->course().try_at() < 0.3) as_.idle_lost(c.server, c.idle_was, now);
       return ended(*e, c.sent ? End::broken : End::unsent);
     }
     Reply rep;
@@ -744,12 +722,12 @@
     bytes_in_ += static_cast<double>(rep.body) + 400;
     bytes_out_ += static_cast<double>(rep.body) + 400;
     if (!(as_.at(c.server).region == as_.region(st_.region))) far_in_ += static_cast<double>(rep.body) + 400;
-    Judged const jd = examine(rep, e->attempt_id);
+    Judged const jd = e->core.judge(rep);
     End const en = jd.end;
-    if (jd.why) fence_.drop(*jd.why);
+    if (jd.why) requests_.fence().drop(*jd.why);
     bufferevent* bev = evhttp_connection_get_bufferevent(c.ec);
     bool const surplus = evbuffer_get_length(bufferevent_get_input(bev)) > 0;
-    if (surplus) fence_.drop(Drop::surplus);
+    if (surplus) requests_.fence().drop(Drop::surplus);
     std::string const* cn = find_head(rep.heads, "Connection");
     bool const closing = cn != nullptr && same_name(*cn, "close");
     if (std::string const* cl = find_head(rep.heads, "X-Cold-Remaining"); cl != nullptr) {
@@ -771,15 +749,17 @@
       shelf_.keep(c, limit, now);
     }
     if (en != End::whole) return ended(*e, en);
-    as_.gave(e->server, now - e->course.try_at(), true, now);
+    as_.gave(e->server, now - e->course().try_at(), true, now);
     if (rep.code >= 500) as_.failed(e->server, now);
     count(*e);
-    pass(*e, r, rep, body);
+    Step const s = e->core.ended(en, now, 0, [] { return false; });
+    carry(*e, s);
+    pass(*e, r, rep, body, s.claim == ClaimEnd::returned);
   }
 
   // A whole answer goes on unchanged.
-  void pass(Errand& e, evhttp_request* r, Reply const& rep, evbuffer* body) {
-    if (e.granted) {
+  void pass(Errand& e, evhttp_request* r, Reply const& rep, evbuffer* body, bool keep) {
+    if (keep) {
       Return ret;
       ret.key = e.key;
       ret.holder = e.holder;
@@ -817,30 +797,27 @@
     bool const kept = e.chan != nullptr && e.chan->idle_was >= 0;
     let_go(e);
     as_.dropped(s);
-    e.course.ended(en);
     if (!surely_not_run(en)) count(e);
     switch (en) {
       // A server that closes a kept channel does well; only one that lets nobody in is shunned.
       case End::unsent: if (!kept) as_.shun(s, 0.4, now); break;
       case End::misdirected: as_.misdirected(s); break;
       case End::not_run: as_.full(s, now); break;
-      case End::broken: as_.shun(s, now - e.course.try_at() > 0.2 ? 0.4 : 0.1, now); break;
+      case End::broken: as_.shun(s, now - e.course().try_at() > 0.2 ? 0.4 : 0.1, now); break;
       case End::silent: as_.shun(s, 0.1, now); break;
       case End::whole: break;
     }
-    if (!e.course.may_try_again(now) || (e.course.costs_budget() && !as_.budget(e.pool).take(now, as_.part()))) return give_up(e, "tries used up");
-    attempt(e);
+    carry(e, e.core.ended(en, now, wait_of(e), [&] { return as_.budget(e.pool).take(now, as_.part()); }));
   }
 
   void timer(Errand* ep) {
     Errand& e = *ep;
     Secs const now = now_s();
     if (e.parked && !e.token) {  // the lender kept us waiting
-      borrower_.refused(e.tenant->name);
-      return finish(e, own(429, false, borrower_.wait_of(e.tenant->name)));
+      return overdrawn(e);
     }
     bool const sent = e.chan != nullptr && e.chan->sent;
-    switch (e.course.due(now, e.chan != nullptr, sent, draining_)) {
+    switch (e.course().due(now, e.chan != nullptr, sent, draining_)) {
       case Course::Due::expired: return expired(e, now);
       case Course::Due::unsent: return ended(e, End::unsent);
       case Course::Due::late:
@@ -848,35 +825,27 @@
         break;
       case Course::Due::wait: break;
     }
-    set_timer(e, e.course.next(now, e.chan != nullptr, sent));
+    set_timer(e, e.course().next(now, e.chan != nullptr, sent));
   }
 
   void expired(Errand& e, Secs now) {
-    if (e.asking) {
-      e.asking = false;
-      asks_.erase(e.tag);
-      tell_claim(e, Outcome::not_run);  // whatever was granted meanwhile is given back
-      return finish(e, own(503, false, 0.2));
-    }
+    bool const sent = e.chan != nullptr && e.chan->sent;
+    if (sent) count(e);
     if (e.chan != nullptr) {
-      if (e.chan->sent) {
-        e.course.ended(End::silent);
-        count(e);
-      }
       let_go(e);
       as_.dropped(e.server);
       as_.shun(e.server, 0.1, now);
     }
-    finish(e, e.course.maybe_run() ? own(504) : own(503, false, 0.1));
+    carry(e, e.core.expired(sent));
   }
 
   // ---- what servers began, by partner and window -----------------------------------
   // A try counts once it is clear that its server did not turn it away: at its answer,
   // or after a moment's silence. It counts in the window in which it was sent.
   void count(Errand& e) {
-    if (!e.tenant || e.counted >= e.course.tries()) return;
-    e.counted = e.course.tries();
-    Wall const w = clock_.known() ? clock_.at(e.course.try_at()) : wall_s() - (now_s() - e.course.try_at());
+    if (!e.tenant || e.counted >= e.course().tries()) return;
+    e.counted = e.course().tries();
+    Wall const w = clock_.known() ? clock_.at(e.course().try_at()) : wall_s() - (now_s() - e.course().try_at());
     counter_.began(e.tenant->name, window_of(w, st_.bounds.reportPeriodS));
   }
 
@@ -884,8 +853,8 @@
     while (!uncounted_.empty() && now - uncounted_.front().at > 0.3) {
       Uncounted const u = uncounted_.front();
       uncounted_.pop_front();
-      Errand* const e = slab_.get(u.h);
-      if (e != nullptr && e->course.tries() == u.tries && e->chan != nullptr && e->chan->sent) count(*e);
+      Errand* const e = requests_.find(u.h);
+      if (e != nullptr && e->course().tries() == u.tries && e->chan != nullptr && e->chan->sent) count(*e);
     }
   }
 
@@ -903,7 +872,7 @@
   std::vector<Held> holdings(std::vector<std::string> const& ids, Secs now) {
     std::map<std::string, Held> m;
     for (std::string const& id : ids) m[id].id = id;
-    slab_.each([&](Errand const& e) {
+    requests_.each([&](Errand const& e) {
       if (e.chan == nullptr) return;
       std::string const& id = as_.at(e.server).id;
       auto it = m.find(id);
@@ -943,7 +912,7 @@
     atlas_.fill(s, now);
     for (u8 i = 0; i < static_cast<u8>(Drop::count); ++i) {
       Drop const d = static_cast<Drop>(i);
-      if (fence_.dropped(d) > 0) s.dropped.push_back(Dropped{drop_name(d), fence_.dropped(d)});
+      if (requests_.fence().dropped(d) > 0) s.dropped.push_back(Dropped{drop_name(d), requests_.fence().dropped(d)});
     }
     for (Target const& t : as_.targets()) {
       if (!t.ready || t.lat <= 0) continue;
@@ -973,10 +942,10 @@
       far_out_ = far_in_ = 0;
       far_n_ = 0;
     }
-    while (shelf_.late > 0 && shelf_.late--) fence_.drop(Drop::late_answer);
+    while (shelf_.late > 0 && shelf_.late--) requests_.fence().drop(Drop::late_answer);
     if (now - fenced_at_ > 10) {
       fenced_at_ = now;
-      if (std::string const d = fence_.since(); !d.empty()) LOG4CPLUS_INFO(lg_, "Dropped as not the answer that was waited for: " << d << ".");
+      if (std::string const d = requests_.fence().since(); !d.empty()) LOG4CPLUS_INFO(lg_, "Dropped as not the answer that was waited for: " << d << ".");
     }
     if (now - said_at_ > 10 && !given_up_.empty()) {
       said_at_ = now;
@@ -993,7 +962,7 @@
       sock_ = nullptr;
       closed_at_ = now;
     }
-    if ((sock_ == nullptr && slab_.size() == 0 && now - closed_at_ > 0.3) || t > g - 0.4) {
+    if ((sock_ == nullptr && requests_.size() == 0 && now - closed_at_ > 0.3) || t > g - 0.4) {
       tallied_ = 0;
       tell_tally(now);
       event_base_loopbreak(eb_);
@@ -1011,8 +980,7 @@
   evhttp* ready_ = nullptr;
   evhttp_bound_socket* sock_ = nullptr;
   std::unique_ptr<Ticker> tick_, load_tick_;
-  ErrandSlab slab_;
-  std::unordered_map<u32, Handle> asks_;
+  Requests requests_;
   std::set<std::string> pool_names_, evac_;
   Holder held_;  // rollouts whose change is held here
   u64 life_;
@@ -1032,7 +1000,6 @@
   };
   std::vector<Parked> parked_;
   Observer atlas_;
-  Fence fence_;
   std::deque<std::string> held_back_;  // ends of claims, for an agent that is away
   std::size_t held_back_bytes_ = 0;
   static constexpr std::size_t held_back_most = 4 << 20;
@@ -1040,7 +1007,6 @@
   u64 to_fix_ = 0;
   std::map<std::string, u64> given_up_;  // by reason, since it was last logged
   Secs said_at_ = 0;
-  u32 next_tag_ = 0;
   bool have_state_ = false, draining_ = false, tally_all_ = false;
   Ballot bal_;
   Secs drain_at_ = 0, closed_at_ = 0, cpu_at_ = 0, tallied_ = 0;
--- /dev/null
+++ b/tests/request_test.cpp
@@ -0,0 +1,451 @@
+// The course of requests against a small world of servers, channels, an agent and clients,
+// with one message at a time spoiled. The world believes nothing: it counts runs itself.
+#include <criterion/criterion.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+
+#include "errand/request.hpp"
+#include "errand/table.hpp"
+
+using namespace dockbend;
+
+namespace {
+
+enum class Sort : u8 { idempotent, effectful, keyed };
+enum class Spoil : u8 {
+  none, lost, twice, late, cut_short, split, other_id, no_id, two_ids, no_seal, bare_503, bare_refusal, other_refusal, refused, misdirected, failed, reset, reset_behind,
+  server_killed, server_frozen, agent_killed, drain, count
+};
+
+struct Case {
+  Sort sort = Sort::effectful;
+  std::size_t at = 0;    // which message
+  Spoil spoil = Spoil::none;
+  std::size_t when = 0;  // late: before which message of the second request
+};
+
+// What a faulty shell would do.
+struct Shell {
+  static constexpr bool cuts = true;  // a channel that is let go sends and hears nothing more
+};
+
+template <class P = Rules, class S = Shell>
+class World {
+ public:
+  struct Req;
+  struct Conn {
+    int server = 0;
+    void* owner = nullptr;
+    bool busy = false, dead = false, up = false, sent = false;
+  };
+  using Table = RequestTable<Req>;
+  struct Req {
+    typename Table::Handle h;
+    u32 tag = 0;
+    Conn* chan = nullptr;
+    BasicRequest<P> core;
+    std::string id, key;
+    u64 holder = 0;
+    std::set<int> tried;
+  };
+
+  std::string broken;  // the invariant that did not hold
+
+  explicit World(Case const& c, unsigned seed = 0) : c_(c), rnd_(seed) {}
+
+  // One request, a second that takes its slot and channel while late messages come, and for
+  // a key its repeat; then everything that is still on its way.
+  std::string play() {
+    one("a1", c_.sort, "k1");
+    one("a2", c_.sort, "k2");
+    if (c_.sort == Sort::keyed) one("a3", c_.sort, "k1");
+    settle();
+    return check();
+  }
+  // Many at once, each message spoiled by chance.
+  std::string storm(int n) {
+    chance_ = 0.12;
+    for (int i = 0; i < n; ++i) {
+      Sort const s = static_cast<Sort>(rnd_() % 3);
+      start("r" + std::to_string(i), s, "k" + std::to_string(i % 7));
+      for (u32 k = rnd_() % 8; k > 0; --k) step();
+    }
+    settle();
+    return check();
+  }
+
+ private:
+  struct Msg {
+    std::function<void(Spoil)> run;
+    Conn* conn = nullptr;
+    bool to_server = false, to_agent = false, claim = false;
+  };
+
+  void fail(std::string const& s) {
+    if (broken.empty()) broken = s;
+  }
+
+  void post(Msg m) {
+    std::size_t const n = posted_++;
+    if (late_ && second_ && n >= second_at_ + c_.when) {
+      bag_.push_back(std::move(*late_));
+      late_.reset();
+    }
+    Spoil sp = n == c_.at ? c_.spoil : Spoil::none;
+    if (chance_ > 0) sp = std::uniform_real_distribution<>(0, 1)(rnd_) < chance_ ? static_cast<Spoil>(rnd_() % static_cast<u32>(Spoil::count)) : Spoil::none;
+    spoil(std::move(m), sp);
+  }
+  void spoil(Msg m, Spoil sp) {
+    if (m.claim && sp != Spoil::none) claims_spoiled_ = true;
+    switch (sp) {
+      case Spoil::lost: return;
+      case Spoil::twice:
+        if (!m.to_server) bag_.push_back(m);  // bytes of a request come once or not at all
+        break;
+      case Spoil::late:
+        if (late_) after_.push_back(std::move(m));
+        else late_ = std::move(m);
+        return;
+      case Spoil::split:  // half of a message is none yet: the rest comes after another turn
+        bag_.push_back(Msg{[this, m](Spoil) { bag_.push_back(m); }, nullptr});
+        return;
+      case Spoil::reset:
+        if (m.conn != nullptr) bag_.push_back(Msg{[this, c = m.conn](Spoil) { reset(*c); }, nullptr});
+        return;
+      case Spoil::reset_behind:
+        bag_.push_back(m);
+        if (m.conn != nullptr) bag_.push_back(Msg{[this, c = m.conn](Spoil) { reset(*c); }, nullptr});
+        return;
+      case Spoil::server_killed:
+        bag_.push_back(Msg{[this](Spoil) {
+                             for (std::size_t i = 0; i < conns_.size(); ++i) reset(*conns_[i]);
+                           }, nullptr});
+        return;
+      case Spoil::server_frozen:
+        if (m.conn != nullptr) frozen_ = m.conn->server;
+        break;
+      case Spoil::agent_killed: bag_.push_back(Msg{[this](Spoil) { agent_killed(); }, nullptr}); break;
+      case Spoil::drain: draining_ = true; break;
+      default: break;
+    }
+    bag_.push_back(Msg{[m, sp](Spoil) { m.run(sp); }, m.conn, m.to_server, m.to_agent, m.claim});
+  }
+  bool step() {
+    if (bag_.empty()) return false;
+    Msg m = std::move(bag_.front());
+    bag_.pop_front();
+    now_ += 0.005;
+    if (m.to_server && m.conn->server == frozen_) after_.push_back(std::move(m));
+    else m.run(Spoil::none);
+    return true;
+  }
+
+  // ---- the proxy's shell: what circulation does with sockets and timers ----
+  typename Table::Handle start(std::string const& id, Sort s, std::string const& key) {
+    auto r = std::make_unique<Req>();
+    r->id = id;
+    r->key = s == Sort::keyed ? key : "";
+    r->core = BasicRequest<P>(id, s == Sort::keyed, Course(s == Sort::idempotent, 3, now_ + 2));
+    if (s != Sort::idempotent) once_.insert(id);
+    Req& q = table_.open(std::move(r));
+    typename Table::Handle const h = q.h;
+    carry(q, q.core.admitted());
+    return h;
+  }
+  void one(std::string const& id, Sort s, std::string const& key) {
+    second_ = id != "a1";
+    if (second_ && second_at_ == 0) second_at_ = posted_;
+    typename Table::Handle const h = start(id, s, key);
+    while (table_.find(h) != nullptr)
+      if (!step()) tick();
+  }
+  void settle() {
+    for (int i = 0; i < 3; ++i) {
+      frozen_ = -1;
+      if (late_) after_.push_back(std::move(*late_));
+      late_.reset();
+      for (Msg& m : after_) bag_.push_back(std::move(m));
+      after_.clear();
+      while (step() || table_.size() > 0)
+        if (bag_.empty()) tick();
+    }
+  }
+  void tick() {
+    std::vector<typename Table::Handle> all;
+    table_.each([&](Req const& q) { all.push_back(q.h); });
+    now_ += 0.05;
+    for (auto const h : all)
+      if (Req* const q = table_.find(h)) timer(*q);
+  }
+  void timer(Req& q) {
+    bool const sent = q.chan != nullptr && q.chan->sent;
+    switch (q.core.course().due(now_, q.chan != nullptr, sent, draining_)) {
+      case Course::Due::expired:
+        let_go(q);
+        return carry(q, q.core.expired(sent));
+      case Course::Due::unsent: return ended(q, End::unsent);
+      case Course::Due::late: return ended(q, End::silent);
+      case Course::Due::wait: return;
+    }
+  }
+  void carry(Req& q, Step const& s) {
+    if (s.claim == ClaimEnd::not_run || s.claim == ClaimEnd::lost) tell(q, s.claim);
+    switch (s.what) {
+      case Step::Do::claim: return ask(q);
+      case Step::Do::choose: return attempt(q);
+      case Step::Do::say: answer(q.id, s.verdict.code, ""); return table_.close(q);
+      default: return;
+    }
+  }
+  void ask(Req& q) {
+    q.holder = ++holders_;
+    u32 const tag = table_.ask(q);
+    post(Msg{[this, tag, key = q.key, h = q.holder](Spoil) { claimed(tag, key, h); }, nullptr, false, true, true});
+  }
+  void attempt(Req& q) {
+    int s = 0;
+    while (q.tried.count(s) > 0) ++s;
+    if (s > 2) return carry(q, q.core.none(now_, 0.1, nullptr));
+    q.tried.insert(s);
+    Conn* c = nullptr;
+    for (auto& x : conns_)
+      if (x->server == s && !x->busy && !x->dead) c = x.get();
+    bool const fresh = c == nullptr;
+    if (fresh) {
+      conns_.push_back(std::make_unique<Conn>());
+      c = conns_.back().get();
+      c->server = s;
+    }
+    c->busy = true;
+    c->sent = false;
+    c->owner = q.h.ptr();
+    q.chan = c;
+    q.core.began(now_, 0.5, 0.25);
+    if (fresh) post(Msg{[this, c, id = q.id, key = q.key](Spoil) {
+                          if (c->dead || c->up) return;
+                          c->up = true;
+                          send(*c, id, key);
+                        }, c});
+    else send(*c, q.id, q.key);
+  }
+  void send(Conn& c, std::string const& id, std::string const& key) {
+    c.sent = true;
+    post(Msg{[this, &c, id, key](Spoil sp) { serve(c, id, key, sp); }, &c, true});
+  }
+  void let_go(Req& q) {
+    if (q.chan == nullptr) return;
+    q.chan->busy = false;
+    if (S::cuts) q.chan->dead = true;
+    q.chan = nullptr;
+  }
+  void ended(Req& q, End e) {
+    let_go(q);
+    carry(q, q.core.ended(e, now_, 0.1, [] { return true; }));
+  }
+  void reset(Conn& c) {
+    if (c.dead) return;
+    c.dead = true;
+    if (!c.busy) return;
+    if (Req* const q = table_.on(Table::Handle::of(c.owner), &c)) ended(*q, c.sent ? End::broken : End::unsent);
+  }
+  void came(Conn& c, Reply const& r, std::string const& run_of) {
+    if (c.dead) return;
+    if (!c.busy) {  // bytes on an idle channel
+      c.dead = true;
+      return;
+    }
+    Req* const q = table_.on(Table::Handle::of(c.owner), &c);
+    if (q == nullptr) return;
+    End const e = q->core.judge(r).end;
+    if (e != End::whole) return ended(*q, e);
+    q->chan = nullptr;
+    c.busy = false;
+    Step const s = q->core.ended(e, now_, 0.1, [] { return true; });
+    if (s.claim == ClaimEnd::returned) tell(*q, s.claim);
+    if (r.code < 300 && r.body != 4) fail("an answer that ends early looks whole");
+    answer(q->id, r.code, run_of);
+    table_.close(*q);
+  }
+  void tell(Req const& q, ClaimEnd e) {
+    post(Msg{[this, key = q.key, h = q.holder, e, id = q.id](Spoil) {
+               if (e == ClaimEnd::not_run && holder_[key] == h) holder_[key] = 0;
+               if (e == ClaimEnd::returned) first_[key] = id;
+               if (e == ClaimEnd::lost) told_lost_.insert(h);
+             }, nullptr, false, true, true});
+  }
+  void agent_killed() {
+    table_.agent_gone([this](Req& q) { carry(q, q.core.claim_unknown(0.1)); });
+  }
+
+  // ---- the others ----
+  void claimed(u32 tag, std::string const& key, u64 h) {
+    bool const got = holder_[key] == 0 || holder_[key] == h;
+    if (got) holder_[key] = h;
+    std::string const first = first_[key];
+    post(Msg{[this, tag, got, first](Spoil) {
+               Req* const q = table_.asked(tag);
+               if (q == nullptr) return;
+               if (got) return carry(*q, q->core.claim_granted());
+               if (first.empty()) return carry(*q, q->core.claim_refused(verdict_of(409)));
+               carry(*q, q->core.claim_repeated());
+               answer(q->id, 200, first);
+               table_.close(*q);
+             }, nullptr, false, true, true});
+  }
+  void serve(Conn& c, std::string const& id, std::string const& key, Spoil sp) {
+    Reply r{200, {{"Content-Length", "4"}, {"X-Attempt-Id", id}, {"X-Server-Seal", "s"}}, 4};
+    bool const refuses = sp == Spoil::refused || sp == Spoil::misdirected;
+    if (refuses) {
+      r.code = sp == Spoil::refused ? 503 : 421;
+      r.heads.emplace_back("X-Not-Run", "1");
+    } else if (sp == Spoil::cut_short) {  // half a request does not run
+      return reset(c);
+    } else {
+      ++runs_[id];
+      if (!key.empty()) ++key_runs_[key];
+    }
+    post(Msg{[this, &c, r, id, refuses](Spoil s) {
+               Reply x = r;
+               switch (s) {
+                 case Spoil::cut_short: x.body = 3; break;
+                 case Spoil::other_id: x.heads[1].second = "zz"; break;
+                 case Spoil::no_id: x.heads.erase(x.heads.begin() + 1); break;
+                 case Spoil::two_ids: x.heads.emplace_back("X-Attempt-Id", "zz"); break;
+                 case Spoil::no_seal: x.heads.erase(x.heads.begin() + 2); break;
+                 case Spoil::bare_503: if (!refuses) x.code = 503; break;
+                 case Spoil::bare_refusal: x = Reply{503, {{"Content-Length", "0"}, {"X-Not-Run", "1"}}, 0}; break;  // anybody's
+                 case Spoil::other_refusal: x = Reply{421, {{"Content-Length", "0"}, {"X-Attempt-Id", "zz"}, {"X-Not-Run", "1"}}, 0}; break;
+                 case Spoil::failed: x.code = 500; break;
+                 default: break;
+               }
+               came(c, x, id);
+             }, &c});
+  }
+  void answer(std::string const& id, int code, std::string const& run_of) {
+    if (!answered_.emplace(id, code).second) fail("two answers for " + id);
+    if (code < 300 && runs_[run_of] == 0) fail("a success that nobody ran");
+    if (code < 300 && run_of != id && first_of(run_of) == false) fail(id + " got the answer of " + run_of);
+  }
+  bool first_of(std::string const& id) const {
+    for (auto const& [k, f] : first_)
+      if (f == id) return true;
+    return false;
+  }
+  std::string check() {
+    for (auto const& [id, n] : runs_) {
+      if (once_.count(id) > 0 && n > 1) fail(id + " ran twice");
+      if (answered_[id] == 503 && n > 0) fail(id + " was refused and ran");
+    }
+    for (auto const& [k, n] : key_runs_)
+      if (n > 1) fail(k + " ran twice");
+    for (auto const& [k, h] : holder_)
+      if (h != 0 && !claims_spoiled_ && chance_ == 0 && first_[k].empty() && told_lost_.count(h) == 0) fail("the claim on " + k + " is left behind");
+    if (table_.size() > 0 || table_.asks() > 0) fail("a slot or an ask is left behind");
+    for (auto const& c : conns_)
+      if (c->busy) fail("a channel is left behind");
+    return broken;
+  }
+
+  Case c_;
+  std::mt19937 rnd_;
+  double chance_ = 0;
+  Secs now_ = 0;
+  Table table_;
+  std::deque<Msg> bag_;
+  std::vector<Msg> after_;
+  std::optional<Msg> late_;
+  std::vector<std::unique_ptr<Conn>> conns_;
+  std::size_t posted_ = 0, second_at_ = 0;
+  u64 holders_ = 0;
+  int frozen_ = -1;
+  bool second_ = false, draining_ = false, claims_spoiled_ = false;
+  std::map<std::string, int> runs_, key_runs_, answered_;
+  std::map<std::string, u64> holder_;
+  std::map<std::string, std::string> first_;
+  std::set<std::string> once_;
+  std::set<u64> told_lost_;
+};
+
+std::string name(Case const& c) {
+  return "sort " + std::to_string(static_cast<int>(c.sort)) + " message " + std::to_string(c.at) + " spoil " + std::to_string(static_cast<int>(c.spoil)) + " when " +
+         std::to_string(c.when);
+}
+
+// Every message of every sort, spoiled in every way; the first break, or nothing.
+template <class P = Rules, class S = Shell>
+std::string mutate(std::size_t* played = nullptr) {
+  std::size_t n = 0;
+  for (Sort const s : {Sort::idempotent, Sort::effectful, Sort::keyed})
+    for (std::size_t at = 0; at < 14; ++at)
+      for (u8 sp = 0; sp < static_cast<u8>(Spoil::count); ++sp)
+        for (std::size_t when = 0; when < (static_cast<Spoil>(sp) == Spoil::late ? 6u : 1u); ++when) {
+          Case const c{s, at, static_cast<Spoil>(sp), when};
+          ++n;
+          if (std::string const b = World<P, S>(c).play(); !b.empty()) return b + " (" + name(c) + ")";
+        }
+  if (played != nullptr) *played = n;
+  return "";
+}
+
+// The planted faults.
+struct TrustsBroken : Rules {
+  static bool proves_not_run(End e) { return surely_not_run(e) || e == End::broken; }
+};
+struct TrustsSilence : Rules {
+  static bool proves_not_run(End e) { return surely_not_run(e) || e == End::silent; }
+};
+struct RefusesAlways : Rules {
+  static bool may_refuse(Course const&) { return true; }
+};
+struct GivesBackAlways : Rules {
+  static bool may_give_back(Course const&) { return true; }
+};
+struct GoesOnAlways : Rules {
+  static bool may_go_on(Course const& c, Secs) { return c.tries() < 3; }
+};
+struct ReadsNoId : Rules {
+  static Judged examine(Reply const& r, std::string_view) {
+    std::string const* id = find_head(r.heads, "X-Attempt-Id");
+    return dockbend::examine(r, id != nullptr ? *id : "");
+  }
+};
+struct RefusalNeedsNoId : Rules {
+  static Judged examine(Reply const& r, std::string_view id) {
+    if (find_head(r.heads, "X-Not-Run") != nullptr && find_head(r.heads, "X-Attempt-Id") == nullptr) return {End::not_run, std::nullopt};
+    return dockbend::examine(r, id);
+  }
+};
+struct NeverCuts : Shell {
+  static constexpr bool cuts = false;
+};
+
+}  // namespace
+
+Test(request, one_message_spoiled_at_a_time_breaks_nothing) {
+  std::size_t n = 0;
+  std::string const b = mutate(&n);
+  cr_assert(b.empty(), "%s", b.c_str());
+  cr_assert_gt(n, 1000u);
+}
+
+Test(request, storms_by_seed_break_nothing) {
+  for (unsigned seed = 1; seed <= 150; ++seed) {
+    std::string const b = World<>(Case{Sort::effectful, static_cast<std::size_t>(-1)}, seed).storm(40);
+    cr_assert(b.empty(), "seed %u: %s", seed, b.c_str());
+  }
+}
+
+Test(request, each_planted_fault_is_found) {
+  cr_assert_not(mutate<TrustsBroken>().empty());
+  cr_assert_not(mutate<TrustsSilence>().empty());
+  cr_assert_not(mutate<RefusesAlways>().empty());
+  cr_assert_not(mutate<GivesBackAlways>().empty());
+  cr_assert_not(mutate<GoesOnAlways>().empty());
+  cr_assert_not(mutate<ReadsNoId>().empty());
+  cr_assert_not(mutate<RefusalNeedsNoId>().empty());
+  cr_assert_not((mutate<Rules, NeverCuts>().empty()));
+}
