What a client's request is, as a core: route, partner, key, homes and service

Cause: the head of a request was judged between reads of evhttp, where no test reached it. errand/arrival.hpp reads it in one pass and says the answer of our own or the request; circulation carries it. Uploads are told by one figure in one place. Tests: arrival (2), one thing of a good request spoiled at a time.

--- /dev/null
+++ b/packages/errand/include/errand/arrival.hpp
@@ -0,0 +1,49 @@
+// What a client's request is, as far as its head and the configuration say: refused with an
+// answer of our own, or a request with its route, partner, homes and service. No I/O.
+#pragma once
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "errand/heads.hpp"
+#include "manifest/manifest.hpp"
+
+namespace dockbend {
+
+struct Arrival {
+  Heads const& heads;
+  std::string_view target;
+  std::size_t body = 0;
+  bool chunks = false;  // its method may come with a body in chunks
+};
+
+struct Admitted {
+  LaneP lane;
+  TenantP tenant;      // null: the lane is keyless, or there are no customers
+  bool gated = false;  // there are customers: the client's key stays here
+  std::string key;     // of the operation; two partners may use the same words
+  std::string const* service = nullptr;  // of the lane
+  std::vector<std::string> homes;
+  bool repeatable = false, upload = false;
+  u32 rank = 0;
+  Secs left = 0;
+};
+
+// Bodies over this are uploads: dear to carry far, and not begun on the way out.
+constexpr std::size_t upload_bytes = 16384;
+
+struct Admission {
+  std::string id;  // of the attempt, as far as it is known
+  Verdict no;      // if not ok
+  char const* why = nullptr;
+  std::optional<Admitted> ok;
+};
+// drains: on its way out for maintenance; draw: 0 to 1, picks among a lane's services. The
+// configuration is null until there is one.
+Admission admit(Arrival const& a, Compiled const* man, LimitsDef const& limits, bool drains, double draw);
+
+// The bytes of the head's fields.
+std::size_t size_of(Heads const& h);
+
+}  // namespace dockbend
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -19,6 +19,7 @@
 #include "assign/assign.hpp"
 #include "atlas/survey.hpp"
 #include "drain/leaver.hpp"
+#include "errand/arrival.hpp"
 #include "errand/request.hpp"
 #include "errand/table.hpp"
 #include "gossip/roll.hpp"
@@ -44,20 +45,15 @@
 // The sockets and timers of one request; its course is the core's. Invariants: req is
 // answered exactly once, then the slot is dropped; chan is set exactly while the core is
 // in an attempt.
-struct Errand {
+struct Errand : Admitted {
   Handle h;
   evhttp_request* req = nullptr;
-  LaneP lane;
-  TenantP tenant;     // null: the lane is keyless, or there are no customers
-  bool gated = false;  // there are customers: the client's key stays here
   evhttp_cmd_type cmd = EVHTTP_REQ_GET;
-  std::string uri, key;
-  std::vector<PlaceIx> homes;
-  std::vector<std::string> home_names;
+  std::string uri;
+  std::vector<PlaceIx> regions;  // its homes
   std::vector<ServerIx> tried;
   PoolIx pool;
   Secs start = 0;
-  u32 rank = 0;
   Request core;
   Chan* chan = nullptr;
   ServerIx server;
@@ -81,19 +77,6 @@
   return h;
 }
 
-// The key that a client names itself by: `Authorization: Token KEY`.
-std::string_view key_of(evkeyvalq* in) {
-  char const* a = evhttp_find_header(in, "Authorization");
-  if (a == nullptr) return {};
-  std::string_view v = a;
-  auto const sp = v.find(' ');
-  if (sp == std::string_view::npos || !same_name(v.substr(0, sp), "Token")) return {};
-  v.remove_prefix(sp);
-  while (!v.empty() && v.front() == ' ') v.remove_prefix(1);
-  while (!v.empty() && v.back() == ' ') v.remove_suffix(1);
-  return v;
-}
-
 class Proxy {
  public:
   Proxy(event_base* eb, Settings const& st)
@@ -292,7 +275,7 @@
     Told t;
     t.key = e.key;
     t.holder = e.holder;
-    t.homes = e.home_names;
+    t.homes = e.homes;
     t.outcome = o;
     t.ret = std::move(ret);
     if (page_.up()) return page_.send(Kind::done, 0, t);
@@ -338,7 +321,7 @@
     if (leaver_.concerned()) {
       requests_.each([&](Errand const& e) {
         keyed += e.lane->kind == LaneKind::keyed ? 1 : 0;
-        uploads += is_upload(e) ? 1 : 0;
+        uploads += e.upload ? 1 : 0;
       });
       // Silent for longer than a client may be idle: its connection ended.
       uploads += readings_.open(static_cast<u64>(10 * man_.limits().idle) + 10);
@@ -367,7 +350,6 @@
   }
   bool drains() const { return leaver_.drains(); }
   bool closing() const { return draining_ || drains(); }
-  static bool is_upload(Errand const& e) { return e.lane->kind == LaneKind::inflow || e.body > 16384; }
 
   // ---- clients ---------------------------------------------------------------
   // One place writes the proxy's own answers.
@@ -391,119 +373,37 @@
 
   void arrive(evhttp_request* r) {
     Secs const now = now_s();
-    evkeyvalq* in = evhttp_request_get_input_headers(r);
-    Heads const heads = heads_of(in);
-    char const* idp = evhttp_find_header(in, "X-Attempt-Id");
-    std::string const id = idp != nullptr ? idp : "";
-    u64 len = 0;
-    Framing const f = framing_of(heads, len);
+    Heads const heads = heads_of(evhttp_request_get_input_headers(r));
+    std::string const uri = evhttp_request_get_uri(r);
+    evhttp_cmd_type const cmd = evhttp_request_get_command(r);
     std::size_t const body = evbuffer_get_length(evhttp_request_get_input_buffer(r));
-    bool const wrong = f == Framing::ambiguous || (f == Framing::length && len != body) || (f == Framing::none && body > 0) ||
-                       (f == Framing::chunked && evhttp_request_get_command(r) != EVHTTP_REQ_POST && evhttp_request_get_command(r) != EVHTTP_REQ_PUT &&
-                        evhttp_request_get_command(r) != EVHTTP_REQ_PATCH);
-    std::size_t hb = 0, hosts = 0, ids = 0, keys = 0;
-    for (auto const& [k, v] : heads) {
-      hb += k.size() + v.size() + 4;
-      hosts += same_name(k, "Host") ? 1 : 0;
-      ids += same_name(k, "X-Attempt-Id") ? 1 : 0;
-      keys += same_name(k, "X-Operation-Key") ? 1 : 0;
-    }
-    // Two names for one request: we would go by the one and the server by the other.
-    if (wrong || hosts != 1 || ids > 1 || keys > 1) return write(r, own(400, true), id);
-    LimitsDef const& lim = man_.limits();
+    bool const chunks = cmd == EVHTTP_REQ_POST || cmd == EVHTTP_REQ_PUT || cmd == EVHTTP_REQ_PATCH;
     readings_.whole(r);
-    std::string const uri = evhttp_request_get_uri(r);
-    bytes_in_ += static_cast<double>(body + hb) + 150;
-    if (hb + uri.size() > lim.header_bytes) return write(r, own(431, true), id);
-    if (body > lim.body_bytes) return write(r, own(413, true), id);
-    char const* host = evhttp_find_header(in, "Host");
-    if (host == nullptr || uri.empty() || uri[0] != '/') return write(r, own(400, true), id);
-    std::string hn = host;
-    if (auto const c = hn.find(':'); c != std::string::npos) hn.resize(c);
-    std::transform(hn.begin(), hn.end(), hn.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    if (!have_state_) return write(r, own(503, false, 0.3), id);
-    std::string_view path = uri;
-    path = path.substr(0, path.find('?'));
-    LaneP const lane = man_.find(hn, path);
-    if (!lane) return write(r, own(404), id);
-    if (id.empty()) return write(r, own(400), id);
-    // On its way out for maintenance: what may not be cut is not begun.
-    if (drains() && (lane->kind == LaneKind::keyed || lane->kind == LaneKind::inflow || body > 16384)) {
-      ++given_up_["draining"];
-      return write(r, own(503, true, 0.05), id);
-    }
-    bool const gated = man_.has_tenants();
-    TenantP tenant;
-    if (gated) {
-      if (std::string_view const k = key_of(in); !k.empty()) tenant = man_.tenant_of(k);
-      if (!tenant && !lane->keyless) return write(r, own(401), id);
-    }
+    bytes_in_ += static_cast<double>(body + size_of(heads)) + 150;
+    Admission a = admit(Arrival{heads, uri, body, chunks}, have_state_ ? &man_ : nullptr, man_.limits(), drains(), random01());
+    if (a.why != nullptr) ++given_up_[a.why];
+    if (!a.ok) return write(r, a.no, a.id);
 
     auto up = std::make_unique<Errand>();
     Errand& e = *up;
+    static_cast<Admitted&>(e) = std::move(*a.ok);
     e.req = r;
-    e.lane = lane;
-    e.tenant = tenant;
-    e.gated = gated;
-    e.rank = tenant && tenant->rank ? *tenant->rank : lane->rank;
-    e.cmd = evhttp_request_get_command(r);
+    e.cmd = cmd;
     e.uri = uri;
     e.start = now;
     e.body = body;
-    double left = lane->deadline;
-    if (char const* tl = evhttp_find_header(in, "X-Time-Left"); tl != nullptr) {
-      double const ms = std::strtod(tl, nullptr);
-      if (ms > 0) left = std::min(left, ms / 1000.0);
-    }
-    std::string const* svc = pick_service(*lane);
-    e.pool = pool_ix(*svc);
-    PoolDef const* const d = man_.pool(*svc);
-    bool const repeatable = lane->kind == LaneKind::idempotent || (lane->kind == LaneKind::keyed && d != nullptr && d->dedupes);
-    e.core = Request(id, lane->kind == LaneKind::keyed, Course(repeatable, lane->max_tries, now + left));
-    bool homeless = false;
-    e.home_names = homes_of(*lane, tenant.get(), homeless);
-    for (std::string const& h : e.home_names) e.homes.push_back(as_.region(h));
-    if (lane->kind == LaneKind::keyed) {
-      char const* k = evhttp_find_header(in, "X-Operation-Key");
-      if (k == nullptr || *k == '\0') return write(r, own(400), id);
-      // Two partners may use the same words for their keys.
-      e.key = tenant ? tenant->name + "/" + k : std::string(k);
-    }
-    // Homes of the lane and of its partner that have no region in common: nobody may
-    // ever run it.
-    if (homeless) ++given_up_["homes have nothing in common"];
-    if (homeless) return write(r, own(503, false, 1.0), id);
+    e.pool = pool_ix(*e.service);
+    e.core = Request(a.id, e.lane->kind == LaneKind::keyed, Course(e.repeatable, e.lane->max_tries, now + e.left));
+    for (std::string const& h : e.homes) e.regions.push_back(as_.region(h));
     e.timer = event_new(eb_, -1, 0, timer_cb, &e);
     requests_.open(std::move(up));
     as_.budget(e.pool).errand(now);
-    atlas_.errand(lane->name, as_.pool_name(e.pool), e.home_names, e.body > 16384 || lane->kind == LaneKind::inflow, now);
-    admit(e, now);
-  }
-
-  std::string const* pick_service(Lane const& lane) const {
-    double sum = 0;
-    for (auto const& [s, g] : lane.to) sum += g;
-    double x = random01() * sum;
-    for (auto const& [s, g] : lane.to) {
-      if (g > 0 && x < g) return &s;
-      x -= g;
-    }
-    return &lane.to.back().first;
-  }
-
-  // If both the lane and the partner have homes, both bind.
-  static std::vector<std::string> homes_of(Lane const& lane, Tenant const* t, bool& homeless) {
-    if (t == nullptr || t->homes.empty()) return lane.homes;
-    if (lane.homes.empty()) return t->homes;
-    std::vector<std::string> both;
-    for (std::string const& h : lane.homes)
-      if (std::find(t->homes.begin(), t->homes.end(), h) != t->homes.end()) both.push_back(h);
-    homeless = both.empty();
-    return both;
+    atlas_.errand(e.lane->name, as_.pool_name(e.pool), e.homes, e.upload, now);
+    admit_partner(e, now);
   }
 
   // ---- a partner's budget: it comes first, then rank and worth ------------------
-  void admit(Errand& e, Secs now) {
+  void admit_partner(Errand& e, Secs now) {
     if (!e.tenant || !borrower_.has(e.tenant->name)) return carry(e, e.core.admitted());
     std::string const& t = e.tenant->name;
     bool const high = is_high(e);
@@ -544,7 +444,7 @@
       Errand* const e = requests_.find(p.h);
       if (e == nullptr || !e->parked || e->token) continue;
       if (p.ask > r.seq) parked_.push_back(p);
-      else admit(*e, now);
+      else admit_partner(*e, now);
     }
     lend(now);
   }
@@ -596,7 +496,7 @@
     a.key = e.key;
     a.holder = e.holder;
     a.work_ms = static_cast<u32>(std::max(0.0, e.deadline() - now_s()) * 1000);
-    a.homes = e.home_names;
+    a.homes = e.homes;
     page_.send(Kind::ask, tag, a);
     set_timer(e, e.deadline());
   }
@@ -642,9 +542,9 @@
   Wish wish_of(Errand const& e) const {
     Wish w;
     w.pool = e.pool;
-    w.homes = &e.homes;
+    w.homes = &e.regions;
     w.tried = &e.tried;
-    w.bulky = e.body > 16384 || e.lane->kind == LaneKind::inflow;
+    w.bulky = e.upload;
     w.setpoint = e.lane->setpoint;
     return w;
   }
@@ -763,7 +663,7 @@
       Return ret;
       ret.key = e.key;
       ret.holder = e.holder;
-      ret.homes = e.home_names;
+      ret.homes = e.homes;
       ret.code = static_cast<u32>(rep.code);
       char const* rl = evhttp_request_get_response_code_line(r);
       ret.reason = rl != nullptr ? rl : "OK";
@@ -884,7 +784,7 @@
       Held& h = it->second;
       ++h.sessions;
       h.keyed += e.lane->kind == LaneKind::keyed ? 1 : 0;
-      if (!is_upload(e)) return;
+      if (!e.upload) return;
       ++h.uploads;
       h.bytes += static_cast<double>(e.body);
       h.age = std::max(h.age, now - e.start);
--- /dev/null
+++ b/tests/arrival_test.cpp
@@ -0,0 +1,76 @@
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <map>
+
+#include "errand/arrival.hpp"
+
+using namespace dockbend;
+
+namespace {
+std::string const call = R"({"upsert":{"limits":{"headerBytes":300,"bodyBytes":50000,"headerDeadlineS":3,"idleTimeoutS":15,"generation":"00000007"},
+"sockets":[{"host":"a.example","policy":[{"name":"r1","kind":"idempotent","setpointS":0.3,"rank":2,"generation":"00000007","selector":{"pathPrefix":"/p/"},
+"actuation":{"split":[{"service":"s1","gain":90},{"service":"s2","gain":10}],"deadlineS":1.2,"maxTries":2,"homeRegions":[]}},
+{"name":"r2","kind":"keyed","setpointS":0.3,"rank":1,"generation":"00000007","selector":{"pathPrefix":"/p/q/"},
+"actuation":{"service":"s1","deadlineS":1.2,"maxTries":2,"homeRegions":["north"]}}]}],
+"pools":[{"name":"s1","healthPath":"/health","connLimit":110,"selfDedupes":false,"coldS":3.0,"coldRateS":9.9,"generation":"00000007"},
+{"name":"s2","healthPath":"/health","connLimit":110,"selfDedupes":true,"coldS":3.0,"coldRateS":9.9,"generation":"00000007"}]},"remove":{"routes":[]}})";
+
+struct Call {
+  Heads heads{{"Host", "A.example:80"}, {"X-Attempt-Id", "a1"}, {"X-Operation-Key", "k"}, {"X-Time-Left", "700"}};
+  std::string target = "/p/q/x?y";
+  std::size_t body = 0;
+  bool chunks = false, drains = false, known = true;
+};
+Admission play(std::function<void(Call&)> spoil = [](Call&) {}) {
+  std::map<std::string, Item> items;
+  std::string f;
+  join(items, read_amend(call), f);
+  Compiled man;
+  for (auto const& [k, i] : items) man.put(i);
+  Call c;
+  spoil(c);
+  return admit(Arrival{c.heads, c.target, c.body, c.chunks}, c.known ? &man : nullptr, man.limits(), c.drains, 0.95);
+}
+}  // namespace
+
+Test(arrival, a_good_request_has_its_route_key_homes_and_time) {
+  Admission const a = play();
+  cr_assert(a.ok.has_value());
+  cr_assert(a.id == "a1" && a.ok->lane->name == "r2" && a.ok->key == "k" && *a.ok->service == "s1");
+  cr_assert(a.ok->homes == std::vector<std::string>{"north"});
+  cr_assert_not(a.ok->repeatable || a.ok->upload);
+  cr_assert_float_eq(a.ok->left, 0.7, 1e-9);
+  Admission const b = play([](Call& c) { c.target = "/p/x"; });
+  cr_assert(b.ok && b.ok->repeatable && b.ok->key.empty() && *b.ok->service == "s2", "the draw picks the second");
+}
+
+// One thing of a good request is spoiled at a time.
+Test(arrival, each_spoiled_request_is_refused) {
+  struct M {
+    int code;
+    std::function<void(Call&)> spoil;
+  };
+  M const ms[] = {
+      {400, [](Call& c) { c.heads.emplace_back("Host", "b.example"); }},
+      {400, [](Call& c) { c.heads.emplace_back("x-attempt-id", "a2"); }},
+      {400, [](Call& c) { c.heads.emplace_back("X-Operation-Key", "k2"); }},
+      {400, [](Call& c) { c.heads.emplace_back("Content-Length", "5"); }},
+      {400, [](Call& c) { c.body = 5; }},
+      {400, [](Call& c) { c.heads.emplace_back("Transfer-Encoding", "chunked"); }},
+      {400, [](Call& c) { c.heads.erase(c.heads.begin()); }},
+      {400, [](Call& c) { c.heads.erase(c.heads.begin() + 1); }},
+      {400, [](Call& c) { c.heads[2].second.clear(); }},
+      {400, [](Call& c) { c.target = "p/q/x"; }},
+      {404, [](Call& c) { c.target = "/z/"; }},
+      {404, [](Call& c) { c.heads[0].second = "b.example"; }},
+      {413, [](Call& c) { c.heads.emplace_back("Content-Length", "50001"), c.body = 50001; }},
+      {431, [](Call& c) { c.heads.emplace_back("X-Long", std::string(300, 'x')); }},
+      {503, [](Call& c) { c.known = false; }},
+      {503, [](Call& c) { c.drains = true; }},
+  };
+  for (M const& m : ms) {
+    Admission const a = play(m.spoil);
+    cr_assert(!a.ok && a.no.code == m.code, "%d, not %d", a.no.code, m.code);
+  }
+}
