--- a/tests/request_test.cpp
+++ b/tests/request_test.cpp
@@ -18,7 +18,7 @@
 enum class Sort : u8 { idempotent, effectful, keyed };
 enum class Spoil : u8 {
   none, lost, twice, late, cut_short, split, other_id, no_id, two_ids, no_seal, bare_503, bare_refusal, other_refusal, refused, misdirected, failed, reset, reset_behind,
-  server_killed, server_frozen, agent_killed, drain, count
+  server_killed, server_frozen, agent_killed, proxy_frozen, drain, count
 };
 
 struct Case {
@@ -129,6 +129,12 @@
         if (m.conn != nullptr) frozen_ = m.conn->server;
         break;
       case Spoil::agent_killed: bag_.push_back(Msg{[this](Spoil) { agent_killed(); }, nullptr}); break;
+      case Spoil::proxy_frozen:  // all timers that came due meanwhile run before what the sockets hold
+        bag_.push_back(Msg{[this](Spoil) {
+                             now_ += 0.6;
+                             tick();
+                           }, nullptr});
+        break;
       case Spoil::drain: draining_ = true; break;
       default: break;
     }
