Contact by freshness: a majority's answers to timed questions, not channels that are up

Cause: House::settled() counted channels that were up. A silent or one-way cut leaves them up for 1.5 s and more, a relay of dials even longer, and a node that believed itself settled told its agents so and acknowledged beats and drains that nobody else heard of.

A package without I/O, contact, keeps for each member the time of asking of the newest question it answered, on the asker's clock, and only once all that it knew to be committed is known here. In contact is who has that of a majority, asked no longer than a bound ago (0.6 of applyBoundS). Digests carry the numbers; of many members, the nearest majority is asked besides with an empty letter, all of them when contact grows old. Out of contact: - calls that change something or whose refusal might be old get 307 to a member that is in contact for certain (it said for how long, so callers are never sent to and fro), else 503; - beats and leaves are heard and not acknowledged; nobody's row ends by silence meanwhile, so a core without a majority keeps all servers in place; - who has no configuration is not begun with one that may be old, the roll is not told as whole, counts of proxies don't fall; - agents hear it at once and are fed by the nearest node in contact (a small core chooses). 404 and 409 that came of a node's own view (allowance, handing a duty over) come of a round, or are 503.

--- a/packages/desks/include/desks/drains.hpp
+++ b/packages/desks/include/desks/drains.hpp
@@ -46,7 +46,7 @@
     held_ = true;
     if (now - stepped_ < 0.4 || busy_) return;
     stepped_ = now;
-    if (!h_.settled()) return;
+    if (!h_.in_contact()) return;
     if (rotating()) ask_holdings(now);
     Moves m = nodes_.step(*h_.committed, seen_nodes(now), now);
     Moves const r = rotation_.step(*h_.committed, seen_servers(now), now);
--- a/packages/desks/include/desks/duties.hpp
+++ b/packages/desks/include/desks/duties.hpp
@@ -137,9 +137,10 @@
     if (it == duties_.end()) return h_.write(r, fault(404, "no such duty: " + duty));
     bool known = node == h_.st.nodeName;
     for (auto const& [ip, m] : h_.mates) known = known || (!node.empty() && m.node == node && h_.up(ip));
-    if (!known) return h_.write(r, fault(404, "no such node in touch: " + node));
+    // What this node does not know may be known a moment later or elsewhere: no refusal for good.
+    if (!known) return h_.write(r, fault(503, "no such node in touch: " + node));
     Term const* t = h_.committed ? h_.committed->term(duty) : nullptr;
-    if (t == nullptr) return h_.write(r, fault(409, "nobody has the duty yet"));
+    if (t == nullptr) return h_.write(r, fault(503, "nobody has the duty yet"));
     if (t->holder == node && t->next.empty()) return h_.write(r, CallRet{200, "{}"});
     if (it->second.hand_over(node)) return h_.write(r, CallRet{200, "{}"});
     if (t->ip == h_.st.ip || !h_.up(t->ip)) return h_.write(r, fault(503, "its holder is not in touch"));
@@ -156,15 +157,13 @@
     Duty const& d = duties_.at("allowance");
     if (!tenant.empty()) {
       TenantP const p = h_.partners.tenant(tenant);
-      if (!p) return h_.write(r, fault(404, "no such tenant: " + tenant));
-      if (!p->allowance) return h_.write(r, fault(404, "tenant without an allowance: " + tenant));
+      if (!p || !p->allowance) return refuse(r, tenant, uri);
     }
     if (!d.holds()) {
       Term const* t = h_.committed ? h_.committed->term("allowance") : nullptr;
       Member const* m = t == nullptr ? nullptr : h_.committed->member(t->ip);
       if (m == nullptr || m->ip == h_.st.ip) return h_.write(r, lends() ? fault(503, "nobody lends yet") : CallRet{200, "{\"allowances\":[]}"});
-      evhttp_add_header(evhttp_request_get_output_headers(r), "Location", ("http://" + Addr{m->ip, m->control}.str() + uri).c_str());
-      return h_.write(r, CallRet{307, "{}"});
+      return h_.write(r, CallRet{307, "{}", "http://" + Addr{m->ip, m->control}.str() + uri});
     }
     rapidjson::StringBuffer sb;
     rapidjson::Writer<rapidjson::StringBuffer> w(sb);
@@ -250,12 +249,23 @@
   }
 
  private:
+  // Only a value read on a majority refuses.
+  void refuse(evhttp_request* r, std::string const& tenant, std::string const& uri) {
+    h_.submit([](State&) { return false; },
+              [this, r, tenant, uri](State const* s) {
+                if (s == nullptr) return h_.write(r, fault(503, "no majority in time"));
+                TenantP const p = h_.partners.tenant(tenant);
+                if (p && p->allowance) return allowance_call(r, tenant, uri);
+                h_.write(r, fault(404, (p ? "tenant without an allowance: " : "no such tenant: ") + tenant));
+              },
+              h_.patience());
+  }
   bool wanted(std::string const& duty) const { return duty == "usage" ? reports() : duty == "drain" ? drains() : lends(); }
   bool drains() const {
     return std::any_of(h_.committed->passes.begin(), h_.committed->passes.end(),
                        [](Pass const& p) { return p.state == PassState::running || p.state == PassState::paused; });
   }
-  bool fit() const { return h_.born && h_.leaving == 0 && h_.settled(); }
+  bool fit() const { return h_.born && h_.leaving == 0 && h_.in_contact(); }
 
   bool reports() const {
     return h_.st.cloud && envoy_ && std::find(h_.st.cloudTasks.begin(), h_.st.cloudTasks.end(), "usage_report") != h_.st.cloudTasks.end() && h_.partners.has_tenants();
--- a/packages/desks/include/desks/house.hpp
+++ b/packages/desks/include/desks/house.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 
+#include "contact/contact.hpp"
 #include "errand/heads.hpp"
 #include "gossip/roll.hpp"
 #include "register/acceptor.hpp"
@@ -21,6 +22,7 @@
 struct CallRet {
   int code = 200;
   std::string body;
+  std::string location = {};  // of a 307
 };
 
 inline CallRet fault(int code, std::string const& what) {
@@ -46,6 +48,7 @@
   Hello hello;
   bool feeding = false, primary = false;
   u64 counts_told = 0, beats = 0;
+  std::string front;  // of the site that registered over it
 };
 
 // Invariants: committed is the newest value known to stand on a majority; view is its
@@ -57,6 +60,7 @@
   std::unique_ptr<Vellum> vellum;
   std::unique_ptr<Acceptor> acceptor;
   std::optional<State> committed;
+  Contact<> contact;
   State view;
   Compiled partners;
   std::map<std::string, Mate> mates;
@@ -74,12 +78,15 @@
     auto const it = mates.find(ip);
     return it != mates.end() && it->second.link && it->second.link->up();
   }
-  // In touch with a majority of the roster, ourselves counted.
-  bool settled() const {
-    if (!committed) return false;
-    std::size_t n = 0;
-    for (Member const& m : committed->roster) n += up(m.ip) ? 1 : 0;
-    return n >= committed->majority();
+  // In contact with a majority of the roster, ourselves counted: fresh answers, not channels
+  // that are up, for these stay up for a while in a silent cut.
+  bool in_contact() const { return committed && contact.in_contact(now_s()); }
+  // What a call gets that may be answered only in contact: where to go instead, if a member
+  // is in contact for certain, and else to come back.
+  CallRet elsewhere(std::string const& uri) const {
+    Member const* m = committed ? committed->member(contact.other(now_s())) : nullptr;
+    if (m == nullptr || m->control == 0) return fault(503, "not in contact with a majority");
+    return {307, "{}", "http://" + Addr{m->ip, m->control}.str() + uri};
   }
   std::size_t mates_up() const {
     std::size_t n = 0;
@@ -102,6 +109,7 @@
     evkeyvalq* out = evhttp_request_get_output_headers(r);
     evhttp_add_header(out, "Content-Type", "application/json");
     if (leaving > 0) evhttp_add_header(out, "Connection", "close");
+    if (!c.location.empty()) evhttp_add_header(out, "Location", c.location.c_str());
     if (c.code == 503) evhttp_add_header(out, "Retry-After", "0.3");
     evbuffer* b = evbuffer_new();
     evbuffer_add(b, c.body.data(), c.body.size());
--- a/packages/desks/include/desks/servers.hpp
+++ b/packages/desks/include/desks/servers.hpp
@@ -44,11 +44,12 @@
     if (!back.empty() && it != h_.mates.end() && it->second.link) spread_to(*it->second.link, back);
   }
 
-  CallRet heartbeat(std::string const& id, schema::Heartbeat const& b) {
+  // Out of contact a beat is heard, so that the server keeps its place where no node is in
+  // contact, but not acknowledged: the acknowledgement of a drain binds nodes that we can't tell.
+  CallRet heartbeat(std::string const& id, schema::Heartbeat const& b, std::string const& uri) {
     if (id.empty()) return fault(400, "id: empty");
     if (b.state != "ready" && b.state != "draining") return fault(400, "state: neither ready nor draining");
     if (b.service.empty()) return fault(400, "service: empty");
-    if (!h_.settled()) return fault(503, "not in touch with a majority");
     try {
       parse_addr(b.address, "address");
     } catch (BadSetting const& e) {
@@ -67,15 +68,15 @@
     drained(r);
     Secs const now = now_s();
     if (roll_.beat(r, h_.st.ip, now)) spread({*roll_.get(id, now)}, "");
+    if (!h_.in_contact()) return h_.elsewhere(uri);
     schema::HeartbeatRet ret;
     std::string const t = beat_target(b.zone);
     if (!t.empty()) ret.beatTarget = t;
     return {200, json::render(ret)};
   }
 
-  CallRet leave(std::string const& id) {
+  CallRet leave(std::string const& id, std::string const& uri) {
     Secs const now = now_s();
-    if (!h_.settled()) return fault(503, "not in touch with a majority");
     auto cur = roll_.get(id, now);
     Row r;
     if (cur) r = *cur;
@@ -83,15 +84,17 @@
     r.state = Standing::gone;
     r.seq = left_seq;
     if (roll_.join(r, now)) spread({r}, "");
+    if (!h_.in_contact()) return h_.elsewhere(uri);
     return {200, "{}"};
   }
 
   // The whole roll, for who begins to be fed. After a loss of power everybody asks: it is made
   // ready once a second at most, and what changed since goes after it.
   void feed(Channel& ch, Secs now) {
-    if (whole_.empty() || now - whole_at_ > 1.0) {
+    // Out of contact it may lack servers: what it lacks stays with who has it.
+    if (whole_.empty() || now - whole_at_ > 1.0 || whole_in_contact_ != h_.in_contact()) {
       News n;
-      n.rows_full = true;
+      n.rows_full = whole_in_contact_ = h_.in_contact();
       n.rows = roll_.all(now);
       whole_ = parcel(Kind::news, codec::pack(n));
       whole_at_ = now;
@@ -214,6 +217,7 @@
   std::map<std::string, std::string> pending_;  // rows to pass on: id -> the mate that told us
   Parcel whole_;  // the whole roll as it was at whole_at_
   Secs whole_at_ = -1e9;
+  bool whole_in_contact_ = false;  // when it was made ready
   bool flushing_ = false;
   u64 told_digest_ = 0;
 };
--- a/packages/desks/include/desks/sites.hpp
+++ b/packages/desks/include/desks/sites.hpp
@@ -89,7 +89,7 @@
     evhttp_clear_headers(&q);
     if (c.region.empty()) c.region = h_.st.region_of(c.zone);
     if (!catalog_.settled(now_s())) return h_.write(r, fault(503, "the table is still filling"));
-    auto const l = catalog_.resolve(c, h_.out);
+    auto const l = h_.in_contact() ? catalog_.resolve(c, h_.out) : catalog_.resolve(c, cordoned());
     if (l.empty()) return h_.write(r, fault(503, "no site is ready"));
     schema::ResolveRet ret;
     for (Site const* s : l) ret.addresses.push_back(s->front);
@@ -106,7 +106,7 @@
     for (auto const& [f, s] : catalog_.rows()) ++n[s.zone];
     bool changed = false;
     for (auto& [z, c] : counts_)
-      if (n[z] >= c.n) c.seen = now;
+      if (n[z] >= c.n || !h_.in_contact()) c.seen = now;  // out of contact we may just not hear of them
     for (auto const& [z, k] : n) {
       Counted& c = counts_[z];
       if (k > c.n || (k < c.n && now - c.seen > h_.st.bounds.retryWindowS)) {
@@ -189,6 +189,14 @@
   Catalog<NearSelector> const& catalog() const { return catalog_; }
 
  private:
+  // Out of contact orders may be old; then the sites' own word of being drained counts too.
+  std::set<std::string> cordoned() const {
+    std::set<std::string> v;
+    for (auto const& [name, u] : h_.out) v.insert(name);
+    for (auto const& [f, x] : catalog_.rows())
+      if (x.drain.stage != 0) v.insert(f);
+    return v;
+  }
   // The columns that a keepalive and a mate's word of it have in common.
   template <class T>
   static Site site_of(T const& said, Secs heard) {
--- a/packages/desks/include/desks/surveys.hpp
+++ b/packages/desks/include/desks/surveys.hpp
@@ -78,7 +78,7 @@
     Capture c;
     c.takenAt = wall_s();
     c.node = h_.st.nodeName;
-    c.settled = h_.settled();
+    c.settled = h_.in_contact();
     c.beatPeriodS = h_.st.beatPeriodS;
     for (auto const& [z, g] : h_.st.zones) {
       CapZone x;
--- a/packages/gossip/include/gossip/roll.hpp
+++ b/packages/gossip/include/gossip/roll.hpp
@@ -100,7 +100,7 @@
   DB_RECORD(ZoneCount, (std::string, zone), (u32, n));
 };
 struct SiteBeatR {
-  DB_RECORD(SiteBeatR, (std::vector<ZoneCount>, sites), (Ballot, bal), (u64, digest), (bool, settled),
+  DB_RECORD(SiteBeatR, (std::vector<ZoneCount>, sites), (Ballot, bal), (u64, digest), (bool, in_contact),
             (double, wall), (std::vector<std::string>, relays), (DrainSaid, drain));
 };
 // True time, as the agent knows it, for its proxy.
@@ -116,7 +116,7 @@
 };
 struct Digest {
   DB_RECORD(Digest, (u64, digest), (Ballot, bal), (std::vector<std::string>, mates), (Life, life), (Ballot, accepted),
-            (double, wall), (bool, fit), (std::string, node));
+            (double, wall), (bool, fit), (std::string, node), (double, contact_left));
 };
 
 // Tells a lasting difference of two rolls from news that is still on its way: the
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -27,6 +27,7 @@
   hold = 50, holdR = 51, rollNote = 52, rollCmd = 53, holdFor = 54,
   sites = 60, clock = 61, tally = 62, loan = 63, loanR = 64, dutyCmd = 65, survey = 66, surveyR = 67, drain = 68,
   via = 70, viaR = 71, sitesAsk = 72, join = 73,
+  probe = 80, probeR = 81,
   zipped = 255,
 };
 
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -44,6 +44,7 @@
     finish_at_ = start_ + 0.2 + 0.6 * random01();
     join_at_ = start_ + 0.3 + 1.2 * random01();
     if (h_.committed) {
+      sees_members();
       show(nullptr, *h_.committed);
       duties_.duties_see(start_);
       drains_.see();
@@ -55,6 +56,7 @@
     h_.st.seeds = s.seeds;
     h_.st.bounds = s.bounds;
     h_.st.rollout = s.rollout;
+    h_.contact.plan(ContactPlan::of(h_.st.bounds));
     for (Addr const& a : h_.st.seeds) mate(a.ip);
   }
   void term() {
@@ -68,6 +70,7 @@
     House h;
     h.eb = eb;
     h.st = st;
+    h.contact = Contact<>(ContactPlan::of(st.bounds), st.ip, static_cast<u32>(random64()));
     return h;
   }
 
@@ -164,6 +167,8 @@
       h_.mates[ip].told_known.clear();
       for (auto& o : proposer_.resend(ip)) send_out(o);
       l.send(Kind::pull, 0, Pull{bal()});
+      h_.contact.connected(ip);
+      ask_contact(ip, l, now_s());
       // What we hold of the servers, for it may have begun anew. Who has nearer mates gets it
       // from them; a difference that lasts is mended by digests.
       if (h_.is_near(ip)) servers_.spread_all(l);
@@ -215,8 +220,19 @@
       case Kind::accR: outs(proposer_.on_acc(ip, l.as<AccR>())); break;
       case Kind::commitR: commit(l.as<Commit>(), ip); break;
       case Kind::rebuildR: keys_->rebuilt(ip, l.as<RebuildR>()); break;
+      case Kind::probeR: {
+        ProbeR const r = l.as<ProbeR>();
+        h_.contact.answered(ip, l.tag, r);
+        catch_up(m, r.bal);
+        break;
+      }
       case Kind::digestR: {
         Digest const d = l.as<Digest>();
+        ProbeR r;
+        r.life = d.life;
+        r.bal = d.bal;
+        r.left = d.contact_left;
+        h_.contact.answered(ip, l.tag, r);
         if (d.wall > 0 && m.digest_sent > 0) duties_.mate_clock(ip, 0.5 * (m.digest_sent + now_s()), d.wall);
         digest(ip, d);
         break;
@@ -232,16 +248,19 @@
     if (d.life.v != 0) holds(ip, d.life, d.accepted);
     m.fit = d.fit;
     m.node = d.node;
+    catch_up(m, d.bal);
+    if (m.off.hear(servers_.told_digest(), d.digest)) servers_.spread_all(*m.link);
+  }
+  // The mate knows b to be committed.
+  void catch_up(Mate& m, Ballot b) {
+    if (b <= bal() || !m.link) return;
     Secs const now = now_s();
-    if (d.bal > bal()) {
-      if (h_.acceptor->state() && h_.acceptor->state()->bal == d.bal) {
-        learn(*h_.acceptor->state());
-      } else if (now - m.pulled > 0.25) {
-        m.pulled = now;
-        m.link->send(Kind::pull, 0, Pull{bal()});
-      }
+    if (h_.acceptor->state() && h_.acceptor->state()->bal == b) {
+      learn(*h_.acceptor->state());
+    } else if (now - m.pulled > 0.25) {
+      m.pulled = now;
+      m.link->send(Kind::pull, 0, Pull{bal()});
     }
-    if (m.off.hear(servers_.told_digest(), d.digest)) servers_.spread_all(*m.link);
   }
 
   // ---- incoming channels -------------------------------------------------------------
@@ -309,19 +328,15 @@
       case Kind::rows: servers_.rows(l.as<News>().rows, p.hello.ip); break;
       case Kind::digest: {
         Digest const d = l.as<Digest>();
-        p.ch->send(Kind::digestR, 0, own_digest(false));
+        p.ch->send(Kind::digestR, l.tag, own_digest(false));
         if (h_.mates.count(p.hello.ip) > 0 && h_.mates[p.hello.ip].link) digest(p.hello.ip, d);
         break;
       }
       case Kind::beat: {
         SiteBeat const b = l.as<SiteBeat>();
         sites_.beat(b, p, now);
-        SiteBeatR r;
-        r.bal = h_.view.bal;
-        r.digest = servers_.told_digest();
-        r.settled = h_.settled() && h_.committed;
-        r.wall = wall_s();
-        r.drain = sites_.told(b.front);
+        p.front = b.front;
+        SiteBeatR r = beat_answer(p);
         if (p.beats++ % 8 == 0 && !b.front.empty()) r.relays = sites_.relays_for(b);
         if (p.counts_told != sites_.turn()) {
           p.counts_told = sites_.turn();
@@ -334,10 +349,19 @@
         Feed const f = l.as<Feed>();
         p.feeding = f.on;
         if (!f.on) break;
-        if (h_.committed && (h_.view.bal > f.have || h_.view.bal.v == 0)) p.ch->send(lacking(f.have));
+        // Who has nothing yet is not begun with what may be old while another node may be in contact.
+        if (h_.committed && (f.have.v != 0 || h_.in_contact()) && (h_.view.bal > f.have || h_.view.bal.v == 0)) p.ch->send(lacking(f.have));
         servers_.feed(*p.ch, now);
         break;
       }
+      case Kind::probe: {
+        ProbeR r;
+        r.life = h_.acceptor->life();
+        r.bal = bal();
+        r.left = contact_left(now);
+        p.ch->send(Kind::probeR, l.tag, r);
+        break;
+      }
       case Kind::sites: sites_.mate_sites(p.hello.ip, l.as<SiteNote>(), now); break;
       case Kind::join:
         if (h_.committed && h_.born && h_.leaving == 0) admit(l.as<Member>());
@@ -361,6 +385,50 @@
     }
   }
 
+  SiteBeatR beat_answer(Peer const& p) const {
+    SiteBeatR r;
+    r.bal = h_.view.bal;
+    r.digest = servers_.told_digest();
+    r.in_contact = h_.in_contact();
+    r.wall = wall_s();
+    r.drain = sites_.told(p.front);
+    return r;
+  }
+
+  // ---- contact -------------------------------------------------------------------------
+  Secs contact_left(Secs now) const { return h_.committed ? h_.contact.left(now) : 0; }
+  void sees_members() {
+    std::vector<Contact<>::Voter> v;
+    for (Member const& m : h_.committed->roster) v.push_back({m.ip, m.life});
+    h_.contact.members(std::move(v), h_.acceptor->life());
+    h_.contact.knows(bal());
+  }
+  void ask_contact(std::string const& ip, Link& l, Secs now) {
+    if (Channel* c = l.ch(); c != nullptr) c->send(Kind::probe, h_.contact.ask(ip, now), std::string_view());
+  }
+  // A digest is a question too; who is due besides is asked with nothing else in the letter.
+  void probe(Secs now) {
+    if (!h_.committed) return;
+    std::vector<std::string> near, far;
+    for (auto const& [ip, m] : h_.mates)
+      if (m.link && m.link->up()) (h_.is_near(ip) ? near : far).push_back(ip);
+    near.insert(near.end(), far.begin(), far.end());
+    for (std::string const& ip : h_.contact.due(near, now)) ask_contact(ip, *h_.mates[ip].link, now);
+  }
+  // Those we feed hear at once whether we are in contact: they choose others while we are not.
+  void contact_changed(Secs now) {
+    bool const in = h_.in_contact();
+    if (in == was_in_contact_) return;
+    was_in_contact_ = in;
+    LOG4CPLUS_INFO(lg_, (in ? "In contact with a majority." : "Out of contact with a majority."));
+    if (in) {  // nobody could be heard meanwhile
+      servers_.roll().forgive(now);
+      for (auto& [ip, m] : h_.mates) m.heard = std::max(m.heard, now);
+    }
+    for (auto& [id, p] : h_.peers)
+      if (p.feeding && !p.front.empty()) p.ch->send(Kind::beatR, 0, beat_answer(p));
+  }
+
   std::vector<std::string> known() const {
     std::vector<std::string> v{h_.st.ip};
     for (auto const& [ip, m] : h_.mates)
@@ -514,6 +582,7 @@
         if (ok) durable_ = std::max(durable_, b);
       });
     for (Member const& m : s.roster) mate(m.ip);
+    sees_members();
     show(old ? &*old : nullptr, s);
     duties_.duties_see(now_s());
     drains_.see();
@@ -662,6 +731,15 @@
     h_.write(r, c);
   }
 
+  // Calls that change something, and reads whose answer or refusal must not be old. The others
+  // answer with what this node has; /-/Status says how fresh that is.
+  static bool only_in_contact(std::string const& uri) {
+    if (uri.ends_with(".Status")) return false;
+    for (char const* pre : {"/-/Config.", "/-/Evacuation.", "/-/Rollout.", "/-/Duty.", "/-/Allowance.", "/-/Drain.", "/-/Rotation."})
+      if (uri.rfind(pre, 0) == 0) return true;
+    return false;
+  }
+
   void control(evhttp_request* r) {
     std::string uri = evhttp_request_get_uri(r);
     uri = uri.substr(0, uri.find('?'));
@@ -679,12 +757,13 @@
     bool const post = cmd == EVHTTP_REQ_POST;
     if (is("/-/Servers.Heartbeat/", rest)) {
       if (!post) return h_.write(r, fault(405, "wants POST"));
-      return call<schema::Heartbeat>(r, body, [&](schema::Heartbeat const& b) { return servers_.heartbeat(rest, b); });
+      return call<schema::Heartbeat>(r, body, [&](schema::Heartbeat const& b) { return servers_.heartbeat(rest, b, uri); });
     }
     if (is("/-/Servers.Leave/", rest)) {
       if (!post) return h_.write(r, fault(405, "wants POST"));
-      return h_.write(r, servers_.leave(rest));
+      return h_.write(r, servers_.leave(rest, uri));
     }
+    if (only_in_contact(uri) && !h_.in_contact()) return h_.write(r, h_.elsewhere(evhttp_request_get_uri(r)));
     if (uri == "/-/Config.Amend") {
       if (!post) return h_.write(r, fault(405, "wants POST"));
       return rollouts_.amend(r, body);
@@ -767,8 +846,14 @@
     w.StartObject();
     w.Key("node");
     w.String(h_.st.nodeName.c_str());
-    w.Key("settled");
-    w.Bool(h_.settled());
+    w.Key("inContact");
+    w.Bool(h_.in_contact());
+    Secs const now = now_s();
+    w.Key("contactAgeS");  // of the question that a majority has answered; null: never
+    if (Secs const age = h_.committed ? now - h_.contact.since(now) : -never; age < 1e6) w.Double(std::round(age * 1000) / 1000);
+    else w.Null();
+    w.Key("contactBoundS");
+    w.Double(h_.contact.plan().bound);
     w.Key("ballot");
     w.Uint64(bal().v);
     w.Key("bearsLossOf");
@@ -856,6 +941,7 @@
     d.wall = wall_s();
     d.node = h_.st.nodeName;
     d.fit = duties_.fit_at_once();
+    d.contact_left = contact_left(now_s());
     if (with_mates) d.mates = known();
     return d;
   }
@@ -882,7 +968,7 @@
       m.digest_sent = now;
       // Who is known is told again only when that changed.
       bool const told = m.told_known == d.mates;
-      m.link->send(Kind::digest, 0, told ? quiet : d);
+      m.link->send(Kind::digest, h_.contact.ask(ip, now), told ? quiet : d);
       m.told_known = d.mates;
     }
   }
@@ -911,6 +997,7 @@
       b.swap(batch_);
       for (auto it = b.rbegin(); it != b.rend(); ++it) calls_.push_front(std::move(*it));
     }
+    contact_changed(now);
     pump();
     rollouts_.rollouts(now);
     duties_.tick(now);
@@ -928,9 +1015,10 @@
     } else {
       finish_at_ = 0;
     }
-    if (now - slow_at_ < 0.6) return;
+    if (now - slow_at_ < 0.6) return probe(now);
     slow_at_ = now;
-    if (now - start_ > 3 * h_.st.beatPeriodS) servers_.tick(now);
+    // Out of contact beats are heard but not acknowledged, and servers go to others: silence says nothing.
+    if (now - start_ > 3 * h_.st.beatPeriodS && was_in_contact_) servers_.tick(now);
     servers_.roll().purge(90, now);
     sites_.catalog().expire(now);
     sites_.count_sites(now);
@@ -938,6 +1026,7 @@
     rollouts_.forget(now);
     surveys_.forget(now);
     tell_digests(now, many);
+    probe(now);
     if (!warned_ && now - start_ > 20 && h_.committed && bears() < h_.st.toleranceMachines) {
       warned_ = true;
       LOG4CPLUS_WARN(lg_, "A roster of " << h_.committed->roster.size() << " bears the loss of " << bears() << " disks, " << h_.st.toleranceMachines << " are to be borne. More core nodes are wanted.");
@@ -974,6 +1063,7 @@
   Secs way_until_ = 0;
   Secs measured_ = 0;
   bool asked_usher_ = false, warned_ = false;
+  bool was_in_contact_ = false;  // as those we feed were told last
   Secs start_ = 0, finish_at_ = 0, join_at_ = 0, next_round_ = 0, slow_at_ = 0, last_tick_ = 0;
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("archivist");
 };
--- a/programs/page.cpp
+++ b/programs/page.cpp
@@ -9,6 +9,8 @@
 #include <set>
 
 #include "allowance/allowance.hpp"
+#include "contact/contact.hpp"
+#include "contact/feeders.hpp"
 #include "gossip/roll.hpp"
 #include "keys/ask.hpp"
 #include "register/state.hpp"
@@ -24,6 +26,7 @@
 struct Mate {
   std::unique_ptr<Link> link;
   bool feeding = false;
+  Said contact;  // with a majority, as it says itself
   Mismatch off;
   Secs pulled = 0, beat_sent = 0, hello_sent = 0, behind = 0;  // behind: since when it names a newer manifest
 
@@ -105,6 +108,8 @@
       h.front = front();
       l.send(Kind::hello, 0, h);
       mates_[ip].hello_sent = now_s();
+      mates_[ip].contact.reset();
+      l.ch()->send(Kind::probe, 0, std::string_view());
       feeds();
       if (mates_[ip].feeding) beat(ip, mates_[ip]);
     });
@@ -136,12 +141,12 @@
     return 3;
   }
 
-  // Up mates, nearest first; among equals an order that differs from page to page.
-  std::vector<std::string> by_distance(bool members_only) const {
+  // Members that are up, nearest first; among equals an order that differs from page to page.
+  std::vector<std::string> by_distance() const {
     std::vector<std::pair<std::pair<int, u64>, std::string>> v;
     for (auto const& [ip, m] : mates_) {
       if (!m.link->up()) continue;
-      if (members_only && state_.member(ip) == nullptr) continue;
+      if (state_.member(ip) == nullptr) continue;
       v.push_back({{tier(ip), hash64(ip + st_.nodeName)}, ip});
     }
     std::sort(v.begin(), v.end());
@@ -186,8 +191,12 @@
       }
       case Kind::beatR: {
         SiteBeatR const r = l.as<SiteBeatR>();
-        m.rtt = m.rtt * 0.7 + 0.3 * (now - m.beat_sent);
-        if (r.wall > 0) clock_.mate(ip, now - 0.5 * (now - m.beat_sent), r.wall);
+        if (m.beat_sent > 0) {  // else it speaks unasked
+          m.rtt = m.rtt * 0.7 + 0.3 * (now - m.beat_sent);
+          if (r.wall > 0) clock_.mate(ip, now - 0.5 * (now - m.beat_sent), r.wall);
+          m.beat_sent = 0;
+        }
+        m.contact.hear(r.in_contact, now);
         if (!r.sites.empty()) {  // said only when it changed
           m.sites.clear();
           for (ZoneCount const& z : r.sites) m.sites[z.zone] = z.n;
@@ -197,12 +206,14 @@
           relays_.clear();
           for (std::string const& x : r.relays) relays_.push_back(Addr{x, st_.relay()});
         }
-        if (ip == primary_ && (r.drain.stage != said_.stage || r.drain.life != said_.life)) {
+        // Orders out of contact may be old.
+        if (ip == primary_ && r.in_contact && (r.drain.stage != said_.stage || r.drain.life != said_.life)) {
           said_ = r.drain;
           if (proxy_) proxy_->send(Kind::drain, 0, said_);
         }
         // News comes by itself. Only who stays behind asks, for what it lacks.
-        bool const late = r.bal > (have_ ? state_.bal : Ballot()) || (!have_ && r.settled);
+        // Who has nothing takes what may be old only if nobody has had better for a while.
+        bool const late = have_ ? r.bal > state_.bal : r.in_contact || now - start_ > st_.bounds.applyBoundS;
         if (!late) {
           m.behind = 0;
         } else if (m.behind == 0) {
@@ -212,9 +223,10 @@
           m.pulled = now;
           m.link->send(Kind::pull, 0, Pull{have_ ? state_.bal : Ballot()});
         }
-        if (m.feeding && m.off.hear(roll_.digest(), r.digest)) m.link->send(Kind::feed, 0, Feed{true, have_ ? state_.bal : Ballot()});
+        if (m.feeding && r.in_contact && m.off.hear(roll_.digest(), r.digest)) m.link->send(Kind::feed, 0, Feed{true, have_ ? state_.bal : Ballot()});
         break;
       }
+      case Kind::probeR: m.contact.hear(l.as<ProbeR>().left > 0, now); break;
       case Kind::news: news(l.as<News>(), now, ip); break;
       case Kind::commitR: {
         Commit const c = l.as<Commit>();
@@ -438,7 +450,7 @@
     j.asked.clear();
     // A majority of the nearest disks is asked; the others only if one of these
     // keeps us waiting, for bytes between regions are dear.
-    auto const near = by_distance(true);
+    auto const near = by_distance();
     std::size_t const want = std::min(near.size(), state_.majority());
     double worst = 0;
     for (std::size_t i = 0; i < want; ++i) {
@@ -464,7 +476,7 @@
 
   void widen(u32 id, Job& j) {
     j.widened = true;
-    for (std::string const& ip : by_distance(true))
+    for (std::string const& ip : by_distance())
       if (j.asked.count(ip) == 0) claim(id, j, ip);
   }
 
@@ -520,7 +532,7 @@
     double worst = 0;
     Fetch f;
     f.key = j.key;
-    for (std::string const& ip : by_distance(true)) {
+    for (std::string const& ip : by_distance()) {
       if (!is_home(ip, j.homes)) continue;
       ++j.fetch_left;
       worst = std::max(worst, mates_[ip].rtt);
@@ -575,7 +587,7 @@
       r.homes = t.homes;
       ret = codec::pack(r);
     }
-    for (std::string const& ip : by_distance(true)) {
+    for (std::string const& ip : by_distance()) {
       if (!is_home(ip, t.homes)) continue;
       mates_[ip].link->ch()->send(Kind::store, 1, std::string_view(ret));  // it sees to the second copy
       break;
@@ -621,6 +633,14 @@
     if (now - last_beat_ > keepalive_s) {
       last_beat_ = now;
       beat_all();
+      // Who feeds us says so with each keepalive; who was out of contact is asked. Near ones
+      // hear our keepalive: clients that reach them may ask them where we are.
+      std::vector<std::string> const nearest = feeders(false);
+      for (auto& [ip, m] : mates_) {
+        if (!m.link->up() || m.feeding || !m.contact.out()) continue;
+        if (std::find(nearest.begin(), nearest.end(), ip) != nearest.end()) beat(ip, m);
+        else m.link->ch()->send(Kind::probe, 0, std::string_view());
+      }
       for (auto it = held_.begin(); it != held_.end();) it = now - it->second.since > 60 ? held_.erase(it) : std::next(it);
       for (auto it = held_by_.begin(); it != held_by_.end();) it = it->second.second < now ? held_by_.erase(it) : std::next(it);
       roll_.purge(90, now);
@@ -629,12 +649,20 @@
     if (draining_ && ((!proxy_ && now - drain_at_ > 0.5) || now - drain_at_ > st_.bounds.gracePeriodS - 0.2)) event_base_loopbreak(eb_);
   }
 
-  // Wanted: the two nearest directories feed us, and the nearest is our primary. The
-  // loop works out the rest.
+  std::vector<std::string> feeders(bool by_contact) const {
+    Secs const now = now_s();
+    std::vector<Candidate> up;
+    for (auto const& [ip, m] : mates_)
+      if (m.link->up()) up.push_back({ip, by_contact ? m.contact.rank(now, m.feeding) : 0, tier(ip), hash64(ip + st_.nodeName)});
+    return choose_feeders(std::move(up), 2);
+  }
+
+  // Wanted: the two nearest directories that are in contact feed us, and the nearest is our
+  // primary. The loop works out the rest.
   void feeds() {
-    auto const near = by_distance(false);
-    std::set<std::string> want(near.begin(), near.begin() + static_cast<long>(std::min<std::size_t>(2, near.size())));
-    std::string const first = near.empty() ? std::string() : near.front();
+    std::vector<std::string> const two = feeders(true);
+    std::set<std::string> const want(two.begin(), two.end());
+    std::string const first = two.empty() ? std::string() : two.front();
     if (first != primary_) {
       primary_ = first;
       tally_all_ = true;
@@ -669,7 +697,7 @@
   DrainSaid said_;  // what our primary says of a drain
   DrainWord word_;  // what the proxy says of it
   std::string front_;  // where the clients find the proxy, as it says itself
-  Secs proxy_heard_ = 0, last_beat_ = 0, drain_at_ = 0, last_tick_ = 0;
+  Secs start_ = now_s(), proxy_heard_ = 0, last_beat_ = 0, drain_at_ = 0, last_tick_ = 0;
   Roll roll_;
   std::map<std::string, u32> sites_told_;
   std::map<u32, Job> jobs_;
