--- a/packages/desks/include/desks/members.hpp
+++ b/packages/desks/include/desks/members.hpp
@@ -19,7 +19,7 @@
     last_ = now;
     if (!h_.committed) return;
     if (h_.committed->epoch != seen_ || !any_) see(now);
-    if (!h_.settled()) watch_.forgive(now);
+    if (!h_.in_contact()) watch_.forgive(now);
     for (auto const& [ip, m] : h_.mates)
       if (m.link && m.link->up()) watch_.heard(ip, std::max(m.heard, m.link->heard()));
     join(now);
@@ -163,7 +163,7 @@
   // Wanted: nobody in the roster who is gone and was replaced. The first that is up sees to
   // it; the others only once that one had its time.
   void replace(Secs now) {
-    if (swapping_ || h_.leaving > 0 || me() == nullptr || !h_.settled()) return;
+    if (swapping_ || h_.leaving > 0 || me() == nullptr || !h_.in_contact()) return;
     auto const x = watch_.swap(*h_.committed, h_.st.ip, now);
     if (!x || (!usher().empty() && watch_.silence(x->gone.ip, now) < 2 * plan(h_.st.bounds).silent)) return;
     swapping_ = true;
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -36,6 +36,7 @@
     open_disk();
     register_.on_view.connect([this] { duties_.reported_to(h_.view.to_fix); });
     register_.on_value.connect([this](bool moved) {
+      sees_members();
       duties_.duties_see(now_s());
       drains_.see();
       if (moved) keys_->roster_changed();
@@ -55,6 +56,7 @@
     h_.st.seeds = s.seeds;
     h_.st.bounds = s.bounds;
     h_.st.rollout = s.rollout;
+    h_.contact.plan(ContactPlan::of(h_.st.bounds));
     for (Addr const& a : h_.st.seeds) mate(a.ip);
   }
   void term() {
@@ -69,6 +71,7 @@
     House h;
     h.eb = eb;
     h.st = st;
+    h.contact = Contact<>(ContactPlan::of(st.bounds), st.ip, static_cast<u32>(random64()));
     return h;
   }
 
@@ -110,6 +113,8 @@
       h_.mates[ip].heard = now_s();
       h_.mates[ip].told_known.clear();
       register_.reached(ip, l);
+      h_.contact.connected(ip);
+      ask_contact(ip, l, now_s());
       // What we hold of the servers, for it may have begun anew. Who has nearer mates gets it
       // from them; a difference that lasts is mended by digests.
       if (h_.is_near(ip)) servers_.spread_all(l);
@@ -141,8 +146,19 @@
       case Kind::accR: register_.on_acc(ip, l.as<AccR>()); break;
       case Kind::commitR: register_.commit(l.as<Commit>(), ip); break;
       case Kind::rebuildR: keys_->rebuilt(ip, l.tag, l.as<RebuildR>()); break;
+      case Kind::probeR: {
+        ProbeR const r = l.as<ProbeR>();
+        h_.contact.answered(ip, l.tag, r);
+        register_.ahead(m, r.bal, now_s());
+        break;
+      }
       case Kind::digestR: {
         Digest const d = l.as<Digest>();
+        ProbeR r;
+        r.life = d.life;
+        r.bal = d.bal;
+        r.left = d.contact_left;
+        h_.contact.answered(ip, l.tag, r);
         if (l.tag != m.digests) h_.strays.drop(Stray::no_question);
         else if (d.wall > 0) duties_.mate_clock(ip, 0.5 * (m.digest_sent + now_s()), d.wall);
         digest(ip, d);
@@ -209,12 +225,8 @@
       case Kind::beat: {
         SiteBeat const b = l.as<SiteBeat>();
         sites_.beat(b, p, now);
-        SiteBeatR r;
-        r.bal = h_.view.bal;
-        r.digest = servers_.told_digest();
-        r.settled = h_.settled() && h_.committed;
-        r.wall = wall_s();
-        r.drain = sites_.told(b.front);
+        p.front = b.front;
+        SiteBeatR r = beat_answer(p);
         if (p.beats++ % 8 == 0 && !b.front.empty()) r.relays = sites_.relays_for(b);
         if (p.counts_told != sites_.turn()) {
           p.counts_told = sites_.turn();
@@ -227,10 +239,19 @@
         Feed const f = l.as<Feed>();
         p.feeding = f.on;
         if (!f.on) break;
-        if (h_.committed && (h_.view.bal > f.have || h_.view.bal.v == 0)) p.ch->send(register_.lacking(f.have));
+        // Who has nothing yet is not begun with what may be old while another node may be in contact.
+        if (h_.committed && (f.have.v != 0 || h_.in_contact()) && (h_.view.bal > f.have || h_.view.bal.v == 0)) p.ch->send(register_.lacking(f.have));
         servers_.feed(*p.ch, now);
         break;
       }
+      case Kind::probe: {
+        ProbeR r;
+        r.life = h_.acceptor->life();
+        r.bal = bal();
+        r.left = contact_left(now);
+        p.ch->send(Kind::probeR, l.tag, r);
+        break;
+      }
       case Kind::sites: sites_.mate_sites(p.hello.ip, l.as<SiteNote>(), now); break;
       case Kind::join:
         if (h_.committed && h_.born && h_.leaving == 0) members_->admit(l.as<Member>());
@@ -254,6 +275,50 @@
     }
   }
 
+  SiteBeatR beat_answer(Peer const& p) const {
+    SiteBeatR r;
+    r.bal = h_.view.bal;
+    r.digest = servers_.told_digest();
+    r.in_contact = h_.in_contact();
+    r.wall = wall_s();
+    r.drain = sites_.told(p.front);
+    return r;
+  }
+
+  // ---- contact -------------------------------------------------------------------------
+  Secs contact_left(Secs now) const { return h_.committed ? h_.contact.left(now) : 0; }
+  void sees_members() {
+    std::vector<Contact<>::Voter> v;
+    for (Member const& m : h_.committed->roster) v.push_back({m.ip, m.life});
+    h_.contact.members(std::move(v), h_.acceptor->life());
+    h_.contact.knows(bal());
+  }
+  void ask_contact(std::string const& ip, Link& l, Secs now) {
+    if (Channel* c = l.ch(); c != nullptr) c->send(Kind::probe, h_.contact.ask(ip, now), std::string_view());
+  }
+  // A digest is a question too; who is due besides is asked with nothing else in the letter.
+  void probe(Secs now) {
+    if (!h_.committed) return;
+    std::vector<std::string> near, far;
+    for (auto const& [ip, m] : h_.mates)
+      if (m.link && m.link->up()) (h_.is_near(ip) ? near : far).push_back(ip);
+    near.insert(near.end(), far.begin(), far.end());
+    for (std::string const& ip : h_.contact.due(near, now)) ask_contact(ip, *h_.mates[ip].link, now);
+  }
+  // Those we feed hear at once whether we are in contact: they choose others while we are not.
+  void contact_changed(Secs now) {
+    bool const in = h_.in_contact();
+    if (in == was_in_contact_) return;
+    was_in_contact_ = in;
+    LOG4CPLUS_INFO(lg_, (in ? "In contact with a majority." : "Out of contact with a majority."));
+    if (in) {  // nobody could be heard meanwhile
+      servers_.roll().forgive(now);
+      for (auto& [ip, m] : h_.mates) m.heard = std::max(m.heard, now);
+    }
+    for (auto& [id, p] : h_.peers)
+      if (p.feeding && !p.front.empty()) p.ch->send(Kind::beatR, 0, beat_answer(p));
+  }
+
   std::vector<std::string> known() const {
     std::vector<std::string> v{h_.st.ip};
     for (auto const& [ip, m] : h_.mates)
@@ -291,6 +356,15 @@
     h_.write(r, c);
   }
 
+  // Calls that change something, and reads whose answer or refusal must not be old. The others
+  // answer with what this node has; /-/Status says how fresh that is.
+  static bool only_in_contact(std::string const& uri) {
+    if (uri.ends_with(".Status")) return false;
+    for (char const* pre : {"/-/Config.", "/-/Evacuation.", "/-/Rollout.", "/-/Duty.", "/-/Allowance.", "/-/Drain.", "/-/Rotation."})
+      if (uri.rfind(pre, 0) == 0) return true;
+    return false;
+  }
+
   void control(evhttp_request* r) {
     std::string uri = evhttp_request_get_uri(r);
     uri = uri.substr(0, uri.find('?'));
@@ -308,12 +382,13 @@
     bool const post = cmd == EVHTTP_REQ_POST;
     if (is("/-/Servers.Heartbeat/", rest)) {
       if (!post) return h_.write(r, fault(405, "wants POST"));
-      return call<schema::Heartbeat>(r, body, [&](schema::Heartbeat const& b) { return servers_.heartbeat(rest, b); });
+      return call<schema::Heartbeat>(r, body, [&](schema::Heartbeat const& b) { return servers_.heartbeat(rest, b, uri); });
     }
     if (is("/-/Servers.Leave/", rest)) {
       if (!post) return h_.write(r, fault(405, "wants POST"));
-      return h_.write(r, servers_.leave(rest));
+      return h_.write(r, servers_.leave(rest, uri));
     }
+    if (only_in_contact(uri) && !h_.in_contact()) return h_.write(r, h_.elsewhere(evhttp_request_get_uri(r)));
     if (uri == "/-/Config.Amend") {
       if (!post) return h_.write(r, fault(405, "wants POST"));
       return rollouts_.amend(r, body);
@@ -397,8 +472,14 @@
     w.StartObject();
     w.Key("node");
     w.String(h_.st.nodeName.c_str());
-    w.Key("settled");
-    w.Bool(h_.settled());
+    w.Key("inContact");
+    w.Bool(h_.in_contact());
+    Secs const now = now_s();
+    w.Key("contactAgeS");  // of the question that a majority has answered; null: never
+    if (Secs const age = h_.committed ? now - h_.contact.since(now) : -never; age < 1e6) w.Double(std::round(age * 1000) / 1000);
+    else w.Null();
+    w.Key("contactBoundS");
+    w.Double(h_.contact.plan().bound);
     w.Key("ballot");
     w.Uint64(bal().v);
     w.Key("bearsLossOf");
@@ -484,6 +565,7 @@
     d.wall = wall_s();
     d.node = h_.st.nodeName;
     d.fit = duties_.fit_at_once();
+    d.contact_left = contact_left(now_s());
     if (with_mates) d.mates = known();
     return d;
   }
@@ -510,7 +592,8 @@
       m.digest_sent = now;
       // Who is known is told again only when that changed.
       bool const told = m.told_known == d.mates;
-      m.link->send(Kind::digest, ++m.digests, told ? quiet : d);
+      m.digests = h_.contact.ask(ip, now);
+      m.link->send(Kind::digest, m.digests, told ? quiet : d);
       m.told_known = d.mates;
     }
   }
@@ -533,6 +616,7 @@
       m.link->tick(now);
       if (m.link->up()) m.heard = std::max(m.heard, m.link->heard());
     }
+    contact_changed(now);
     register_.tick(now);
     rollouts_.rollouts(now);
     duties_.tick(now);
@@ -541,9 +625,10 @@
     members_->tick(now);
     keys_->rebuild(now);
     register_.finish(now);
-    if (now - slow_at_ < 0.6) return;
+    if (now - slow_at_ < 0.6) return probe(now);
     slow_at_ = now;
-    if (now - start_ > 3 * h_.st.beatPeriodS) servers_.tick(now);
+    // Out of contact beats are heard but not acknowledged, and servers go to others: silence says nothing.
+    if (now - start_ > 3 * h_.st.beatPeriodS && was_in_contact_) servers_.tick(now);
     servers_.roll().purge(90, now);
     sites_.catalog().expire(now);
     sites_.count_sites(now);
@@ -551,6 +636,7 @@
     rollouts_.forget(now);
     surveys_.forget(now);
     tell_digests(now, many);
+    probe(now);
     if (!warned_ && now - start_ > 20 && h_.committed && bears() < h_.st.toleranceMachines) {
       warned_ = true;
       LOG4CPLUS_WARN(lg_, "A roster of " << h_.committed->roster.size() << " bears the loss of " << bears() << " disks, " << h_.st.toleranceMachines << " are to be borne. More core nodes are wanted.");
@@ -579,6 +665,7 @@
   std::unique_ptr<Ticker> tick_;
   Secs measured_ = 0;
   bool warned_ = false;
+  bool was_in_contact_ = false;  // as those we feed were told last
   Secs start_ = 0, slow_at_ = 0, last_tick_ = 0;
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("archivist");
 };
--- a/programs/page.cpp
+++ b/programs/page.cpp
@@ -9,6 +9,8 @@
 #include <set>
 
 #include "allowance/allowance.hpp"
+#include "contact/contact.hpp"
+#include "contact/feeders.hpp"
 #include "atlas/survey.hpp"
 #include "gossip/roll.hpp"
 #include "keys/claims.hpp"
@@ -25,6 +27,7 @@
 struct Mate {
   std::unique_ptr<Link> link;
   bool feeding = false;
+  Said contact;  // with a majority, as it says itself
   Mismatch off;
   Secs pulled = 0, beat_sent = 0, hello_sent = 0, behind = 0;  // behind: since when it names a newer manifest
   u32 beats = 0;  // names the newest keepalive; an answer to an earlier one tells no time
@@ -85,6 +88,8 @@
       h.front = front();
       l.send(Kind::hello, 0, h);
       mates_[ip].hello_sent = now_s();
+      mates_[ip].contact.reset();
+      l.ch()->send(Kind::probe, 0, std::string_view());
       feeds();
       if (mates_[ip].feeding) beat(ip, mates_[ip]);
       claims_.up(ip, l.connection());
@@ -118,17 +123,6 @@
     return 3;
   }
 
-  // Up mates, nearest first; among equals an order that differs from page to page.
-  std::vector<std::string> by_distance() const {
-    std::vector<std::pair<std::pair<int, u64>, std::string>> v;
-    for (auto const& [ip, m] : mates_)
-      if (m.link->up()) v.push_back({{tier(ip), hash64(ip + st_.nodeName)}, ip});
-    std::sort(v.begin(), v.end());
-    std::vector<std::string> out;
-    for (auto const& x : v) out.push_back(x.second);
-    return out;
-  }
-
   void beat(std::string const& ip, Mate& m) {
     SiteBeat b;
     b.front = front();
@@ -172,6 +166,7 @@
           claims_.rtt(ip, m.rtt);
           if (r.wall > 0) clock_.mate(ip, now - 0.5 * (now - m.beat_sent), r.wall);
         }
+        m.contact.hear(r.in_contact, now);
         if (!r.sites.empty()) {  // said only when it changed
           m.sites.clear();
           for (ZoneCount const& z : r.sites) m.sites[z.zone] = z.n;
@@ -181,12 +176,14 @@
           relays_.clear();
           for (std::string const& x : r.relays) relays_.push_back(Addr{x, st_.relay()});
         }
-        if (ip == primary_ && (r.drain.stage != said_.stage || r.drain.life != said_.life)) {
+        // Orders out of contact may be old.
+        if (ip == primary_ && r.in_contact && (r.drain.stage != said_.stage || r.drain.life != said_.life)) {
           said_ = r.drain;
           if (proxy_) proxy_->send(Kind::drain, 0, said_);
         }
         // News comes by itself. Only who stays behind asks, for what it lacks.
-        bool const late = r.bal > (have_ ? state_.bal : Ballot()) || (!have_ && r.settled);
+        // Who has nothing takes what may be old only if nobody has had better for a while.
+        bool const late = have_ ? r.bal > state_.bal : r.in_contact || now - start_ > st_.bounds.applyBoundS;
         if (!late) {
           m.behind = 0;
         } else if (m.behind == 0) {
@@ -196,9 +193,10 @@
           m.pulled = now;
           m.link->send(Kind::pull, 0, Pull{have_ ? state_.bal : Ballot()});
         }
-        if (m.feeding && m.off.hear(roll_.digest(), r.digest)) m.link->send(Kind::feed, 0, Feed{true, have_ ? state_.bal : Ballot()});
+        if (m.feeding && r.in_contact && m.off.hear(roll_.digest(), r.digest)) m.link->send(Kind::feed, 0, Feed{true, have_ ? state_.bal : Ballot()});
         break;
       }
+      case Kind::probeR: m.contact.hear(l.as<ProbeR>().left > 0, now); break;
       case Kind::news: news(l.as<News>(), now, ip); break;
       case Kind::commitR: {
         Commit const c = l.as<Commit>();
@@ -449,18 +447,34 @@
       last_beat_ = now;
       beat_all();
       for (auto* const l : {&held_by_, &surveyed_by_}) std::erase_if(*l, [&](auto const& x) { return x.second.second < now; });
+      // Who feeds us says so with each keepalive; who was out of contact is asked. Near ones
+      // hear our keepalive: clients that reach them may ask them where we are.
+      std::vector<std::string> const nearest = feeders(false);
+      for (auto& [ip, m] : mates_) {
+        if (!m.link->up() || m.feeding || !m.contact.out()) continue;
+        if (std::find(nearest.begin(), nearest.end(), ip) != nearest.end()) beat(ip, m);
+        else m.link->ch()->send(Kind::probe, 0, std::string_view());
+      }
       roll_.purge(90, now);
     }
     feeds();
     if (draining_ && ((!proxy_ && now - drain_at_ > 0.5) || now - drain_at_ > st_.bounds.gracePeriodS - 0.2)) event_base_loopbreak(eb_);
   }
 
-  // Wanted: the two nearest directories feed us, and the nearest is our primary. The
-  // loop works out the rest.
+  std::vector<std::string> feeders(bool by_contact) const {
+    Secs const now = now_s();
+    std::vector<Candidate> up;
+    for (auto const& [ip, m] : mates_)
+      if (m.link->up()) up.push_back({ip, by_contact ? m.contact.rank(now, m.feeding) : 0, tier(ip), hash64(ip + st_.nodeName)});
+    return choose_feeders(std::move(up), 2);
+  }
+
+  // Wanted: the two nearest directories that are in contact feed us, and the nearest is our
+  // primary. The loop works out the rest.
   void feeds() {
-    auto const near = by_distance();
-    std::set<std::string> want(near.begin(), near.begin() + static_cast<long>(std::min<std::size_t>(2, near.size())));
-    std::string const first = near.empty() ? std::string() : near.front();
+    std::vector<std::string> const two = feeders(true);
+    std::set<std::string> const want(two.begin(), two.end());
+    std::string const first = two.empty() ? std::string() : two.front();
     if (first != primary_) {
       primary_ = first;
       tally_all_ = true;
@@ -495,7 +509,7 @@
   DrainSaid said_;  // what our primary says of a drain
   DrainWord word_;  // what the proxy says of it
   std::string front_;  // where the clients find the proxy, as it says itself
-  Secs proxy_heard_ = 0, last_beat_ = 0, drain_at_ = 0, last_tick_ = 0;
+  Secs start_ = now_s(), proxy_heard_ = 0, last_beat_ = 0, drain_at_ = 0, last_tick_ = 0;
   Roll roll_;
   std::map<std::string, u32> sites_told_;
   Claims<> claims_;
