--- a/packages/desks/include/desks/house.hpp
+++ b/packages/desks/include/desks/house.hpp
@@ -98,7 +98,22 @@
     return g.empty() || g == st.region;
   }
   Secs patience() const { return std::max(0.5, st.bounds.ackBoundS * 0.8); }
-  void write(evhttp_request* r, CallRet const& c) const {
+  evhttp_request const* answered = nullptr;  // the newest call that was, for answer() alone
+  // One call from outside: whatever its handler throws ends this call, not the process.
+  template <class F>
+  void answer(evhttp_request* r, F f) {
+    answered = nullptr;
+    try {
+      f(r);
+    } catch (std::exception const& e) {
+      DB_LOG("archivist");
+      LOG4CPLUS_WARN(lg, "A call to " << evhttp_request_get_uri(r) << " could not be handled: " << e.what() << ".");
+      if (answered != r) write(r, fault(500, e.what()));
+    }
+  }
+  void write(evhttp_request* r, CallRet const& c) {
+    answered = r;
+    if (c.code == 400) ++bad_input().calls;
     evkeyvalq* out = evhttp_request_get_output_headers(r);
     evhttp_add_header(out, "Content-Type", "application/json");
     if (leaving > 0) evhttp_add_header(out, "Connection", "close");
--- a/packages/desks/include/desks/rollouts.hpp
+++ b/packages/desks/include/desks/rollouts.hpp
@@ -63,7 +63,7 @@
     if (it == rollouts_.end()) return false;
     Rollout& ro = it->second.ro;
     Secs const now = now_s();
-    bool const ok = c.order == RollOrder::pause ? ro.pause() : c.order == RollOrder::resume ? ro.resume(now) : ro.abort();
+    bool const ok = c.order == RollOrder::pause ? ro.pause() : c.order == RollOrder::resume ? ro.resume(now) : c.order == RollOrder::abort && ro.abort();
     if (ok) stage_on(it->second, now);
     return ok;
   }
--- a/packages/desks/include/desks/servers.hpp
+++ b/packages/desks/include/desks/servers.hpp
@@ -48,6 +48,9 @@
     if (id.empty()) return fault(400, "id: empty");
     if (b.state != "ready" && b.state != "draining") return fault(400, "state: neither ready nor draining");
     if (b.service.empty()) return fault(400, "service: empty");
+    if (b.capacity < 0) return fault(400, "capacity: negative");
+    for (auto const& [s, f] : {std::pair{&id, "id"}, {&b.service, "service"}, {&b.zone, "zone"}})
+      if (has_control(*s)) return fault(400, std::string(f) + ": holds a control character");
     if (!h_.settled()) return fault(503, "not in touch with a majority");
     try {
       parse_addr(b.address, "address");
@@ -62,7 +65,7 @@
     r.capacity = b.capacity;
     r.state = b.state == "ready" ? Standing::ready : Standing::draining;
     r.seq = b.callSeq;
-    r.cold_left = b.coldLeftS.value_or(0);
+    r.cold_left = std::clamp(b.coldLeftS.value_or(0), 0.0, 1e9);
     r.generation = b.generation.value_or("");
     drained(r);
     Secs const now = now_s();
@@ -74,6 +77,7 @@
   }
 
   CallRet leave(std::string const& id) {
+    if (id.empty()) return fault(400, "id: empty");
     Secs const now = now_s();
     if (!h_.settled()) return fault(503, "not in touch with a majority");
     auto cur = roll_.get(id, now);
--- a/packages/errand/heads.cpp
+++ b/packages/errand/heads.cpp
@@ -1,6 +1,7 @@
 #include "errand/heads.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 
 namespace dockbend {
@@ -47,6 +48,31 @@
   return Framing::length;
 }
 
+namespace {
+// RFC 9110, 5.6.2
+bool is_token(std::string_view s) {
+  static auto const table = [] {
+    std::array<bool, 256> t{};
+    for (char const* c = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"; *c != '\0'; ++c) t[static_cast<u8>(*c)] = true;
+    return t;
+  }();
+  for (char const c : s)
+    if (!table[static_cast<u8>(c)]) return false;
+  return !s.empty();
+}
+}  // namespace
+
+bool well_formed(Heads const& h) {
+  std::size_t ids = 0;
+  for (auto const& [k, v] : h) {
+    if (!is_token(k) || v.find('\r') != std::string::npos) return false;
+    ids += same_name(k, "X-Attempt-Id") ? 1 : 0;
+  }
+  return ids < 2;
+}
+
+bool well_formed_target(std::string_view uri) { return uri.find(' ') == std::string_view::npos && !has_control(uri); }
+
 bool surely_not_run(End e) { return e == End::not_run || e == End::misdirected || e == End::unsent; }
 
 char const* reason_of(int code) {
@@ -74,8 +100,12 @@
   if (f == Framing::ambiguous || (f == Framing::none && !bodiless)) return End::broken;
   if (f == Framing::length && !bodiless && len != r.body) return End::broken;
   if (r.code < 200 || r.code > 599) return End::broken;
-  std::string const* id = find_head(r.heads, "X-Attempt-Id");
-  if (id != nullptr && *id != attempt_id) return End::broken;  // another errand's answer
+  std::string const* id = nullptr;
+  for (auto const& [k, v] : r.heads) {
+    if (!same_name(k, "X-Attempt-Id")) continue;
+    if (v != attempt_id) return End::broken;  // another errand's answer
+    id = &v;
+  }
   bool const not_run = find_head(r.heads, "X-Not-Run") != nullptr;
   if (r.code == 421) return End::misdirected;
   if (not_run) return End::not_run;
--- a/packages/errand/include/errand/heads.hpp
+++ b/packages/errand/include/errand/heads.hpp
@@ -23,6 +23,11 @@
 // a length that is no plain number.
 Framing framing_of(Heads const& h, u64& length);
 
+// May a request with these go on? Not if a next reader could see another request in the same
+// bytes: a name that is no token, a target with a space or control character, two ids of one attempt.
+bool well_formed(Heads const& h);
+bool well_formed_target(std::string_view uri);
+
 // How one try at a server ended.
 enum class End {
   whole,        // an answer to this errand, whole
--- a/packages/manifest/include/manifest/json.hpp
+++ b/packages/manifest/include/manifest/json.hpp
@@ -5,6 +5,7 @@
 #include <rapidjson/writer.h>
 
 #include <cmath>
+#include <limits>
 #include <stdexcept>
 
 #include "manifest/schema.hpp"
@@ -24,7 +25,9 @@
 schema::LaneKind parse_kind(std::string const& s, std::string const& at);
 std::string kind_str(schema::LaneKind k);
 std::string dump(Value const& v);
-// Throws Fault unless the whole text is one JSON object.
+// Throws Fault unless the whole text is one JSON object, nested no deeper than `deepest`:
+// reading, writing and walking it take stack for each level.
+u32 constexpr deepest = 64;
 rapidjson::Document parse(std::string_view text);
 
 template <class T>
@@ -63,10 +66,10 @@
     });
   } else if constexpr (std::is_same_v<T, Gen>) {
     if (!v.IsString()) throw Fault(at, "wants eight hexadecimal digits");
-    x = parse_gen(v.GetString(), at);
+    x = parse_gen(std::string(v.GetString(), v.GetStringLength()), at);
   } else if constexpr (std::is_same_v<T, schema::LaneKind>) {
     if (!v.IsString()) throw Fault(at, "wants a kind");
-    x = parse_kind(v.GetString(), at);
+    x = parse_kind(std::string(v.GetString(), v.GetStringLength()), at);
   } else if constexpr (std::is_same_v<T, std::string>) {
     if (!v.IsString()) throw Fault(at, "wants a string");
     x.assign(v.GetString(), v.GetStringLength());
@@ -81,6 +84,7 @@
     if (!v.IsNumber()) throw Fault(at, "wants a number");
     double const d = v.GetDouble();
     if (d < 0 || d != std::floor(d) || d > 9e15) throw Fault(at, "wants a whole number");
+    if (d > static_cast<double>(std::numeric_limits<T>::max())) throw Fault(at, "out of range");
     x = static_cast<T>(d);
   }
 }
--- a/packages/manifest/manifest.cpp
+++ b/packages/manifest/manifest.cpp
@@ -52,7 +52,30 @@
   return std::string(sb.GetString(), sb.GetSize());
 }
 
+namespace {
+// The parser takes a zero byte for the end, and stack for each level; so both are looked for first.
+void check_text(std::string_view text) {
+  u32 depth = 0;
+  bool quoted = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    char const c = text[i];
+    if (c == '\0') throw Fault("", "can't be read whole");
+    if (quoted) {
+      if (c == '\\') ++i;
+      else quoted = c != '"';
+    } else if (c == '"') {
+      quoted = true;
+    } else if (c == '{' || c == '[') {
+      if (++depth > deepest) throw Fault("", "nested too deep");
+    } else if ((c == '}' || c == ']') && depth > 0) {
+      --depth;
+    }
+  }
+}
+}  // namespace
+
 rapidjson::Document parse(std::string_view text) {
+  check_text(text);
   rapidjson::Document d;
   d.Parse<rapidjson::kParseValidateEncodingFlag>(text.data(), text.size());
   if (d.HasParseError()) throw Fault("", "can't be read whole");
@@ -72,13 +95,30 @@
   return it == v.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
 }
 
+// Names stand in headers, lines and keys.
+void check_name(std::string const& s, std::string const& at) {
+  if (s.empty()) throw Fault(at, "empty");
+  if (has_control(s)) throw Fault(at, "holds a control character");
+}
+double const longest_s = 1e9;  // more than that fits no timer
+void check_most(std::optional<double> const& x, std::string const& at, double lo = 0) {
+  if (x && (*x < lo || *x > longest_s)) throw Fault(at, *x < lo ? "negative" : "out of range");
+}
+
+Value const& need(Value const& v, char const* n) {
+  Value const* const m = member(v, n);
+  if (m == nullptr) throw Fault(n, "missing");
+  return *m;
+}
+
 void check_policy(schema::Policy const& p, std::string const& at) {
-  if (p.name.empty()) throw Fault(at + ".name", "empty");
+  check_name(p.name, at + ".name");
   if (p.selector.pathPrefix.empty() || p.selector.pathPrefix[0] != '/')
     throw Fault(at + ".selector.pathPrefix", "wants a slash at its start");
   auto const& a = p.actuation;
   if (!(a.deadlineS > 0)) throw Fault(at + ".actuation.deadlineS", "wants more than 0");
-  if (p.setpointS && *p.setpointS < 0) throw Fault(at + ".setpointS", "negative");
+  check_most(a.deadlineS, at + ".actuation.deadlineS");
+  check_most(p.setpointS, at + ".setpointS");
   bool const has_split = a.split && !a.split->empty();
   if (!a.service && !has_split) throw Fault(at + ".actuation.service", "missing");
   if (has_split) {
@@ -88,18 +128,36 @@
       sum += s.gain;
     }
     if (!(sum > 0)) throw Fault(at + ".actuation.split.gain", "all are 0");
+    if (!std::isfinite(sum)) throw Fault(at + ".actuation.split.gain", "out of range");
   }
 }
 
-void add(std::vector<Item>& out, Item it, std::string const& at) {
-  for (auto& o : out) {
-    if (o.key != it.key) continue;
+// The items of one call; each name stands once, in the order in which they came.
+class Gathered {
+ public:
+  void add(Item it, std::string const& at) {
+    auto const [i, fresh] = at_.try_emplace(it.key, items_.size());
+    if (fresh) {
+      items_.push_back(std::move(it));
+      return;
+    }
     // The highest version of a name holds, within one call too.
+    Item& o = items_[i->second];
     if (it.gen > o.gen) o = std::move(it);
     else if (it.gen == o.gen && !(it == o)) throw Fault(at, "two bodies under one generation");
-    return;
   }
-  out.push_back(std::move(it));
+  std::vector<Item> take() { return std::move(items_); }
+
+ private:
+  std::vector<Item> items_;
+  std::unordered_map<std::string, std::size_t> at_;
+};
+
+void check_limits(schema::Limits const& l) {
+  for (auto const& [x, at] : {std::pair{&l.headerDeadlineS, "upsert.limits.headerDeadlineS"}, {&l.idleTimeoutS, "upsert.limits.idleTimeoutS"}}) {
+    check_most(*x, at);
+    if (*x && !(**x > 0)) throw Fault(at, "wants more than 0");
+  }
 }
 }  // namespace
 
@@ -119,12 +177,16 @@
 }
 
 void check_customer(schema::Customer const& c, std::string const& at) {
-  if (c.name.empty()) throw Fault(at + ".name", "empty");
+  check_name(c.name, at + ".name");
   if (c.keys)
-    for (auto const& k : *c.keys)
+    for (auto const& k : *c.keys) {
       if (k.empty()) throw Fault(at + ".keys", "an empty key");
+      check_name(k, at + ".keys");
+    }
   if (!c.allowance) return;
   if (!(c.allowance->rate > 0)) throw Fault(at + ".allowance.rate", "wants more than 0");
+  if (c.allowance->rate < 1e-6 || c.allowance->rate > 1e12) throw Fault(at + ".allowance.rate", "out of range");
+  if (c.allowance->burst > 1e12) throw Fault(at + ".allowance.burst", "out of range");
   if (!(c.allowance->burst >= 1)) throw Fault(at + ".allowance.burst", "wants 1 or more");
   double const r = c.allowance->reserve.value_or(0);
   if (r < 0 || r >= 1) throw Fault(at + ".allowance.reserve", "wants a share from 0 to below 1");
@@ -134,15 +196,17 @@
   schema::Amend am;
   json::read(static_cast<Value const&>(d), "", am);
   Amendment out;
+  Gathered got;
   if (am.upsert) {
     Value const& up = *member(d, "upsert");
-    if (am.upsert->limits) add(out.items, Item{"l/", am.upsert->limits->generation, false, json::dump(*member(up, "limits"))}, "upsert.limits");
+    if (am.upsert->limits) check_limits(*am.upsert->limits);
+    if (am.upsert->limits) got.add(Item{"l/", am.upsert->limits->generation, false, json::dump(*member(up, "limits"))}, "upsert.limits");
     if (am.upsert->sockets) {
       Value const& socks = *member(up, "sockets");
       for (u32 i = 0; i < am.upsert->sockets->size(); ++i) {
         auto const& s = (*am.upsert->sockets)[i];
         std::string const sat = "upsert.sockets[" + std::to_string(i) + "]";
-        if (s.host.empty()) throw Fault(sat + ".host", "empty");
+        check_name(s.host, sat + ".host");
         Value const& pols = *member(socks[i], "policy");
         for (u32 j = 0; j < s.policy.size(); ++j) {
           auto const& p = s.policy[j];
@@ -153,7 +217,7 @@
             for (auto const& sh : *p.actuation.split) out.needs.emplace_back(at + ".actuation.split", sh.service);
           // The body keeps the policy as it was sent, beside its host.
           std::string const b = "{\"host\":" + json::dump(*member(socks[i], "host")) + ",\"policy\":" + json::dump(pols[j]) + "}";
-          add(out.items, Item{"r/" + p.name, p.generation, false, b}, at + ".name");
+          got.add(Item{"r/" + p.name, p.generation, false, b}, at + ".name");
         }
       }
     }
@@ -162,8 +226,10 @@
       for (u32 i = 0; i < am.upsert->pools->size(); ++i) {
         auto const& p = (*am.upsert->pools)[i];
         std::string const at = "upsert.pools[" + std::to_string(i) + "]";
-        if (p.name.empty()) throw Fault(at + ".name", "empty");
-        add(out.items, Item{"s/" + p.name, p.generation, false, json::dump(pools[i])}, at + ".name");
+        check_name(p.name, at + ".name");
+        check_most(p.coldS, at + ".coldS");
+        check_most(p.coldRateS, at + ".coldRateS");
+        got.add(Item{"s/" + p.name, p.generation, false, json::dump(pools[i])}, at + ".name");
       }
     }
   }
@@ -177,19 +243,20 @@
       if (c.keys)
         for (auto const& k : *c.keys)
           if (auto const [h, fresh] = holder.try_emplace(k, c.name); !fresh && h->second != c.name) throw Fault(at + ".keys", "a key that '" + h->second + "' holds too");
-      add(out.items, Item{"c/" + c.name, c.generation, false, json::dump(cs[i])}, at + ".name");
+      got.add(Item{"c/" + c.name, c.generation, false, json::dump(cs[i])}, at + ".name");
     }
   }
   if (am.remove) {
     auto drop = [&](std::optional<std::vector<schema::Drop>> const& l, std::string const& pre, std::string const& at) {
       if (!l) return;
-      for (auto const& x : *l) add(out.items, Item{pre + x.name, x.generation, true, ""}, at);
+      for (auto const& x : *l) got.add(Item{pre + x.name, x.generation, true, ""}, at);
     };
     drop(am.remove->routes, "r/", "remove.routes");
     drop(am.remove->pools, "s/", "remove.pools");
     drop(am.remove->services, "s/", "remove.services");
     drop(am.remove->customers, "c/", "remove.customers");
   }
+  out.items = got.take();
   return out;
 }
 }  // namespace
@@ -255,9 +322,9 @@
       customers += it.body;
     } else {
       rapidjson::Document const d = json::parse(it.body);
-      std::string& h = hosts[json::dump(*member(d, "host"))];
+      std::string& h = hosts[json::dump(need(d, "host"))];
       if (!h.empty()) h += ",";
-      h += json::dump(*member(d, "policy"));
+      h += json::dump(need(d, "policy"));
     }
   }
   std::string socks;
@@ -280,10 +347,11 @@
 namespace {
 LaneP lane_of(Value const& v) {
   schema::Policy p;
-  json::read(*member(v, "policy"), "", p);
+  json::read(need(v, "policy"), "", p);
+  if (p.selector.pathPrefix.empty()) throw Fault("selector.pathPrefix", "empty");
   auto l = std::make_shared<Lane>();
   l->name = p.name;
-  json::read(*member(v, "host"), "host", l->host);
+  json::read(need(v, "host"), "host", l->host);
   l->prefix = p.selector.pathPrefix;
   l->kind = p.kind;
   if (p.actuation.split && !p.actuation.split->empty()) {
@@ -378,8 +446,7 @@
       }
       case 's': {
         PoolDef q = pool_from(v);
-        std::string const n = q.name;
-        pools_[n] = std::move(q);
+        pools_[it.key.substr(2)] = std::move(q);  // by the key, by which it is dropped
         break;
       }
       case 'c': {
--- a/packages/register/acceptor.cpp
+++ b/packages/register/acceptor.cpp
@@ -36,18 +36,19 @@
   if (st_ && st_->bal > a.bal) return {};
   State next;
   if (!a.state.empty()) {
-    next = codec::unpack<State>(a.state);
+    next = read_state(a.state);
   } else {
     if (!st_) {
       r.want_full = true;
       return {};
     }
     next = *st_;
-    if (!apply(next, codec::unpack<Delta>(a.delta))) {
+    if (!apply(next, read_delta(a.delta))) {
       r.want_full = true;
       return {};
     }
   }
+  if (next.bal != a.bal) throw codec::Malformed("a value under another ballot");
   promised_ = a.bal;
   st_ = std::move(next);
   r.ok = true;
--- a/packages/register/include/register/state.hpp
+++ b/packages/register/include/register/state.hpp
@@ -97,6 +97,12 @@
 // The part that proxies and agents go by, under the ballot that last changed it: no
 // renewals, no reports.
 State view_of(State const& s);
+// Reads a value, or what changed of one, that came from outside. Throws codec::Malformed unless
+// it keeps what every value keeps: a roster of distinct addresses, epoch and open not above
+// bal, items of known kinds.
+State read_state(std::string_view bytes);
+Delta read_delta(std::string_view bytes);
+
 bool same_view(State const& a, State const& b);
 Delta delta_of(State const& from, State const& to);
 // False unless st is the delta's base.
--- a/packages/register/proposer.cpp
+++ b/packages/register/proposer.cpp
@@ -55,10 +55,10 @@
     }
     return {};
   }
-  promised_.insert(id_of(from, r.life));
   std::vector<Out> out;
   if (r.full) {
-    State s = codec::unpack<State>(r.state);
+    State s = read_state(r.state);
+    if (s.bal != r.accepted) throw codec::Malformed("a value under another ballot");
     if (s.bal > best_.bal) {
       best_ = std::move(s);
       for (Member const& m : best_.roster) {
@@ -70,6 +70,7 @@
       }
     }
   }
+  promised_.insert(id_of(from, r.life));  // only now: a promise whose value can't be read is none
   if (majority_of(best_, promised_)) {
     auto more = try_accept();
     out.insert(out.end(), more.begin(), more.end());
--- a/packages/register/state.cpp
+++ b/packages/register/state.cpp
@@ -1,6 +1,7 @@
 #include "register/state.hpp"
 
 #include <algorithm>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -64,6 +65,32 @@
 }
 }  // namespace
 
+namespace {
+template <class T>
+void check(T const& x, bool with_roster) {
+  auto need = [](bool ok, char const* what) {
+    if (!ok) throw codec::Malformed(what);
+  };
+  need(x.epoch.v <= x.bal.v && x.open <= x.bal, "a value newer than its ballot");
+  std::set<std::string_view> ips;
+  for (Member const& m : x.roster) need(!m.ip.empty() && ips.insert(m.ip).second, "a roster with a wrong address");
+  need(!with_roster || !ips.empty(), "a value without a roster");
+  for (Item const& i : x.items) need(i.key.size() > 1 && i.key[1] == '/' && std::string_view("lrsc").find(i.key[0]) != std::string_view::npos, "an item of no kind");
+}
+}  // namespace
+
+State read_state(std::string_view bytes) {
+  State s = codec::unpack<State>(bytes);
+  check(s, true);
+  return s;
+}
+
+Delta read_delta(std::string_view bytes) {
+  Delta d = codec::unpack<Delta>(bytes);
+  check(d, d.roster_set);
+  return d;
+}
+
 bool same_view(State const& a, State const& b) {
   return a.epoch == b.epoch && a.to_fix == b.to_fix && same(a.evacs, b.evacs) && same(a.roster, b.roster) &&
          same(without_renewals(a.duties), without_renewals(b.duties)) && same_items(a.items, b.items);
--- a/packages/shelf/shelf.cpp
+++ b/packages/shelf/shelf.cpp
@@ -65,6 +65,7 @@
   bufferevent* bev = bufferevent_socket_new(eb_, -1, BEV_OPT_DEFER_CALLBACKS);
   c->ec = evhttp_connection_base_bufferevent_new(eb_, nullptr, bev, a.ip.c_str(), static_cast<ev_uint16_t>(a.port));
   evhttp_connection_set_timeout(c->ec, 60);
+  evhttp_connection_set_max_headers_size(c->ec, 256 << 10);  // else a head without an end is kept until the deadline
   evhttp_connection_set_closecb(c->ec, close_cb, c);
   evbuffer_add_cb(bufferevent_get_output(bev), out_cb, c);
   ++t.chans;
--- a/packages/stacks/courier.cpp
+++ b/packages/stacks/courier.cpp
@@ -6,24 +6,14 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <zlib.h>
 
 #include <algorithm>
 
+#include "stacks/frame.hpp"
+#include "stacks/log.hpp"
+
 namespace dockbend {
 namespace {
-std::size_t const head_len = 9;
-std::size_t const max_frame = 64u << 20;
-
-void put32(u8* p, u32 x) {
-  p[0] = static_cast<u8>(x >> 24);
-  p[1] = static_cast<u8>(x >> 16);
-  p[2] = static_cast<u8>(x >> 8);
-  p[3] = static_cast<u8>(x);
-}
-u32 get32(u8 const* p) {
-  return static_cast<u32>(p[0]) << 24 | static_cast<u32>(p[1]) << 16 | static_cast<u32>(p[2]) << 8 | p[3];
-}
 sockaddr_in sa_of(Addr const& a) {
   sockaddr_in sa{};
   sa.sin_family = AF_INET;
@@ -49,30 +39,13 @@
 std::size_t const share_from = 4096;  // shorter ones are copied
 std::size_t const zip_from = 1500;  // shorter ones fill one packet as they are
 
-// 1 byte kind, 4 bytes length, then the deflated body.
-std::string unzip(std::string_view z, Kind& kind) {
-  if (z.size() < 5) throw codec::Malformed("short parcel");
-  kind = static_cast<Kind>(z[0]);
-  uLongf n = get32(reinterpret_cast<u8 const*>(z.data()) + 1);
-  if (n > max_frame) throw codec::Malformed("parcel too large");
-  std::string out(n, '\0');
-  if (uncompress(reinterpret_cast<Bytef*>(out.data()), &n, reinterpret_cast<Bytef const*>(z.data()) + 5, z.size() - 5) != Z_OK || n != out.size())
-    throw codec::Malformed("broken parcel");
-  return out;
-}
 }  // namespace
 
 Parcel parcel(Kind k, std::string body) {
   auto made = [](Kind kind, std::string b) { return Parcel{kind, std::make_shared<std::string const>(std::move(b))}; };
   if (body.size() < zip_from) return made(k, std::move(body));
-  uLongf n = compressBound(body.size());
-  std::string z(n + 5, '\0');
-  z[0] = static_cast<char>(k);
-  put32(reinterpret_cast<u8*>(z.data()) + 1, static_cast<u32>(body.size()));
-  if (compress2(reinterpret_cast<Bytef*>(z.data()) + 5, &n, reinterpret_cast<Bytef const*>(body.data()), body.size(), 1) != Z_OK || n + 5 >= body.size())
-    return made(k, std::move(body));
-  z.resize(n + 5);
-  return made(Kind::zipped, std::move(z));
+  std::string z = frame::deflate(static_cast<u8>(k), body);
+  return z.empty() ? made(k, std::move(body)) : made(Kind::zipped, std::move(z));
 }
 
 void tune_socket(evutil_socket_t fd, int user_timeout_ms) {
@@ -150,63 +123,75 @@
 void Channel::head(Kind k, u32 tag, std::size_t n) {
   if (!near_) {
     ++counted[static_cast<u8>(k)].letters;
-    counted[static_cast<u8>(k)].bytes += head_len + n;
+    counted[static_cast<u8>(k)].bytes += frame::head_len + n;
   }
-  u8 h[head_len];
-  put32(h, static_cast<u32>(n));
-  h[4] = static_cast<u8>(k);
-  put32(h + 5, tag);
-  evbuffer_add(bufferevent_get_output(bev_), h, head_len);
+  u8 h[frame::head_len];
+  frame::write_head(h, frame::Head{static_cast<u32>(n), static_cast<u8>(k), tag});
+  evbuffer_add(bufferevent_get_output(bev_), h, frame::head_len);
   sent_ = now_s();
 }
 
 void Channel::put(Kind k, u32 tag, std::string_view body) {
   if (!up_) return;
   evbuffer* const out = bufferevent_get_output(bev_);
-  evbuffer_expand(out, head_len + body.size());  // one piece, one packet
+  evbuffer_expand(out, frame::head_len + body.size());  // one piece, one packet
   head(k, tag, body.size());
   evbuffer_add(out, body.data(), body.size());
 }
 
+struct Channel::Input {  // a frame::Source: what the socket has brought
+  Channel& c;
+  evbuffer* in;
+  bool open() const { return c.bev_ != nullptr; }
+  std::size_t size() const { return evbuffer_get_length(in); }
+  void peek(u8* p) const { evbuffer_copyout(in, p, frame::head_len); }
+  void take(std::string& body) const {
+    evbuffer_drain(in, frame::head_len);
+    if (!body.empty()) evbuffer_remove(in, body.data(), body.size());
+  }
+};
+
 void Channel::read_cb(bufferevent* bev, void* p) {
   Channel* const c = static_cast<Channel*>(p);
   ChannelP const self = c->shared_from_this();
   c->heard_ = now_s();
-  evbuffer* in = bufferevent_get_input(bev);
-  while (c->bev_ != nullptr) {
-    std::size_t const have = evbuffer_get_length(in);
-    if (have < head_len) return;
-    u8 head[head_len];
-    evbuffer_copyout(in, head, head_len);
-    std::size_t const n = get32(head);
-    if (n > max_frame) {
-      c->drop();
-      return;
-    }
-    if (have < head_len + n) return;
-    evbuffer_drain(in, head_len);
-    std::string body(n, '\0');
-    if (n > 0) evbuffer_remove(in, body.data(), n);
-    Letter l;
-    l.kind = static_cast<Kind>(head[4]);
-    l.tag = get32(head + 5);
-    l.body = body;
-    if (l.kind == Kind::ping) {
-      if (l.tag == 0) c->send(Kind::ping, 1, std::string_view());
-      continue;
-    }
-    try {
-      std::string plain;
-      if (l.kind == Kind::zipped) {
-        plain = unzip(body, l.kind);
-        l.body = plain;
-      }
-      c->on_letter.emit(*c, l);
-    } catch (codec::Malformed const&) {
-      c->drop();
-      return;
-    }
-  }
+  auto const bad = frame::each(Input{*c, bufferevent_get_input(bev)}, [c](frame::Head const& h, std::string const& body) {
+    Kind const k = static_cast<Kind>(h.kind);
+    if (k != Kind::ping) return c->on_letter.emit(*c, Letter{k, h.tag, body});
+    if (h.tag == 0) c->send(Kind::ping, 1, std::string_view());
+  });
+  if (!bad) return;
+  c->refuse(*bad);
+  if (c->bev_ != nullptr) c->drop();
+}
+
+// Counted always, logged at most once a second.
+void Channel::refuse(std::string const& why) {
+  DB_LOG("courier");
+  static Secs logged = -1e9;
+  ++bad_input().channels;
+  Secs const now = now_s();
+  if (now - logged < 1.0) return;
+  logged = now;
+  sockaddr_in sa{};
+  socklen_t len = sizeof sa;
+  char from[INET_ADDRSTRLEN] = "nowhere";
+  if (bev_ != nullptr && getpeername(bufferevent_getfd(bev_), reinterpret_cast<sockaddr*>(&sa), &len) == 0) inet_ntop(AF_INET, &sa.sin_addr, from, sizeof from);
+  LOG4CPLUS_WARN(lg, "Ended a channel with " << from << ": " << why << ". " << bad_input().channels << " such so far.");
+}
+
+BadInput& bad_input() {
+  static BadInput b;
+  return b;
+}
+
+void say_bad_input() {
+  DB_LOG("courier");
+  static u64 said = 0;
+  BadInput const& b = bad_input();
+  if (u64 const n = b.channels + b.letters + b.calls; n == said) return;
+  else said = n;
+  LOG4CPLUS_INFO(lg, "Bad input so far: " << b.channels << " channels ended, " << b.letters << " letters ignored, " << b.calls << " calls refused.");
 }
 
 void Channel::event_cb(bufferevent*, short what, void* p) {
--- a/packages/stacks/include/stacks/codec.hpp
+++ b/packages/stacks/include/stacks/codec.hpp
@@ -1,12 +1,16 @@
 // Messages between our own processes: Hana structs written and read by nanopb.
 // A member's tag is its place in the struct, from 1. Unknown tags are skipped,
-// so a newer sender may add members at the end.
+// so a newer sender may add members at the end; what an older one lacks reads as zero.
+// Invariant: unpack gives a record whose numbers are finite and fit their fields, or
+// throws Malformed; a list or text is never longer than the bytes that came.
 #pragma once
 #include <pb_decode.h>
 #include <pb_encode.h>
 
 #include <boost/hana.hpp>
+#include <cmath>
 #include <cstring>
+#include <limits>
 #include <stdexcept>
 #include <type_traits>
 
@@ -41,6 +45,12 @@
 void unpack_from(pb_istream_t* in, T& x);
 
 namespace detail {
+template <Whole T>
+constexpr u64 largest() {
+  if constexpr (std::is_enum_v<T>) return largest<std::underlying_type_t<T>>();
+  else return static_cast<u64>(std::numeric_limits<T>::max());
+}
+
 inline void need(bool ok) {
   if (!ok) throw Malformed("malformed message");
 }
@@ -73,7 +83,7 @@
     pb_encode_tag(st, PB_WT_STRING, tag);
     pb_encode_string(st, reinterpret_cast<pb_byte_t const*>(x.data()), x.size());
   } else if constexpr (std::is_floating_point_v<T>) {
-    if (x == 0) return;
+    if (x == 0 || !std::isfinite(x)) return;  // what no receiver takes is not sent
     double const d = x;
     pb_encode_tag(st, PB_WT_64BIT, tag);
     pb_encode_fixed64(st, &d);
@@ -114,12 +124,12 @@
   } else if constexpr (std::is_floating_point_v<T>) {
     need(wt == PB_WT_64BIT);
     double d = 0;
-    need(pb_decode_fixed64(in, &d));
+    need(pb_decode_fixed64(in, &d) && std::isfinite(d));
     x = d;
   } else {
     need(wt == PB_WT_VARINT);
     u64 v = 0;
-    need(pb_decode_varint(in, &v));
+    need(pb_decode_varint(in, &v) && v <= largest<T>());
     x = static_cast<T>(v);
   }
 }
@@ -147,6 +157,7 @@
       detail::need(eof);
       break;
     }
+    detail::need(tag != 0);
     bool hit = false;
     u32 i = 0;
     hana::for_each(hana::accessors<T>(), [&](auto const& acc) {
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -54,6 +54,15 @@
 };
 std::string sent_by_kind();
 
+// What this process was given from outside and did not take, since its start.
+struct BadInput {
+  u64 channels = 0;  // ended for a frame that could not be read
+  u64 letters = 0;   // of a kind that nobody here waits for: ignored
+  u64 calls = 0;     // calls of the control API and requests refused as malformed
+};
+BadInput& bad_input();
+void say_bad_input();  // a log line, if there is more than the last time
+
 class Channel : public std::enable_shared_from_this<Channel> {
  public:
   sigc::signal<void(Channel&, Letter const&)> on_letter;
@@ -82,6 +91,8 @@
   void head(Kind k, u32 tag, std::size_t n);
   void arm(event_base* eb, evutil_socket_t fd);
   void drop();
+  void refuse(std::string const& why);  // bytes that can't be read
+  struct Input;
   static void read_cb(bufferevent*, void* p);
   static void event_cb(bufferevent*, short what, void* p);
   bufferevent* bev_ = nullptr;
--- a/packages/stacks/include/stacks/program.hpp
+++ b/packages/stacks/include/stacks/program.hpp
@@ -18,6 +18,7 @@
   char const* what;
   bool can_stage = false;  // knows --staged
   std::vector<std::string> binds{};  // addresses it can't do without
+  bool keeps = false;  // has a disk, and founds the system with the seeds
 };
 
 // Reads the command line (--help, --version, --check, --settings FILE) and the
--- a/packages/stacks/include/stacks/settings.hpp
+++ b/packages/stacks/include/stacks/settings.hpp
@@ -22,6 +22,7 @@
   std::string str() const { return ip + ":" + std::to_string(port); }
   friend auto operator<=>(Addr const&, Addr const&) = default;
 };
+bool is_ip(std::string const& s);  // an IPv4 address in four parts
 // Throws BadSetting(field) unless s is IPV4:PORT.
 Addr parse_addr(std::string const& s, std::string const& field);
 
--- a/packages/stacks/include/stacks/types.hpp
+++ b/packages/stacks/include/stacks/types.hpp
@@ -39,6 +39,13 @@
 Secs now_s();
 double wall_s();  // the machine's time of day, in seconds since the start of 1970
 
+// Is there anything in it that could end a line or a text early?
+inline bool has_control(std::string_view s) {
+  for (char const c : s)
+    if (static_cast<u8>(c) < 0x20 || c == 0x7f) return true;
+  return false;
+}
+
 u64 hash64(std::string_view s, u64 seed = 0);
 u64 next64(u64& state);  // the next draw of a sequence that `state` stands for
 u64 random64();
--- a/packages/stacks/program.cpp
+++ b/packages/stacks/program.cpp
@@ -60,6 +60,8 @@
     st.staged = st.staged || staged;
     for (std::string const& b : cli.binds)
       if (st.bind.count(b) == 0) throw BadSetting("bind." + b, "missing");
+    if (cli.keeps && st.dataDir.empty()) throw BadSetting("dataDir", "missing");
+    if (cli.keeps && st.bootstrap && st.seeds.empty()) throw BadSetting("seedAddrs", "missing, and with bootstrap=true the system begins with them");
   } catch (BadSetting const& e) {
     std::fprintf(stderr, "%s: settings: %s\n", cli.name, e.what());
     return 2;
--- a/packages/stacks/settings.cpp
+++ b/packages/stacks/settings.cpp
@@ -29,11 +29,18 @@
 double number(std::string const& f, std::string const& v, double lo, double hi) {
   char* end = nullptr;
   double const d = std::strtod(v.c_str(), &end);
-  if (v.empty() || *end != '\0' || !std::isfinite(d)) throw BadSetting(f, "not a number: '" + v + "'");
+  // Decimal alone: strtod takes blanks, nan and hexadecimal too.
+  bool const plain = !v.empty() && v.find_first_not_of("0123456789+-.eE") == std::string::npos;
+  if (!plain || end != v.c_str() + v.size() || !std::isfinite(d)) throw BadSetting(f, "not a number: '" + v + "'");
   if (d < lo || d > hi) throw BadSetting(f, "out of range: " + v);
   return d;
 }
 
+u32 port(std::string const& f, std::string const& v) {
+  if (v.empty() || v.size() > 5 || v.find_first_not_of("0123456789") != std::string::npos) throw BadSetting(f, "not a port: '" + v + "'");
+  return static_cast<u32>(number(f, v, 1, 65535));
+}
+
 bool boolean(std::string const& f, std::string const& v) {
   if (v == "true") return true;
   if (v == "false") return false;
@@ -42,14 +49,18 @@
 
 }  // namespace
 
+bool is_ip(std::string const& s) {
+  in_addr tmp{};
+  return s.find('\0') == std::string::npos && inet_pton(AF_INET, s.c_str(), &tmp) == 1;
+}
+
 Addr parse_addr(std::string const& s, std::string const& field) {
   auto const c = s.rfind(':');
   if (c == std::string::npos) throw BadSetting(field, "no port in '" + s + "'");
   Addr a;
   a.ip = s.substr(0, c);
-  in_addr tmp{};
-  if (inet_pton(AF_INET, a.ip.c_str(), &tmp) != 1) throw BadSetting(field, "no IPv4 address: '" + s + "'");
-  a.port = static_cast<u32>(number(field, s.substr(c + 1), 1, 65535));
+  if (!is_ip(a.ip)) throw BadSetting(field, "no IPv4 address: '" + s + "'");
+  a.port = port(field, s.substr(c + 1));
   return a;
 }
 
@@ -72,7 +83,10 @@
   known["bootstrap"] = [&](auto const& f, auto const& v) { st.bootstrap = boolean(f, v); };
   known["lossCounted"] = [&](auto const& f, auto const& v) { st.lossCounted = boolean(f, v); };
   num("beatPeriodS", st.beatPeriodS, 0.01, 3600);
-  num("tolerance.machines", st.toleranceMachines);
+  known["tolerance.machines"] = [&](auto const& f, auto const& v) {
+    st.toleranceMachines = number(f, v, 0, 1e6);
+    if (st.toleranceMachines != std::floor(st.toleranceMachines)) throw BadSetting(f, "wants a whole number: " + v);
+  };
   num("limits.memoryMb", st.memoryMb);
   num("limits.diskMb", st.diskMb);
   num("limits.linkMbps", st.linkMbps);
@@ -122,11 +136,11 @@
   known["innerPorts"] = [&](auto const& f, auto const& v) {
     auto const p = split(v, ',');
     if (p.size() != 2) throw BadSetting(f, "wants FIRST,LAST");
-    st.innerFirst = static_cast<u32>(number(f, p[0], 1, 65535));
-    st.innerLast = static_cast<u32>(number(f, p[1], 1, 65535));
+    st.innerFirst = port(f, p[0]);
+    st.innerLast = port(f, p[1]);
     if (st.innerLast < st.innerFirst + 1) throw BadSetting(f, "needs at least two ports");
   };
-  known["agentPort"] = [&](auto const& f, auto const& v) { st.agentPort = static_cast<u32>(number(f, v, 1, 65535)); };
+  known["agentPort"] = [&](auto const& f, auto const& v) { st.agentPort = port(f, v); };
   known["seedAddrs"] = [&](auto const& f, auto const& v) {
     st.seeds.clear();
     for (auto const& s : split(v, ','))
@@ -135,26 +149,32 @@
 
   std::istringstream in(text);
   std::string line;
+  std::map<std::string, std::string> given;
   while (std::getline(in, line)) {
     while (!line.empty() && (line.back() == '\r' || line.back() == ' ')) line.pop_back();
     if (line.empty() || line[0] == '#') continue;
     auto const eq = line.find('=');
-    if (eq == std::string::npos) throw BadSetting(line, "no '='");
+    if (eq == std::string::npos) throw BadSetting("settings", "no '=' in line '" + line.substr(0, 60) + "'");
     std::string const k = line.substr(0, eq), v = line.substr(eq + 1);
+    if (known.count(k) == 0 && k.rfind("zones.", 0) != 0 && k.rfind("bind.", 0) != 0) continue;
+    if (has_control(k) || has_control(v)) throw BadSetting(k.substr(0, k.find('.')), "holds a control character");
+    // Which of two would be meant can't be known. The same said twice does no harm.
+    if (auto const [g, fresh] = given.try_emplace(k, v); !fresh && g->second != v) throw BadSetting(k, "given twice: '" + g->second + "' and '" + v + "'");
     if (k.rfind("zones.", 0) == 0) {
       st.zones[k.substr(6)] = v;
     } else if (k.rfind("bind.", 0) == 0) {
       st.bind[k.substr(5)] = parse_addr(v, k);
-    } else if (auto const it = known.find(k); it != known.end()) {
-      it->second(k, v);
+    } else {
+      known[k](k, v);
     }
   }
   if (st.rollout.giveUpS == 0) st.rollout.giveUpS = 0.6 * st.bounds.ackBoundS;
-  in_addr tmp{};
-  if (inet_pton(AF_INET, st.ip.c_str(), &tmp) != 1) throw BadSetting("ip", "missing or no IPv4 address");
+  if (!is_ip(st.ip)) throw BadSetting("ip", "missing or no IPv4 address");
   if (st.innerFirst == 0) throw BadSetting("innerPorts", "missing");
   if (st.zone.empty()) throw BadSetting("zone", "missing");
   if (st.region.empty()) st.region = st.region_of(st.zone);
+  if (st.zones.count(st.zone) > 0 && st.region_of(st.zone) != st.region)
+    throw BadSetting("region", "'" + st.region + "', but zones." + st.zone + " says '" + st.region_of(st.zone) + "'");
   if (st.zones.find(st.zone) == st.zones.end()) st.zones[st.zone] = st.region;
   return st;
 }
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -38,8 +38,8 @@
     keys_->on_whole.connect([this] { join_at_ = 0; });
     door_.on_channel.connect([this](ChannelP c) { took(std::move(c)); });
     for (Addr const& s : h_.st.seeds) mate(s.ip);
-    control_ = serve("control", [](evhttp_request* r, void* p) { static_cast<Archivist*>(p)->control(r); });
-    directory_ = serve("directory", [](evhttp_request* r, void* p) { static_cast<Archivist*>(p)->sites_.directory(r); });
+    control_ = serve("control", [](evhttp_request* r, void* p) { static_cast<Archivist*>(p)->answer(r, &Archivist::control); });
+    directory_ = serve("directory", [](evhttp_request* r, void* p) { static_cast<Archivist*>(p)->answer(r, &Archivist::directory); });
     start_ = now_s();
     finish_at_ = start_ + 0.2 + 0.6 * random01();
     join_at_ = start_ + 0.3 + 1.2 * random01();
@@ -147,7 +147,7 @@
     auto const it = h_.mates.find(ip);
     if (it != h_.mates.end()) return it->second;
     Mate& m = h_.mates[ip];
-    if (ip == h_.st.ip) return m;
+    if (ip == h_.st.ip || !is_ip(ip)) return m;
     m.link = std::make_unique<Link>(h_.eb, Addr{ip, h_.st.innerFirst}, 0.6, 1.5);
     m.link->on_up.connect([this, ip](Link& l) {
       Hello h;
@@ -205,7 +205,8 @@
     switch (l.kind) {
       case Kind::helloR: {
         HelloR const h = l.as<HelloR>();
-        for (std::string const& x : h.mates) mate(x);
+        for (std::string const& x : h.mates)
+          if (is_ip(x)) mate(x);
         holds(ip, h.life, h.accepted);
         break;
       }
@@ -221,14 +222,15 @@
         digest(ip, d);
         break;
       }
-      default: break;
+      default: ++bad_input().letters; break;
     }
   }
 
   void digest(std::string const& ip, Digest const& d) {
     Mate& m = h_.mates[ip];
     if (!m.link) return;
-    for (std::string const& x : d.mates) mate(x);
+    for (std::string const& x : d.mates)
+      if (is_ip(x)) mate(x);
     if (d.life.v != 0) holds(ip, d.life, d.accepted);
     m.fit = d.fit;
     m.node = d.node;
@@ -266,6 +268,7 @@
     switch (l.kind) {
       case Kind::hello: {
         p.hello = l.as<Hello>();
+        if (!is_ip(p.hello.ip)) throw codec::Malformed("a hello without an address");
         if (p.hello.role == 1) holds(p.hello.ip, p.hello.life, p.hello.accepted);
         HelloR r;
         r.bal = bal();
@@ -357,7 +360,7 @@
       case Kind::rollNote: rollouts_.note(l.as<RollNote>()); break;
       case Kind::rollCmd: rollouts_.order_rollout(l.as<RollCmd>()); break;
       case Kind::rebuild: p.ch->send(Kind::rebuildR, l.tag, keys_->copy_for(l.as<Rebuild>())); break;
-      default: break;
+      default: ++bad_input().letters; break;
     }
   }
 
@@ -586,7 +589,9 @@
   void commit(Commit const& c, std::string const& from) {
     if (c.bal <= bal()) return;
     if (!c.state.empty()) {
-      learn(codec::unpack<State>(c.state));
+      State const s = read_state(c.state);
+      if (s.bal != c.bal) throw codec::Malformed("a value under another ballot");
+      learn(s);
       return;
     }
     if (h_.acceptor->state() && h_.acceptor->state()->bal == c.bal) {
@@ -595,7 +600,7 @@
     }
     if (h_.committed) {
       State s = *h_.committed;
-      if (apply(s, codec::unpack<Delta>(c.delta))) {
+      if (apply(s, read_delta(c.delta))) {
         learn(s);
         return;
       }
@@ -650,6 +655,11 @@
     return h;
   }
 
+  void answer(evhttp_request* r, void (Archivist::*f)(evhttp_request*)) {
+    h_.answer(r, [&](evhttp_request* q) { (this->*f)(q); });
+  }
+  void directory(evhttp_request* r) { sites_.directory(r); }
+
   // The generic handler: a call and its answer are a pair of types.
   template <class Req>
   void call(evhttp_request* r, std::string const& body, std::function<CallRet(Req const&)> f) {
@@ -726,7 +736,7 @@
     submit([](State&) { return false; },
            [this, r](State const* s) {
              if (s == nullptr) return h_.write(r, fault(503, "no majority in time"));
-             h_.write(r, CallRet{200, render_read(s->by_key())});
+             h_.answer(r, [&](evhttp_request* q) { h_.write(q, CallRet{200, render_read(s->by_key())}); });
            },
            h_.patience());
   }
@@ -759,7 +769,7 @@
   }
 
   // Disks that may be lost at once with a majority left.
-  std::size_t bears() const { return h_.committed ? (h_.committed->roster.size() - 1) / 2 : 0; }
+  std::size_t bears() const { return h_.committed && !h_.committed->roster.empty() ? (h_.committed->roster.size() - 1) / 2 : 0; }
 
   std::string status() const {
     rapidjson::StringBuffer sb;
@@ -777,6 +787,15 @@
     w.Bool(keys_->ledger().whole());
     w.Key("keys");
     w.Uint64(keys_->ledger().size());
+    w.Key("badInput");
+    w.StartObject();
+    w.Key("channelsEnded");
+    w.Uint64(bad_input().channels);
+    w.Key("lettersIgnored");
+    w.Uint64(bad_input().letters);
+    w.Key("callsRefused");
+    w.Uint64(bad_input().calls);
+    w.EndObject();
     w.Key("members");
     w.StartArray();
     if (h_.committed)
@@ -944,6 +963,7 @@
     }
     if (now - measured_ > 10) {
       measured_ = now;
+      say_bad_input();
       if (std::string const t = sent_by_kind(); !t.empty()) LOG4CPLUS_INFO(lg_, "Sent by kind, letters/bytes: " << t << ".");
     }
     bool const duty = duties_.handing();
@@ -980,4 +1000,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv) { return run_daemon<Archivist>({"archivist", "dockbend's control API, register and directory", true, {"control"}}, argc, argv); }
+int main(int argc, char** argv) { return run_daemon<Archivist>({"archivist", "dockbend's control API, register and directory", true, {"control"}, true}, argc, argv); }
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -169,14 +169,14 @@
       case Kind::loanR: loaned(l.as<LoanRet>()); break;
       case Kind::survey: surveyed(l.tag, l.as<SurveyAsk>()); break;
       case Kind::drain: told_to_drain(l.as<DrainSaid>()); break;
-      default: break;
+      default: ++bad_input().letters; break;
     }
   }
 
   void news(News const& n) {
     Secs const now = now_s();
     if (!n.state.empty()) {
-      State const s = codec::unpack<State>(n.state);
+      State const s = read_state(n.state);
       // A node never steps back in one life.
       if (!have_state_ || s.bal > bal_) {
         have_state_ = true;
@@ -187,7 +187,7 @@
         manifest_changed(now);
       }
     } else if (!n.delta.empty()) {
-      Delta const d = codec::unpack<Delta>(n.delta);
+      Delta const d = read_delta(n.delta);
       if (have_state_ && d.bal > bal_) {
         bal_ = d.bal;
         for (Item const& i : d.items) man_.put(i);
@@ -364,6 +364,10 @@
     evbuffer_free(b);
   }
 
+  void malformed(evhttp_request* r, std::string const& id) {
+    ++bad_input().calls;
+    write(r, own(400, true), id);
+  }
   static Verdict own(int code, bool close = false, Secs retry = -1) { return Verdict{code, reason_of(code), retry, close}; }
 
   void arrive(evhttp_request* r) {
@@ -383,7 +387,7 @@
       hb += k.size() + v.size() + 4;
       hosts += same_name(k, "Host") ? 1 : 0;
     }
-    if (wrong || hosts != 1) return write(r, own(400, true), id);
+    if (wrong || hosts != 1 || !well_formed(heads)) return malformed(r, id);
     LimitsDef const& lim = man_.limits();
     readings_.whole(r);
     std::string const uri = evhttp_request_get_uri(r);
@@ -391,7 +395,7 @@
     if (hb + uri.size() > lim.header_bytes) return write(r, own(431, true), id);
     if (body > lim.body_bytes) return write(r, own(413, true), id);
     char const* host = evhttp_find_header(in, "Host");
-    if (host == nullptr || uri.empty() || uri[0] != '/') return write(r, own(400, true), id);
+    if (host == nullptr || uri.empty() || uri[0] != '/' || !well_formed_target(uri)) return malformed(r, id);
     std::string hn = host;
     if (auto const c = hn.find(':'); c != std::string::npos) hn.resize(c);
     std::transform(hn.begin(), hn.end(), hn.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
@@ -593,13 +597,24 @@
     asks_.erase(it);
     if (e == nullptr || !e->asking) return;
     e->asking = false;
+    // An answer that can't be read is told to its client before it ends the agent's channel.
+    std::optional<Return> first;
+    if (a.leave == Leave::repeat) {
+      try {
+        first = codec::unpack<Return>(a.ret);
+      } catch (codec::Malformed const&) {
+        finish(*e, own(502));
+        throw;
+      }
+      if (first->code < 200 || first->code > 599) return finish(*e, own(502));
+    }
     switch (a.leave) {
       case Leave::run:
         e->granted = true;
         attempt(*e);
         break;
       case Leave::repeat: {
-        Return const r = codec::unpack<Return>(a.ret);
+        Return const& r = *first;
         evkeyvalq* out = evhttp_request_get_output_headers(e->req);
         for (std::string const& h : r.heads) {
           auto const c = h.find(':');
@@ -624,6 +639,7 @@
         ++given_up_["key not granted"];
         finish(*e, own(503, false, 0.2 + 0.2 * random01()));
         break;
+      default: finish(*e, own(502)); break;  // a word that we don't know promises nothing
     }
   }
 
@@ -668,7 +684,7 @@
     }
     if (e.tenant) evhttp_add_header(out, "X-Tenant", e.tenant->name.c_str());
     char b[32];
-    std::snprintf(b, sizeof b, "%d", std::max(1, static_cast<int>((e.deadline() - now) * 1000)));
+    std::snprintf(b, sizeof b, "%d", static_cast<int>(std::clamp((e.deadline() - now) * 1000, 1.0, 2e9)));
     evhttp_add_header(out, "X-Time-Left", b);
     evhttp_add_header(out, "X-Target-Server", t.id.c_str());
     evhttp_add_header(out, "Connection", "keep-alive");
@@ -715,7 +731,7 @@
     bool const closing = cn != nullptr && same_name(*cn, "close");
     if (std::string const* cl = find_head(rep.heads, "X-Cold-Remaining"); cl != nullptr) {
       double const left = std::strtod(cl->c_str(), nullptr);
-      if (left > 0) as_.cold(c.server, left, now);
+      if (left > 0 && left < 1e9) as_.cold(c.server, left, now);
     }
     if (en == End::broken || surplus || closing || draining_) {
       if (en == End::whole || en == End::not_run || en == End::misdirected) {
@@ -726,7 +742,7 @@
       Secs limit = 4;
       if (std::string const* ka = find_head(rep.heads, "Keep-Alive"); ka != nullptr) {
         auto const p = ka->find("timeout=");
-        if (p != std::string::npos) limit = std::max(0.0, std::strtod(ka->c_str() + p + 8, nullptr) - 1.5);
+        if (p != std::string::npos) limit = std::clamp(std::strtod(ka->c_str() + p + 8, nullptr) - 1.5, 0.0, 3600.0);
       }
       e->chan = nullptr;
       shelf_.keep(c, limit, now);
@@ -938,6 +954,10 @@
       far_out_ = far_in_ = 0;
       far_n_ = 0;
     }
+    if (now - bad_at_ > 10) {
+      bad_at_ = now;
+      say_bad_input();
+    }
     if (now - said_at_ > 10 && !given_up_.empty()) {
       said_at_ = now;
       std::string line;
@@ -994,7 +1014,7 @@
   Observer atlas_;
   u64 to_fix_ = 0;
   std::map<std::string, u64> given_up_;  // by reason, since it was last logged
-  Secs said_at_ = 0;
+  Secs said_at_ = 0, bad_at_ = 0;
   u32 next_tag_ = 0;
   bool have_state_ = false, draining_ = false, tally_all_ = false;
   Ballot bal_;
--- a/programs/page.cpp
+++ b/programs/page.cpp
@@ -181,7 +181,8 @@
           if (h.wall > 0) clock_.mate(ip, now - 0.5 * m.rtt, h.wall);
           m.hello_sent = 0;
         }
-        for (std::string const& x : h.mates) mate(x);
+        for (std::string const& x : h.mates)
+          if (is_ip(x)) mate(x);
         break;
       }
       case Kind::beatR: {
@@ -195,7 +196,8 @@
         }
         if (!r.relays.empty() && !m.link->relayed()) {
           relays_.clear();
-          for (std::string const& x : r.relays) relays_.push_back(Addr{x, st_.relay()});
+          for (std::string const& x : r.relays)
+            if (is_ip(x)) relays_.push_back(Addr{x, st_.relay()});
         }
         if (ip == primary_ && (r.drain.stage != said_.stage || r.drain.life != said_.life)) {
           said_ = r.drain;
@@ -218,8 +220,8 @@
       case Kind::news: news(l.as<News>(), now, ip); break;
       case Kind::commitR: {
         Commit const c = l.as<Commit>();
-        if (!c.state.empty()) take(codec::unpack<State>(c.state));
-        else if (!c.delta.empty()) take_delta(codec::unpack<Delta>(c.delta), ip);
+        if (!c.state.empty()) take(read_state(c.state));
+        else if (!c.delta.empty()) take_delta(read_delta(c.delta), ip);
         break;
       }
       case Kind::loanR: {
@@ -241,13 +243,13 @@
         break;
       }
       case Kind::fetchR: fetch_ret(l.tag, l.as<FetchR>()); break;
-      default: break;
+      default: ++bad_input().letters; break;
     }
   }
 
   void news(News const& n, Secs now, std::string const& from) {
-    if (!n.state.empty()) take(codec::unpack<State>(n.state));
-    else if (!n.delta.empty()) take_delta(codec::unpack<Delta>(n.delta), from);
+    if (!n.state.empty()) take(read_state(n.state));
+    else if (!n.delta.empty()) take_delta(read_delta(n.delta), from);
     for (Row const& r : n.rows) {
       u64 const d = roll_.digest();
       if (roll_.join(r, now) || d != roll_.digest()) rows_dirty_.insert(r.id);
@@ -273,7 +275,8 @@
     bool const fresh = !have_ || s.epoch != state_.epoch;
     state_ = std::move(s);
     have_ = true;
-    for (Member const& m : state_.roster) mate(m.ip);
+    for (Member const& m : state_.roster)
+      if (is_ip(m.ip)) mate(m.ip);
     tell_state(d);
     totals_.forget(Window(state_.to_fix));
     if (fresh)
@@ -399,7 +402,7 @@
         if (m.link && m.link->ch() != nullptr) m.link->ch()->send(Kind::holdR, 0, l.body);
         break;
       }
-      default: break;
+      default: ++bad_input().letters; break;
     }
   }
 
@@ -567,7 +570,7 @@
       return;
     }
     std::string ret = t.ret;
-    if (t.outcome == Outcome::lost) {
+    if (t.outcome != Outcome::returned) {  // lost, or a word that we don't know
       Return r;
       r.key = t.key;
       r.holder = t.holder;
@@ -588,6 +591,10 @@
     if (now - last_tick_ > 1.0 && last_tick_ > 0) beat_all();
     last_tick_ = now;
     clock_.own(now, wall_s());
+    if (now - bad_at_ > 10) {
+      bad_at_ = now;
+      say_bad_input();
+    }
     for (auto& [ip, m] : mates_) m.link->tick(now);
     if (relay_) relay_->tick(now);
     tell_rows(now);
@@ -669,7 +676,7 @@
   DrainSaid said_;  // what our primary says of a drain
   DrainWord word_;  // what the proxy says of it
   std::string front_;  // where the clients find the proxy, as it says itself
-  Secs proxy_heard_ = 0, last_beat_ = 0, drain_at_ = 0, last_tick_ = 0;
+  Secs proxy_heard_ = 0, last_beat_ = 0, drain_at_ = 0, last_tick_ = 0, bad_at_ = 0;
   Roll roll_;
   std::map<std::string, u32> sites_told_;
   std::map<u32, Job> jobs_;
