Bad input at the ports of running processes; ballots no round can have are refused

Cause: a prepare whose ballot a garbled letter put at the top of its range would have been promised, and no later round could outbid it: the register would have stood still for ever. An incoming channel that never ended its frame, or whose machine lost power, was kept for ever.

--- a/packages/register/acceptor.cpp
+++ b/packages/register/acceptor.cpp
@@ -3,6 +3,7 @@
 namespace dockbend {
 
 Acceptor::Step Acceptor::prepare(Prep const& p, PrepR& r) {
+  check_ballot(p.bal);
   r.bal = p.bal;
   r.life = life_;
   if (p.life != life_) return {};  // meant for another disk: no vote, and no news of ours either
@@ -24,6 +25,7 @@
 }
 
 Acceptor::Step Acceptor::accept(Acc const& a, AccR& r) {
+  check_ballot(a.bal);
   r.bal = a.bal;
   r.life = life_;
   if (a.life != life_) return {};
--- a/packages/register/include/register/state.hpp
+++ b/packages/register/include/register/state.hpp
@@ -97,6 +97,13 @@
 // The part that proxies and agents go by, under the ballot that last changed it: no
 // renewals, no reports.
 State view_of(State const& s);
+// No round has a ballot above this: one that a garbled letter named would leave no room for
+// the next, and the register would stand still for ever. Throws codec::Malformed.
+Ballot constexpr last_ballot{~0ULL >> 1};
+inline void check_ballot(Ballot b) {
+  if (b > last_ballot) throw codec::Malformed("a ballot that no round can have");
+}
+
 // Reads a value, or what changed of one, that came from outside. Throws codec::Malformed unless
 // it keeps what every value keeps: a roster of distinct addresses, epoch and open not above
 // bal, items of known kinds.
--- a/packages/register/proposer.cpp
+++ b/packages/register/proposer.cpp
@@ -47,6 +47,7 @@
 
 std::vector<Proposer::Out> Proposer::on_prep(std::string const& from, PrepR const& r) {
   if (phase_ != Phase::preparing || r.bal != bal_) return {};
+  check_ballot(r.promised);
   saw(r.promised);
   if (!r.ok) {
     if (r.promised > bal_) {  // someone else is ahead: give way
@@ -123,6 +124,7 @@
 
 std::vector<Proposer::Out> Proposer::on_acc(std::string const& from, AccR const& r) {
   if (phase_ != Phase::accepting || r.bal != bal_) return {};
+  check_ballot(r.promised);
   saw(r.promised);
   if (r.ok) {
     accepted_.insert(id_of(from, r.life));
--- a/packages/register/state.cpp
+++ b/packages/register/state.cpp
@@ -71,6 +71,7 @@
   auto need = [](bool ok, char const* what) {
     if (!ok) throw codec::Malformed(what);
   };
+  check_ballot(x.bal);
   need(x.epoch.v <= x.bal.v && x.open <= x.bal, "a value newer than its ballot");
   std::set<std::string_view> ips;
   for (Member const& m : x.roster) need(!m.ip.empty() && ips.insert(m.ip).second, "a roster with a wrong address");
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -79,6 +79,7 @@
   template <codec::Record T>
   void send(Kind k, u32 tag, T const& x) { send(k, tag, std::string_view(codec::pack(x))); }
   void close();  // no signal
+  void end() { drop(); }  // with its signal
   bool up() const { return up_; }
   bool open() const { return bev_ != nullptr; }
   Secs heard() const { return heard_; }
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -956,6 +956,10 @@
     keys_->forget_old(now);
     rollouts_.forget(now);
     surveys_.forget(now);
+    // Whoever dials us says something every few seconds: half a frame that never ends, or a machine
+    // without power, is not kept for ever.
+    for (auto& [id, p] : h_.peers)
+      if (p.ch->open() && now - p.ch->heard() > silent_peer_s) p.ch->end();
     tell_digests(now, many);
     if (!warned_ && now - start_ > 20 && h_.committed && bears() < h_.st.toleranceMachines) {
       warned_ = true;
@@ -970,6 +974,7 @@
     if (h_.leaving > 0 && ((calls_.empty() && batch_.empty() && !duty && now - h_.leaving > 0.5) || now - h_.leaving > h_.st.bounds.gracePeriodS - 1.5)) event_base_loopbreak(h_.eb);
   }
 
+  static constexpr Secs silent_peer_s = 30;
   House h_;
   ServerDesk servers_;
   SiteDesk sites_;
--- a/tests/input.hpp
+++ b/tests/input.hpp
@@ -384,7 +384,8 @@
         });
     if (acc.promised() < promised || acc.state()->bal < held) o.fault("a disk went back");
     if (acc.state()->roster.empty() || acc.state()->epoch.v > acc.state()->bal.v) o.fault("a value that no round could write stands");
-    if (acc.promised().v >> 62 != 0 || acc.state()->bal.v >> 62 != 0) acc = Acceptor(Life(1), Ballot(), founding);  // outbid for ever: begin anew
+    if (acc.promised() > last_ballot) o.fault("outbid for ever");
+    if (acc.promised().v >> 62 != 0) acc = Acceptor(Life(1), Ballot(), founding);  // far up: begin anew, for it must not overflow here either
     prop.abandon();
   }
   return o;
