--- a/packages/duty/include/duty/reporter.hpp
+++ b/packages/duty/include/duty/reporter.hpp
@@ -13,7 +13,7 @@
   Secs late = 6;        // else: those that are cut off may come back until then
   Secs call = 1.0;      // a call's whole deadline
   Secs gap = 0.05;      // least time between two calls
-  Secs back_first = 0.4, back_most = 3.0;
+  Secs back_first = 0.4, back_most = 3.0, told_most = 300;
 };
 
 // Invariants: a window is sent only after its body was fixed on a majority, and every
--- a/packages/duty/reporter.cpp
+++ b/packages/duty/reporter.cpp
@@ -58,7 +58,9 @@
   }
   Secs const back = std::min(p_.back_most, p_.back_first * std::pow(2.0, std::min<u32>(fails_, 8)));
   ++fails_;
-  next_ = now + std::max(retry_after, back * (0.9 + 0.2 * random01()));
+  // The platform's word holds up to a bound: "inf", or a year, would end the reports for good.
+  Secs const told = std::isfinite(retry_after) ? std::min(retry_after, p_.told_most) : 0;
+  next_ = now + std::max(told, back * (0.9 + 0.2 * random01()));
 }
 
 void Reporter::forget() {
--- a/tests/input.hpp
+++ b/tests/input.hpp
@@ -131,6 +131,18 @@
     std::string const more = good + std::string("\xa2\x06\x03zzz", 6);  // field 100, three bytes
     if (codec::pack(codec::unpack<R>(more)) != good) o.fault("a further field changed the record");
   });
+  o.run<codec::Malformed>("record of an older layout", [&] {
+    // It ends after any of its fields; what is lacking is zero, what is there is the same.
+    pb_istream_t in = pb_istream_from_buffer(reinterpret_cast<pb_byte_t const*>(good.data()), good.size());
+    for (std::uint64_t n = sp.below(10); n > 0 && in.bytes_left > 0; --n) {
+      pb_wire_type_t wt{};
+      u32 tag = 0;
+      bool eof = false;
+      if (!pb_decode_tag(&in, &wt, &tag, &eof) || !pb_skip_field(&in, wt)) o.fault("a good record that can't be walked");
+    }
+    std::string const old = good.substr(0, good.size() - in.bytes_left);
+    if (codec::pack(codec::unpack<R>(old)) != old) o.fault("an older record reads as something else");
+  });
   o.run<codec::Malformed>("spoiled record", [&] {
     R const y = codec::unpack<R>(sp.spoil(good));
     if (!all_finite(y)) o.fault("a number that is none");
--- a/tests/input_test.cpp
+++ b/tests/input_test.cpp
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include "duty/reporter.hpp"
 #include "input.hpp"
 
 using namespace dockbend;
@@ -88,6 +89,18 @@
   cr_assert_throw(codec::unpack<Hello>(std::string("\0\x01", 2)), codec::Malformed, "field 0");
 }
 
+Test(input, a_platform_that_says_wait_for_ever_is_asked_again) {
+  for (double const wait : {HUGE_VAL, std::nan(""), 1e300}) {
+    Reporter r{ReportPlan{}};
+    State s;
+    s.fixed.emplace_back();
+    s.fixed.back().window = 1;
+    r.sent(0);
+    r.answered(1, 503, wait, 0);
+    cr_assert(!r.to_send(s, 0.1) && r.to_send(s, 301));
+  }
+}
+
 Test(input, json_that_would_cost_the_stack_or_end_early_is_refused) {
   std::string const deep(100000, '[');
   same(fault_of(deep), "body: nested too deep");
