--- a/packages/desks/include/desks/register.hpp
+++ b/packages/desks/include/desks/register.hpp
@@ -185,7 +185,9 @@
   void commit(Commit const& c, std::string const& from) {
     if (c.bal <= bal()) return;
     if (!c.state.empty()) {
-      learn(codec::unpack<State>(c.state));
+      State const s = read_state(c.state);
+      if (s.bal != c.bal) throw codec::Malformed("a value under another ballot");
+      learn(s);
       return;
     }
     if (h_.acceptor->state() && h_.acceptor->state()->bal == c.bal) {
@@ -194,7 +196,7 @@
     }
     if (h_.committed) {
       State s = *h_.committed;
-      if (apply(s, codec::unpack<Delta>(c.delta))) {
+      if (apply(s, read_delta(c.delta))) {
         learn(s);
         return;
       }
--- a/packages/desks/include/desks/servers.hpp
+++ b/packages/desks/include/desks/servers.hpp
@@ -50,6 +50,9 @@
     if (id.empty()) return fault(400, "id: empty");
     if (b.state != "ready" && b.state != "draining") return fault(400, "state: neither ready nor draining");
     if (b.service.empty()) return fault(400, "service: empty");
+    if (b.capacity < 0) return fault(400, "capacity: negative");
+    for (auto const& [s, f] : {std::pair{&id, "id"}, {&b.service, "service"}, {&b.zone, "zone"}})
+      if (has_control(*s)) return fault(400, std::string(f) + ": holds a control character");
     try {
       parse_addr(b.address, "address");
     } catch (BadSetting const& e) {
@@ -63,7 +66,7 @@
     r.capacity = b.capacity;
     r.state = b.state == "ready" ? Standing::ready : Standing::draining;
     r.seq = b.callSeq;
-    r.cold_left = b.coldLeftS.value_or(0);
+    r.cold_left = std::clamp(b.coldLeftS.value_or(0), 0.0, 1e9);
     r.generation = b.generation.value_or("");
     drained(r);
     Secs const now = now_s();
@@ -76,6 +79,7 @@
   }
 
   CallRet leave(std::string const& id, std::string const& uri) {
+    if (id.empty()) return fault(400, "id: empty");
     Secs const now = now_s();
     auto cur = roll_.get(id, now);
     Row r;
--- a/packages/errand/arrival.cpp
+++ b/packages/errand/arrival.cpp
@@ -97,10 +97,10 @@
     return std::move(out);
   };
   // Two names for one request: we would go by the one and the server by the other.
-  if (!well_framed(a) || n.hosts != 1 || n.ids > 1 || n.keys > 1) return no(verdict_of(400, -1, true));
+  if (!well_framed(a) || n.hosts != 1 || n.ids > 1 || n.keys > 1 || !well_formed(a.heads)) return no(verdict_of(400, -1, true));
   if (size_of(a.heads) + a.target.size() > limits.header_bytes) return no(verdict_of(431, -1, true));
   if (a.body > limits.body_bytes) return no(verdict_of(413, -1, true));
-  if (a.target.empty() || a.target[0] != '/') return no(verdict_of(400, -1, true));
+  if (a.target.empty() || a.target[0] != '/' || !well_formed_target(a.target)) return no(verdict_of(400, -1, true));
   if (man == nullptr) return no(verdict_of(503, 0.3));
   Admitted r;
   r.lane = man->find(host_of(*n.host), a.target.substr(0, a.target.find('?')));
--- a/packages/keys/include/keys/claims.hpp
+++ b/packages/keys/include/keys/claims.hpp
@@ -167,7 +167,7 @@
     }
     if (P::not_run(t.outcome)) return release(t.key, t.holder, sent);
     std::string ret = t.ret;
-    if (t.outcome == Outcome::lost) {
+    if (t.outcome != Outcome::returned) {  // lost, or a word that we don't know
       Return r;
       r.key = t.key;
       r.holder = t.holder;
--- a/packages/register/proposer.cpp
+++ b/packages/register/proposer.cpp
@@ -54,6 +54,7 @@
 
 std::vector<Proposer::Out> Proposer::on_prep(std::string const& from, PrepR const& r) {
   if (phase_ != Phase::preparing || r.bal != bal_) return {};
+  check_ballot(r.promised);
   saw(r.promised);
   if (!r.ok) {
     if (r.promised > bal_) {  // someone else is ahead: give way
@@ -62,15 +63,16 @@
     }
     return {};
   }
-  promised_.insert(id_of(from, r.life));
   std::vector<Out> out;
   if (r.full) {
-    State s = codec::unpack<State>(r.state);
+    State s = read_state(r.state);
+    if (s.bal != r.accepted) throw codec::Malformed("a value under another ballot");
     if (s.bal > best_.bal) {
       best_ = std::move(s);
       out = ask_for_promises();
     }
   }
+  promised_.insert(id_of(from, r.life));  // only now: a promise whose value can't be read is none
   if (has_quorum(best_, promised_, settled())) {
     auto more = try_accept();
     out.insert(out.end(), more.begin(), more.end());
@@ -138,6 +140,7 @@
 
 std::vector<Proposer::Out> Proposer::on_acc(std::string const& from, AccR const& r) {
   if (phase_ != Phase::accepting || r.bal != bal_) return {};
+  check_ballot(r.promised);
   saw(r.promised);
   if (r.ok) {
     accepted_.insert(id_of(from, r.life));
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -45,8 +45,8 @@
     keys_->on_whole.connect([this] { members_->hurry(); });
     door_.on_channel.connect([this](ChannelP c) { took(std::move(c)); });
     for (Addr const& s : h_.st.seeds) mate(s.ip);
-    control_ = serve("control", [](evhttp_request* r, void* p) { static_cast<Archivist*>(p)->control(r); });
-    directory_ = serve("directory", [](evhttp_request* r, void* p) { static_cast<Archivist*>(p)->sites_.directory(r); });
+    control_ = serve("control", [](evhttp_request* r, void* p) { static_cast<Archivist*>(p)->answer(r, &Archivist::control); });
+    directory_ = serve("directory", [](evhttp_request* r, void* p) { static_cast<Archivist*>(p)->answer(r, &Archivist::directory); });
     start_ = now_s();
     register_.show_first();
     tick_ = std::make_unique<Ticker>(eb, 0.1, [this] { tick(); });
@@ -97,7 +97,7 @@
     auto const it = h_.mates.find(ip);
     if (it != h_.mates.end()) return it->second;
     Mate& m = h_.mates[ip];
-    if (ip == h_.st.ip) return m;
+    if (ip == h_.st.ip || !is_ip(ip)) return m;
     m.link = std::make_unique<Link>(h_.eb, Addr{ip, h_.st.innerFirst}, 0.6, 1.5);
     m.link->on_up.connect([this, ip](Link& l) {
       Hello h;
@@ -136,7 +136,8 @@
     switch (l.kind) {
       case Kind::helloR: {
         HelloR const h = l.as<HelloR>();
-        for (std::string const& x : h.mates) mate(x);
+        for (std::string const& x : h.mates)
+          if (is_ip(x)) mate(x);
         register_.holds(ip, h.life, h.accepted);
         break;
       }
@@ -164,14 +165,15 @@
         digest(ip, d);
         break;
       }
-      default: break;
+      default: ++bad_input().letters; break;
     }
   }
 
   void digest(std::string const& ip, Digest const& d) {
     Mate& m = h_.mates[ip];
     if (!m.link) return;
-    for (std::string const& x : d.mates) mate(x);
+    for (std::string const& x : d.mates)
+      if (is_ip(x)) mate(x);
     if (d.life.v != 0) register_.holds(ip, d.life, d.accepted);
     m.fit = d.fit;
     m.node = d.node;
@@ -201,6 +203,7 @@
     switch (l.kind) {
       case Kind::hello: {
         p.hello = l.as<Hello>();
+        if (!is_ip(p.hello.ip)) throw codec::Malformed("a hello without an address");
         if (p.hello.role == 1) register_.holds(p.hello.ip, p.hello.life, p.hello.accepted);
         HelloR r;
         r.bal = bal();
@@ -271,7 +274,7 @@
       case Kind::rollNote: rollouts_.note(l.as<RollNote>()); break;
       case Kind::rollCmd: rollouts_.order_rollout(l.as<RollCmd>()); break;
       case Kind::rebuild: p.ch->send(Kind::rebuildR, l.tag, keys_->copy_for(l.as<Rebuild>())); break;
-      default: break;
+      default: ++bad_input().letters; break;
     }
   }
 
@@ -344,6 +347,11 @@
     return h;
   }
 
+  void answer(evhttp_request* r, void (Archivist::*f)(evhttp_request*)) {
+    h_.answer(r, [&](evhttp_request* q) { (this->*f)(q); });
+  }
+  void directory(evhttp_request* r) { sites_.directory(r); }
+
   // The generic handler: a call and its answer are a pair of types.
   template <class Req>
   void call(evhttp_request* r, std::string const& body, std::function<CallRet(Req const&)> f) {
@@ -431,7 +439,7 @@
     submit([](State&) { return false; },
            [this, r](State const* s) {
              if (s == nullptr) return h_.write(r, fault(503, "no majority in time"));
-             h_.write(r, CallRet{200, render_read(s->by_key())});
+             h_.answer(r, [&](evhttp_request* q) { h_.write(q, CallRet{200, render_read(s->by_key())}); });
            },
            h_.patience());
   }
@@ -464,7 +472,7 @@
   }
 
   // Disks that may be lost at once with a majority left.
-  std::size_t bears() const { return h_.committed ? (h_.committed->roster.size() - 1) / 2 : 0; }
+  std::size_t bears() const { return h_.committed && !h_.committed->roster.empty() ? (h_.committed->roster.size() - 1) / 2 : 0; }
 
   std::string status() const {
     rapidjson::StringBuffer sb;
@@ -488,6 +496,15 @@
     w.Bool(keys_->ledger().whole());
     w.Key("keys");
     w.Uint64(keys_->ledger().size());
+    w.Key("badInput");
+    w.StartObject();
+    w.Key("channelsEnded");
+    w.Uint64(bad_input().channels);
+    w.Key("lettersIgnored");
+    w.Uint64(bad_input().letters);
+    w.Key("callsRefused");
+    w.Uint64(bad_input().calls);
+    w.EndObject();
     w.Key("dropped");  // what no open question fitted, by reason
     w.StartObject();
     h_.strays.each([&](Stray s, u64 n) {
@@ -635,6 +652,10 @@
     keys_->forget_old(now);
     rollouts_.forget(now);
     surveys_.forget(now);
+    // Whoever dials us says something every few seconds: half a frame that never ends, or a machine
+    // without power, is not kept for ever.
+    for (auto& [id, p] : h_.peers)
+      if (p.ch->open() && now - p.ch->heard() > silent_peer_s) p.ch->end();
     tell_digests(now, many);
     probe(now);
     if (!warned_ && now - start_ > 20 && h_.committed && bears() < h_.st.toleranceMachines) {
@@ -643,6 +664,7 @@
     }
     if (now - measured_ > 10) {
       measured_ = now;
+      say_bad_input();
       if (std::string const t = sent_by_kind(); !t.empty()) LOG4CPLUS_INFO(lg_, "Sent by kind, letters/bytes: " << t << ".");
       if (std::string const t = h_.strays.news(); !t.empty()) LOG4CPLUS_INFO(lg_, "Dropped, for no open question fits: " << t << ".");
     }
@@ -650,6 +672,7 @@
     if (h_.leaving > 0 && ((register_.quiet() && !duty && !members_->holds_up(now) && now - h_.leaving > 0.5) || now - h_.leaving > h_.st.bounds.gracePeriodS - 1.5)) event_base_loopbreak(h_.eb);
   }
 
+  static constexpr Secs silent_peer_s = 30;
   House h_;
   ServerDesk servers_;
   SiteDesk sites_;
@@ -672,4 +695,4 @@
 
 }  // namespace
 
-int main(int argc, char** argv) { return run_daemon<Archivist>({"archivist", "dockbend's control API, register and directory", true, {"control"}}, argc, argv); }
+int main(int argc, char** argv) { return run_daemon<Archivist>({"archivist", "dockbend's control API, register and directory", true, {"control"}, true}, argc, argv); }
