--- a/packages/desks/include/desks/register.hpp
+++ b/packages/desks/include/desks/register.hpp
@@ -43,7 +43,7 @@
     bool const founder = d.fresh && h_.st.bootstrap && seed;
     Life const l = d.head ? d.head->life : founder ? Life(1) : Life((random64() >> 2) | 2);
     bool const first = !d.head;
-    if (first) d.keys_whole = founder;
+    if (first) d.keys_filled = founder ? 1 : 0;  // a founder is of membership 0
     if (!d.value && d.fresh && h_.st.bootstrap) {
       State f;
       for (Addr const& a : h_.st.seeds) {
@@ -66,7 +66,7 @@
       h_.born = true;
       return d;
     }
-    if (founder) h_.vellum->submit_lazy({Vellum::put_meta("whole", Store::whole_word())});
+    if (founder) h_.vellum->submit_lazy({Vellum::put_meta("whole", Store::whole_word(d.keys_filled))});
     std::vector<ValueRow> rows;
     if (d.value) rows = rows_of(*d.value);
     vote(std::move(rows), [this](bool ok) {
--- a/packages/register/include/register/rows.hpp
+++ b/packages/register/include/register/rows.hpp
@@ -13,7 +13,7 @@
 // of all rows on disk with it; seq rises with every vote written in this life; promised >= bal.
 struct Head {
   DB_RECORD(Head, (Life, life), (Ballot, promised), (bool, has), (Ballot, bal), (Epoch, epoch), (Ballot, open),
-            (u64, to_fix), (u64, sum), (u64, count), (u64, seq));
+            (u64, to_fix), (u64, sum), (u64, count), (u64, seq), (u32, widest));
 };
 
 // A sum over rows in any order: each row counts with a hash of its own.
--- a/packages/register/store.cpp
+++ b/packages/register/store.cpp
@@ -200,7 +200,7 @@
     bind(meta, "head", sealed(codec::pack(h)));
     bool const whole = db_->meta("whole") == "1";
     db_->exec("DELETE FROM meta WHERE k IN ('life','promised','state','whole')");
-    if (whole) bind(meta, "whole", whole_word());
+    if (whole) bind(meta, "whole", whole_word(1));  // memberships had no number then
     sqlite3_finalize(put);
     sqlite3_finalize(meta);
     if (!ok) throw std::runtime_error("disk: the old layout could not be taken over");
@@ -239,7 +239,7 @@
   db_->each("SELECT v FROM server", [&](sqlite3_stmt* s) { d.servers.push_back(Db::text(s, 0)); });
   db_->each("SELECT k,length(v) FROM ret", [&](sqlite3_stmt* s) { d.answers.emplace_back(Db::text(s, 0), static_cast<std::size_t>(sqlite3_column_int64(s, 1))); });
   d.sites = db_->meta("sites");
-  d.keys_whole = db_->meta("whole") == whole_word();
+  if (auto const n = unsealed(db_->meta("whole"))) d.keys_filled = std::strtoull(n->c_str(), nullptr, 10);
   std::vector<Mark> marks;
   for (long i = 0; i < 2; ++i) {
     std::string slot(slot_len, '\0');
--- a/tests/disk_test.cpp
+++ b/tests/disk_test.cpp
@@ -477,7 +477,7 @@
     OnDisk const o = x.load();
     cr_assert(o.head && o.head->life == Life(5) && o.head->promised == Ballot(80));
     cr_assert(codec::pack(*o.value) == state);
-    cr_assert(o.keys_whole && o.keys.size() == 2 && o.keys[0].sealed && o.keys[0].holder == 9 && !o.keys[1].sealed);
+    cr_assert(o.keys_filled == 1 && o.keys.size() == 2 && o.keys[0].sealed && o.keys[0].holder == 9 && !o.keys[1].sealed);
   }
 }
 
