--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -368,7 +368,7 @@
   // answer with what this node has; /-/Status says how fresh that is.
   static bool only_in_contact(std::string const& uri) {
     if (uri.ends_with(".Status")) return false;
-    for (char const* pre : {"/-/Config.", "/-/Evacuation.", "/-/Rollout.", "/-/Duty.", "/-/Allowance.", "/-/Drain.", "/-/Rotation."})
+    for (char const* pre : {"/-/Config.", "/-/Evacuation.", "/-/Rollout.", "/-/Duty.", "/-/Allowance.", "/-/Member.Add/", "/-/Member.Remove/", "/-/Drain.", "/-/Rotation."})
       if (uri.rfind(pre, 0) == 0) return true;
     return false;
   }
