--- a/packages/desks/include/desks/keys.hpp
+++ b/packages/desks/include/desks/keys.hpp
@@ -23,16 +23,15 @@
     Rebuild q;
     q.epoch = h_.committed->epoch;
     for (Member const& m : h_.committed->roster)
-      if (m.ip != h_.st.ip && rebuild_heard_.count(m.ip) == 0 && h_.mate(m.ip).link) h_.mate(m.ip).link->send(Kind::rebuild, tag_of(q.epoch), q);
+      if (m.ip != h_.st.ip && rebuild_heard_.count(m.ip) == 0 && h_.mate(m.ip).link) h_.mate(m.ip).link->send(Kind::rebuild, 0, q);
   }
 
-  void rebuilt(std::string const& ip, u32 tag, RebuildR const& r) {
+  void rebuilt(std::string const& ip, RebuildR const& r) {
     if (ledger_.whole() || filling_ || !h_.committed || !r.ok) return;
-    // A copy asked for under an earlier roster does not count towards this one's majority.
-    if (tag != tag_of(h_.committed->epoch)) return h_.strays.drop(Stray::epoch);
     Member const* m = h_.committed->member(ip);
     // An answer to what we asked under an earlier roster may lack what was won since.
-    if (m == nullptr || m->life != r.life || r.epoch < h_.committed->epoch || !rebuild_heard_.insert(ip).second) return;
+    if (r.epoch < h_.committed->epoch) return h_.strays.drop(Stray::epoch);
+    if (m == nullptr || m->life != r.life || !rebuild_heard_.insert(ip).second) return;
     Secs const now = now_s();
     std::vector<Vellum::Op> ops;
     for (HeldKey const& k : r.keys) {
@@ -203,7 +202,6 @@
     ledger_.set_whole(in != 0 && in == filled_);
   }
 
-  static u32 tag_of(Epoch e) { return static_cast<u32>(e.v ^ e.v >> 32); }
   static Vellum::Op key_op(std::string const& k, u64 holder, bool sealed) {
     Vellum::Op o;
     o.what = Vellum::Op::What::put_key;
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -140,7 +140,7 @@
       case Kind::prepR: register_.on_prep(ip, l.as<PrepR>()); break;
       case Kind::accR: register_.on_acc(ip, l.as<AccR>()); break;
       case Kind::commitR: register_.commit(l.as<Commit>(), ip); break;
-      case Kind::rebuildR: keys_->rebuilt(ip, l.tag, l.as<RebuildR>()); break;
+      case Kind::rebuildR: keys_->rebuilt(ip, l.as<RebuildR>()); break;
       case Kind::digestR: {
         Digest const d = l.as<Digest>();
         if (l.tag != m.digests) h_.strays.drop(Stray::no_question);
