Claims: a release lost with its connection is said again over the next one

Cause: a release on its way when a disk's connection ended was lost, and its key stayed taken for the horizon though nobody ran it. Releases of the last 5 s are said once more once the disk is back; said twice they change nothing, for a disk frees only that holder's grant. claims.one_message_changed_at_a_time now allows no grant left behind after a disk ended; without the change it fails ("a grant is left behind").

--- a/packages/keys/include/keys/claims.hpp
+++ b/packages/keys/include/keys/claims.hpp
@@ -84,9 +84,12 @@
   void up(std::string const& ip, u64 connection) {
     disks_[ip].connection = connection;
     order();
+    // Once more what may have been on its way when the connection ended, and what came since.
     if (auto const it = owed_.find(ip); it != owed_.end()) {
-      for (Release& r : it->second) out_.emplace_back(ReleaseOut{ip, std::move(r)});
-      owed_.erase(it);
+      for (Owed& o : it->second) {
+        o.at = now_;
+        out_.emplace_back(ReleaseOut{ip, o.release});
+      }
     }
     // What was asked over the connection before is asked anew.
     for (auto& [tag, j] : jobs_)
@@ -229,6 +232,7 @@
   }
 
   void tick(Secs now) {
+    now_ = now;
     std::vector<u32> due;
     for (auto const& [tag, j] : jobs_)
       if (now > j.end_at || (!j.fetching && !j.widened && now > j.widen_at)) due.push_back(tag);
@@ -247,6 +251,12 @@
     }
     if (now - swept_ < 0.6) return;
     swept_ = now;
+    // A connection that bore a release this long ago has brought it.
+    for (auto it = owed_.begin(); it != owed_.end();) {
+      std::deque<Owed>& l = it->second;
+      while (!l.empty() && disks_[it->first].connection != 0 && now - l.front().at > release_kept) l.pop_front();
+      it = l.empty() ? owed_.erase(it) : std::next(it);
+    }
     // A proxy that says no more of it may have ended; the disks keep the key.
     std::erase_if(held_, [&](auto const& x) { return now - x.second.since > 60; });
   }
@@ -283,7 +293,12 @@
     std::set<std::string> sent;
     Secs since = 0;
   };
+  struct Owed {
+    Release release;
+    Secs at = 0;  // said over the connection that is up; while it is down: since when
+  };
   static constexpr std::size_t most_owed = 1024;
+  static constexpr Secs release_kept = 5;  // longer than a silent connection is borne
 
   bool asked_on(Job const& j, std::string const& ip, u64 connection) const {
     auto const it = j.asked.find(ip);
@@ -360,22 +375,20 @@
       if (j.asked.count(ip) == 0) claim(tag, j, ip);
   }
   void release(Job const& j) { release(j.key, j.holder, j.sent); }
-  // A disk out of touch gets it once it is back; else a key that nobody runs stays taken.
+  // Said again over a disk's next connection if this one ends soon; else a key that nobody
+  // runs stays taken.
   void release(std::string const& key, u64 holder, std::set<std::string> const& ips) {
     Release r;
     r.key = key;
     r.holder = holder;
     for (std::string const& ip : ips) {
-      if (auto const it = disks_.find(ip); it != disks_.end() && it->second.connection != 0) {
-        out_.emplace_back(ReleaseOut{ip, r});
-        continue;
-      }
-      std::deque<Release>& l = owed_[ip];
-      l.push_back(r);
-      if (l.size() > most_owed) {
-        l.pop_front();
-        strays_.drop(Stray::owed);
-      }
+      bool const up = disks_[ip].connection != 0;
+      if (up) out_.emplace_back(ReleaseOut{ip, r});
+      std::deque<Owed>& l = owed_[ip];
+      l.push_back({r, now_});
+      if (l.size() <= most_owed) continue;
+      l.pop_front();
+      if (!up) strays_.drop(Stray::owed);
     }
   }
   void fetch(typename Jobs::iterator it, Secs now) {
@@ -410,11 +423,11 @@
   Jobs jobs_;
   std::unordered_map<u64, u32> by_holder_;  // of jobs_
   std::unordered_map<u64, Kept> held_;      // `run` was said, and no outcome told yet
-  std::map<std::string, std::deque<Release>> owed_;
+  std::map<std::string, std::deque<Owed>> owed_;  // oldest first
   std::vector<ClaimStep> out_;
   u64 proxy_ = 0;
   u32 next_ = 0;
-  Secs swept_ = 0;
+  Secs now_ = 0, swept_ = 0;  // now_: of the last tick
   Strays strays_;
 };
 
--- a/tests/claims_test.cpp
+++ b/tests/claims_test.cpp
@@ -238,7 +238,6 @@
         break;
       }
       case Change::end_disk:
-        may_leave_ = true;  // a release may have been on its way
         std::erase_if(bag_, [&](Queued const& q) { return std::holds_alternative<ToDisk>(q.m) && std::get<ToDisk>(q.m).disk == d; });
         for (int i = 0; i < 2; ++i) {
           agents_[i].to_disk[d] = 0;
