Collation: a model checker for the register, the keys and the duties, with planted faults

Drives the real Acceptor, Proposer, State, Delta, Ledger, Quest, Filling and Duty: breadth first with hashed states, then random walks by seed, shortened when they break. Filling (packages/keys) is the copying of keys by a new disk without its I/O; KeyDesk goes by it, behaviour unchanged.

Tests: collation/* (bounded by counts; 18 planted faults, each found).

--- /dev/null
+++ b/packages/collation/collation.cpp
@@ -0,0 +1,237 @@
+#include "collation/collation.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+#include "collation/duties.hpp"
+#include "collation/ledgers.hpp"
+#include "collation/registers.hpp"
+
+namespace dockbend::collation {
+namespace {
+
+template <class M>
+Case made(char const* model, char const* fault, char const* what, Plan const& plan, Walks const& walks) {
+  static_assert(Model<M>);
+  Case c;
+  c.model = model;
+  c.fault = fault;
+  c.what = what;
+  c.plan = plan;
+  c.walks = walks;
+  c.search = [](Plan const& p, Search const& s) { return search(M(p), s); };
+  c.walk = [](Plan const& p, Walks const& w) { return walk(M(p), w); };
+  c.play = [](Plan const& p, Trace const& t) {
+    Played r;
+    M m(p);
+    for (Action const& a : t) {
+      std::string const line = m.describe(a);
+      r.lines.push_back(m.step(a) ? line : "(can't be done now) " + line);
+      if (!m.breach().empty()) break;
+    }
+    if (m.breach().empty()) {
+      r.settled = true;
+      m.settle();
+    }
+    r.breach = m.breach();
+    return r;
+  };
+  c.words.assign(M::words.begin(), M::words.end());
+  return c;
+}
+
+Plan rounds(u32 nodes) {
+  Plan p;
+  p.nodes = nodes;
+  p.spares = 2;
+  p.proposers = 3;
+  p.proposals = 14;
+  p.items = 3;
+  p.joins = 4;
+  p.leaves = 3;
+  p.swaps = 2;
+  p.restarts = 4;
+  p.wipes = 2;
+  p.repeats = 6;
+  p.holds = 20;
+  p.lates = 6;
+  p.cuts = 4;
+  p.drops = 20;
+  p.tells = 30;
+  return p;
+}
+Plan claims(u32 nodes) {
+  Plan p;
+  p.nodes = nodes;
+  p.spares = 2;
+  p.proposers = 2;
+  p.joins = 8;
+  p.leaves = 4;
+  p.restarts = 3;
+  p.wipes = 2;
+  p.repeats = 1;
+  p.holds = 6;
+  p.lates = 4;
+  p.drops = 2;
+  return p;
+}
+// One disk of three is lost and comes back empty; nothing else.
+Plan replacement() {
+  Plan p;
+  p.nodes = 3;
+  p.proposers = 2;
+  p.joins = 1;
+  p.wipes = 1;
+  return p;
+}
+Plan out_and_back() {
+  Plan p;
+  p.nodes = 4;
+  p.proposers = 2;
+  p.joins = 2;
+  p.leaves = 2;
+  return p;
+}
+Plan terms() {
+  Plan p;
+  p.nodes = 3;
+  p.ticks = 60;
+  p.swaps = 6;
+  p.restarts = 5;
+  p.drops = 12;
+  return p;
+}
+}  // namespace
+
+std::vector<Case> const& cases() {
+  static std::vector<Case> const all = [] {
+    std::vector<Case> v;
+    char const* const r = "registers";
+    char const* const l = "ledgers";
+    char const* const d = "duties";
+    Walks const w{1, 1000, 200};
+    v.push_back(made<Registers<Sound>>(r, no_fault, "the register as it is", rounds(3), w));
+    v.push_back(made<Registers<RepliesBeforeWrite>>(r, "replies-before-write", "an acceptor's answer leaves before its write", rounds(3), w));
+    v.push_back(made<Registers<AcceptsBelowPromise>>(r, "accepts-below-promise", "an acceptor takes a ballot below its promise", rounds(3), w));
+    v.push_back(made<Registers<VotesForOtherLife>>(r, "votes-for-other-life", "an acceptor takes what was meant for another disk", rounds(3), w));
+    v.push_back(made<Registers<CountsNewRosterOnly>>(r, "counts-new-roster-only", "a step is won by a majority of the new roster", rounds(3), w));
+    v.push_back(made<Registers<CountsOldRosterOnly>>(r, "counts-old-roster-only", "a step is won by a majority of the old roster", rounds(3), w));
+    v.push_back(made<Registers<WinsByOneTooFew>>(r, "wins-by-one-too-few", "one less than a majority wins", rounds(3), w));
+    v.push_back(made<Registers<AdoptsNothing>>(r, "adopts-nothing", "a proposer goes by its own value, not by the newest found", rounds(3), w));
+    v.push_back(made<Registers<StepsOnUnwonStep>>(r, "steps-on-unwon-step", "any step found counts as won (the code before)", rounds(3), w));
+    v.push_back(made<Registers<LearnsByNewRosterOnly>>(r, "learns-by-new-roster-only", "learning without a round asks the new roster only", rounds(3), w));
+    v.push_back(made<Registers<AppliesOnAnyBase>>(r, "applies-on-any-base", "a delta goes on whatever value is there", rounds(3), w));
+    v.push_back(made<Registers<ForgetsOnRestart>>(r, "forgets-on-restart", "a promise is not read back from disk", rounds(3), Walks{1, 2000, 200}));
+    v.push_back(made<Ledgers<Sound>>(l, no_fault, "claims as they are", claims(5), Walks{1, 1000, 120}));
+    v.push_back(made<Ledgers<VotesBeforeWhole>>(l, "votes-before-whole", "a new disk grants before it copied", replacement(), Walks{1, 2000, 60}));
+    v.push_back(made<Ledgers<IgnoresEpoch>>(l, "ignores-epoch", "a disk grants whatever epoch is named", replacement(), Walks{1, 3000, 60}));
+    v.push_back(made<Ledgers<CopiesFromTooFew>>(l, "copies-from-too-few", "a new disk copies from one less than a majority", replacement(), Walks{1, 2000, 60}));
+    v.push_back(made<Ledgers<ShrinksFreely>>(l, "shrinks-freely", "removals without regard to claims won before", claims(5), Walks{1, 2000, 120}));
+    v.push_back(made<Ledgers<ReturnsAsWhole>>(l, "returns-as-whole", "a removed disk comes back with its old ledger", out_and_back(), Walks{1, 2000, 80}));
+    v.push_back(made<Duties<Sound>>(d, no_fault, "duties as they are", terms(), Walks{1, 300, 300}));
+    v.push_back(made<Duties<LeasesFromAnswer>>(d, "leases-from-answer", "a lease is counted from the answer", terms(), Walks{1, 300, 300}));
+    v.push_back(made<Duties<ActsWhileHanding>>(d, "acts-while-handing", "a holder acts on after it was told to hand over", terms(), Walks{1, 300, 300}));
+    return v;
+  }();
+  return all;
+}
+
+Case const* find(std::string const& model, std::string const& fault) {
+  auto const& v = cases();
+  auto const it = std::find_if(v.begin(), v.end(), [&](Case const& c) { return c.model == model && c.fault == fault; });
+  return it == v.end() ? nullptr : &*it;
+}
+
+std::string write_plan(Plan const& p) {
+  std::string s;
+  for (PlanField const& f : plan_fields) s += (s.empty() ? "" : " ") + std::string(f.name) + "=" + std::to_string(p.*f.at);
+  return s;
+}
+
+namespace {
+u64 number(std::string const& s, std::string const& what, u64 most) {
+  std::size_t end = 0;
+  u64 x = 0;
+  try {
+    if (!s.empty() && s[0] != '-') x = std::stoull(s, &end);
+  } catch (std::exception const&) {
+    end = 0;
+  }
+  if (s.empty() || end != s.size() || x > most) throw BadTrace(what + ": wants a number up to " + std::to_string(most));
+  return x;
+}
+}  // namespace
+
+Plan read_plan(std::string const& text, Plan p) {
+  std::string t = text;
+  std::replace(t.begin(), t.end(), ',', ' ');
+  std::istringstream in(t);
+  for (std::string w; in >> w;) {
+    auto const eq = w.find('=');
+    std::string const name = w.substr(0, eq);
+    auto const f = std::find_if(plan_fields.begin(), plan_fields.end(), [&](PlanField const& x) { return name == x.name; });
+    if (eq == std::string::npos || f == plan_fields.end()) throw BadTrace("plan: no such bound: " + w);
+    p.*f->at = static_cast<u32>(number(w.substr(eq + 1), "plan: " + name, 1000000));
+  }
+  if (p.nodes < 2 || p.nodes + p.spares > 8) throw BadTrace("plan: wants 2 founders at least, 8 nodes at most");
+  if (p.proposers < 1 || p.proposers > 8) throw BadTrace("plan: wants 1 to 8 proposers");
+  return p;
+}
+
+std::string write_trace(Recorded const& r) {
+  std::ostringstream o;
+  o << "model " << r.of->model << "\nfault " << r.of->fault << "\nplan " << write_plan(r.plan) << "\nseed " << r.seed << "\nbreach " << r.breach << "\n";
+  Played const p = r.of->play(r.plan, r.trace);
+  for (std::size_t i = 0; i < r.trace.size(); ++i) {
+    Action const& a = r.trace[i];
+    o << "step " << r.of->words.at(a.what) << " " << int{a.a} << " " << int{a.b} << " " << int{a.c} << " " << a.m;
+    if (i < p.lines.size()) o << "  # " << p.lines[i];
+    o << "\n";
+  }
+  return o.str();
+}
+
+Recorded read_trace(std::string const& text) {
+  Recorded r;
+  std::string model, fault;
+  std::istringstream in(text);
+  int n = 0;
+  for (std::string line; std::getline(in, line);) {
+    ++n;
+    std::string const at = "line " + std::to_string(n);
+    if (auto const h = line.find("  #"); h != std::string::npos) line.erase(h);
+    std::istringstream l(line);
+    std::string word, rest;
+    if (!(l >> word) || word[0] == '#') continue;
+    std::getline(l >> std::ws, rest);
+    if (word == "model") model = rest;
+    else if (word == "fault") fault = rest;
+    else if (word == "seed") r.seed = number(rest, at, ~0ULL);
+    else if (word == "breach") r.breach = rest;
+    else if (word == "plan") r.plan = read_plan(rest, Plan{});
+    else if (word == "step") {
+      r.of = r.of == nullptr ? find(model, fault) : r.of;
+      if (r.of == nullptr) throw BadTrace(at + ": no such model and fault before the first step");
+      std::istringstream s(rest);
+      std::string what, a, b, c, m, more;
+      s >> what >> a >> b >> c >> m;
+      auto const w = std::find(r.of->words.begin(), r.of->words.end(), what);
+      if (w == r.of->words.end()) throw BadTrace(at + ": no such step: " + what);
+      if (s >> more) throw BadTrace(at + ": too many words");
+      Action x;
+      x.what = static_cast<u8>(w - r.of->words.begin());
+      x.a = static_cast<u8>(number(a, at, 255));
+      x.b = static_cast<u8>(number(b, at, 255));
+      x.c = static_cast<u8>(number(c, at, 255));
+      x.m = number(m, at, ~0ULL);
+      r.trace.push_back(x);
+    } else {
+      throw BadTrace(at + ": unknown word: " + word);
+    }
+  }
+  if (r.of == nullptr) r.of = find(model, fault);
+  if (r.of == nullptr) throw BadTrace("names no known model and fault");
+  return r;
+}
+
+}  // namespace dockbend::collation
--- a/packages/desks/include/desks/keys.hpp
+++ b/packages/desks/include/desks/keys.hpp
@@ -4,7 +4,7 @@
 #include <set>
 
 #include "desks/house.hpp"
-#include "keys/ledger.hpp"
+#include "keys/filling.hpp"
 
 namespace dockbend {
 
@@ -12,7 +12,7 @@
  public:
   // said: what the disk says of its keys. It is the membership in which they became whole,
   // plus one: a disk that left the roster since is not whole, and no write has to say so.
-  KeyDesk(House& h, std::string const& said) : h_(h), ledger_(false), filled_(std::strtoull(said.c_str(), nullptr, 10)) {
+  KeyDesk(House& h, std::string const& said) : h_(h), ledger_(false), copying_(std::strtoull(said.c_str(), nullptr, 10)) {
     fit(h_.acceptor->state());
   }
   static std::string founder() { return "1"; }
@@ -26,31 +26,27 @@
     Rebuild q;
     q.epoch = h_.committed->epoch;
     for (Member const& m : h_.committed->roster)
-      if (m.ip != h_.st.ip && rebuild_heard_.count(m.ip) == 0 && h_.mate(m.ip).link) h_.mate(m.ip).link->send(Kind::rebuild, 0, q);
+      if (m.ip != h_.st.ip && copying_.wants(m.ip) && h_.mate(m.ip).link) h_.mate(m.ip).link->send(Kind::rebuild, 0, q);
   }
 
   void rebuilt(std::string const& ip, RebuildR const& r) {
-    if (ledger_.whole() || filling_ || !h_.committed || !r.ok) return;
-    Member const* m = h_.committed->member(ip);
-    // An answer to what we asked under an earlier roster may lack what was won since.
-    if (m == nullptr || m->life != r.life || r.epoch < h_.committed->epoch || !rebuild_heard_.insert(ip).second) return;
-    Secs const now = now_s();
+    if (filling_ || !h_.committed) return;
+    State const& st = *h_.committed;
+    Member const* m = st.member(ip);
+    Filling::Step const got = copying_.hear(ip, r, m == nullptr ? std::nullopt : std::optional<Life>(m->life), st.epoch, st.majority(), ledger_, now_s());
     std::vector<Vellum::Op> ops;
-    for (HeldKey const& k : r.keys) {
-      u64 const holder = ledger_.seal(k.key, k.holder, now);
-      ops.push_back(key_op(k.key, holder, true));
-    }
-    if (rebuild_heard_.size() >= h_.committed->majority()) {
-      u64 const in = since_in(*h_.committed);
+    for (HeldKey const& k : got.put) ops.push_back(key_op(k.key, k.holder, true));
+    if (got.enough) {
+      u64 const in = since_in(st);
       ops.push_back(Vellum::put_meta("whole", std::to_string(in)));
       filling_ = true;
       h_.vellum->submit(std::move(ops), [this, in](bool ok) {
         filling_ = false;
         if (!ok) {
-          rebuild_heard_.clear();
+          copying_.reset();
           return;
         }
-        filled_ = in;
+        copying_.done(in);
         fit(h_.acceptor->state());
         if (!ledger_.whole()) return;  // out of the roster meanwhile
         on_whole.emit();
@@ -58,7 +54,7 @@
       });
     } else if (!ops.empty()) {
       h_.vellum->submit(std::move(ops), [this](bool ok) {
-        if (!ok) rebuild_heard_.clear();
+        if (!ok) copying_.reset();
       });
     }
   }
@@ -145,17 +141,11 @@
   }
   RebuildR copy_for(Rebuild const& q) {
     if (h_.acceptor->state() && h_.acceptor->state()->epoch != fit_at_) fit(h_.acceptor->state());
-    RebuildR r;
-    r.life = h_.acceptor->life();
-    r.ok = ledger_.whole() && h_.acceptor->state() && h_.acceptor->state()->epoch >= q.epoch;
-    if (r.ok) {
-      r.keys = ledger_.all();
-      r.epoch = h_.acceptor->state()->epoch;
-    }
-    return r;
+    std::optional<State> const& st = h_.acceptor->state();
+    return Filling::answer(ledger_, h_.acceptor->life(), st ? std::optional<Epoch>(st->epoch) : std::nullopt, q);
   }
   void roster_changed() {
-    rebuild_heard_.clear();
+    copying_.reset();
     fit(h_.acceptor->state());
   }
   // Hands our first answers to that mate, the newest first, some at each call; true once
@@ -189,17 +179,16 @@
   Ledger const& ledger() const { return ledger_; }
 
  private:
-  // The membership of our disk in that roster, plus one; 0: it is not in it.
+  // The membership of our disk in that roster.
   u64 since_in(State const& s) const {
     Member const* m = s.member(h_.st.ip);
-    return m == nullptr || m->life != h_.acceptor->life() ? 0 : m->since.v + 1;
+    return Filling::membership(m == nullptr || m->life != h_.acceptor->life() ? std::nullopt : std::optional<Epoch>(m->since));
   }
   // Whole is what was filled in this very membership.
   void fit(std::optional<State> const& s) {
     if (!s) return;
     fit_at_ = s->epoch;
-    u64 const in = since_in(*s);
-    ledger_.set_whole(in != 0 && in == filled_);
+    copying_.fit(since_in(*s), ledger_);
   }
 
   static Vellum::Op key_op(std::string const& k, u64 holder, bool sealed) {
@@ -219,11 +208,10 @@
 
   House& h_;
   Ledger ledger_;
-  std::set<std::string> rebuild_heard_;
+  Filling copying_;
   std::deque<Kept> ret_order_;  // oldest first
   std::size_t ret_bytes_ = 0;   // of all in it
   bool filling_ = false;
-  u64 filled_ = 0;         // the membership in which our keys became whole, plus one; 0: none
   Epoch fit_at_{~0ULL};    // the epoch for which that was last looked at
   std::string handing_;    // to whom our first answers go
   std::size_t hand_ix_ = 0;
--- a/packages/register/include/register/proposer.hpp
+++ b/packages/register/include/register/proposer.hpp
@@ -46,6 +46,7 @@
   Secs since() const { return since_; }
   Phase phase() const { return phase_; }
   Ballot ballot() const { return bal_; }
+  u64 counter() const { return counter_; }
   std::set<std::string> const& promised() const { return promised_; }  // "ip/life" each
   std::set<std::string> const& accepted() const { return accepted_; }
   void saw(Ballot b) { counter_ = std::max(counter_, b.v >> 32); }
--- /dev/null
+++ b/tests/collation_test.cpp
@@ -0,0 +1,86 @@
+#include <criterion/criterion.h>
+
+#include "collation/collation.hpp"
+
+using namespace dockbend;
+using namespace dockbend::collation;
+
+namespace {
+Case const& sound(char const* model) { return *find(model, no_fault); }
+void no_breach(Outcome const& o, char const* model) {
+  cr_assert(o.breach.empty(), "%s: %s (seed %llu, %zu steps)", model, o.breach.c_str(), static_cast<unsigned long long>(o.seed), o.trace.size());
+}
+}  // namespace
+
+// Every order of events of two rounds by two proposers on three disks.
+Test(collation, two_rounds_in_every_order) {
+  Outcome const o = sound("registers").search(Plan{}, Search{100000, 100});
+  no_breach(o, "registers");
+  cr_assert(o.complete && o.states > 10000, "%llu states", static_cast<unsigned long long>(o.states));
+}
+
+// As far as the bound goes: a member joins or leaves while rounds, losses and claims go on.
+Test(collation, steps_of_the_roster_breadth_first) {
+  Outcome o = sound("registers").search(read_plan("spares=1,joins=1,leaves=1,restarts=1,tells=1", Plan{}), Search{25000, 100});
+  no_breach(o, "registers");
+  o = sound("ledgers").search(read_plan("spares=1,joins=2,leaves=1,wipes=1", Plan{}), Search{60000, 100});
+  no_breach(o, "ledgers");
+  o = sound("duties").search(read_plan("nodes=2,ticks=9,swaps=1,restarts=1,drops=1", Plan{}), Search{60000, 100});
+  no_breach(o, "duties");
+}
+
+Test(collation, walks_end_with_all_promises_kept) {
+  for (char const* m : {"registers", "ledgers", "duties"}) {
+    Case const& c = sound(m);
+    no_breach(c.walk(c.plan, Walks{1, c.walks.count / 2, c.walks.length}), m);
+  }
+  for (char const* bounds : {"nodes=4", "nodes=5"}) {
+    Case const& c = sound("registers");
+    no_breach(c.walk(read_plan(bounds, c.plan), Walks{1, 150, 200}), bounds);
+  }
+  for (char const* bounds : {"nodes=3", "nodes=4", "nodes=6"}) {
+    Case const& c = sound("ledgers");
+    no_breach(c.walk(read_plan(bounds, c.plan), Walks{1, 300, 120}), bounds);
+  }
+}
+
+// Whatever is planted is found, and its trace plays again from its text.
+Test(collation, finds_every_planted_fault) {
+  std::size_t found = 0;
+  for (Case const& c : cases()) {
+    if (c.fault == no_fault) continue;
+    Outcome const o = c.walk(c.plan, c.walks);
+    cr_assert_not(o.breach.empty(), "%s was not found", c.fault.c_str());
+    Recorded const r = read_trace(write_trace(Recorded{&c, c.plan, o.seed, o.breach, o.trace}));
+    cr_assert(r.of == &c && r.trace == o.trace && r.seed == o.seed);
+    Played const p = c.play(r.plan, r.trace);
+    cr_assert_str_eq(p.breach.c_str(), o.breach.c_str());
+    // The same steps without the fault break nothing.
+    cr_assert_str_eq(sound(c.model.c_str()).play(r.plan, r.trace).breach.c_str(), "", "%s", c.fault.c_str());
+    ++found;
+  }
+  cr_assert_geq(found, 12u);
+}
+
+// The breadth-first search ends with a trace that has no step too many.
+Test(collation, the_first_trace_found_is_the_shortest) {
+  Case const& c = *find("registers", "wins-by-one-too-few");
+  Outcome const o = c.search(Plan{}, Search{100000, 100});
+  cr_assert_not(o.breach.empty());
+  for (std::size_t i = 0; i < o.trace.size(); ++i) {
+    Trace t = o.trace;
+    t.erase(t.begin() + static_cast<long>(i));
+    Played const p = c.play(Plan{}, t);
+    cr_assert(p.breach.empty() || p.settled);
+  }
+}
+
+Test(collation, a_bad_trace_or_plan_is_refused) {
+  for (char const* bad : {"", "model registers\n", "model nothing\nfault none\n", "model registers\nfault none\nstep fly 0 0 0 0\n", "model registers\nfault none\nstep tell 0 0\n",
+                          "model registers\nfault none\nstep tell 0 -1 0 0\n", "model registers\nfault none\nplan nodes=99\n", "hello\n"})
+    cr_assert_throw(read_trace(bad), BadTrace, "%s", bad);
+  for (char const* bad : {"nodes", "nodes=", "nodes=-3", "nodes=1", "legs=4", "nodes=7 spares=2"}) cr_assert_throw(read_plan(bad, Plan{}), BadTrace, "%s", bad);
+  // A step that names what is not there is left out.
+  Recorded const r = read_trace("model registers\nfault none\nplan nodes=3\nstep deliver 0 1 0 17\nstep wipe 99 0 0 0\n");
+  cr_assert(r.of->play(r.plan, r.trace).breach.empty());
+}
