--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -273,7 +273,9 @@
       case Kind::holdR: rollouts_.held(l.as<HoldR>(), now); break;
       case Kind::rollNote: rollouts_.note(l.as<RollNote>()); break;
       case Kind::rollCmd: rollouts_.order_rollout(l.as<RollCmd>()); break;
-      case Kind::rebuild: p.ch->send(Kind::rebuildR, l.tag, keys_->copy_for(l.as<Rebuild>())); break;
+      case Kind::rebuild:  // only of a step that is on disk: else we might yet grant under the roster before it
+        if (register_.durable() >= register_.accepted()) p.ch->send(Kind::rebuildR, l.tag, keys_->copy_for(l.as<Rebuild>()));
+        break;
       default: ++bad_input().letters; break;
     }
   }
