Orders: one core for what they come to; nothing refused comes into force later

Cause: the logic of an order sat in desks and lambdas. A refusal judged in a lost round of a drain order outlived it; a call that waited, cut off, could come into force after another node had refused it (a clash that was overtaken, a service set since), or undo a later evacuation; a resent call was refused once a service that it names had been dropped; two starts under one drain id were both confirmed; a repeated rollout or drain command was refused; hand-overs were confirmed before the register knew; several 4xx rested on a node's own memory.

Done: packages/accession has each order as a value with apply(State&) -> Outcome, and one place turns an outcome into a status. Each order remembers what the node knew when it came in. One body however its JSON is spelled. Rollout orders go to the leader by 307; hand-overs are answered once the register has them.

--- a/packages/desks/include/desks/drains.hpp
+++ b/packages/desks/include/desks/drains.hpp
@@ -66,7 +66,7 @@
         Order o = json::parse_as<Order>(body);
         o.servers = servers;
         if (CallRet const c = check_call(o); c.code != 200) return h_.write(r, c);
-        return start_call(r, o);
+        return h_.order(r, StartPass(o, h_.known()));
       } catch (json::Fault const& e) {
         return h_.write(r, fault(400, e.what()));
       }
@@ -89,31 +89,11 @@
     return {200, "{}"};
   }
 
-  void start_call(evhttp_request* r, Order const& o) {
-    auto const got = std::make_shared<std::pair<u64, CallRet>>(0, CallRet{200, ""});
-    change(r, [o, got](State& s) {
-      try {
-        return start(s, o, got->first);
-      } catch (OrderFault const& e) {
-        got->second = fault(e.code, e.what());
-        return false;
-      }
-    }, got);
-  }
-
   void command_call(evhttp_request* r, std::string const& id, PassOrder o, std::string const& unit) {
     char* end = nullptr;
     u64 const n = std::strtoull(id.c_str(), &end, 10);
     if (id.empty() || *end != '\0') return h_.write(r, fault(400, "id: wants a number"));
-    auto const got = std::make_shared<std::pair<u64, CallRet>>(n, CallRet{200, ""});
-    change(r, [n, o, unit, got](State& s) {
-      try {
-        return command(s, n, o, unit);
-      } catch (OrderFault const& e) {
-        got->second = fault(e.code, e.what());
-        return false;
-      }
-    }, got);
+    h_.order(r, CommandPass(n, o, unit, h_.known()));
   }
 
   std::string status(bool servers) const {
@@ -332,17 +312,6 @@
     }
   }
 
-  void change(evhttp_request* r, std::function<bool(State&)> f, std::shared_ptr<std::pair<u64, CallRet>> got) {
-    if (h_.leaving > 0) return h_.write(r, fault(503, "leaving"));
-    h_.submit(std::move(f),
-              [this, r, got](State const* s) {
-                if (s == nullptr) return h_.write(r, fault(503, "no majority in time"));
-                if (got->second.code != 200) return h_.write(r, got->second);
-                h_.write(r, CallRet{200, "{\"id\":\"" + std::to_string(got->first) + "\"}"});
-              },
-              h_.patience());
-  }
-
   struct Heard {
     Secs at = -1e9, known = -1e9;
     bool had_any = false;
--- a/packages/desks/include/desks/duties.hpp
+++ b/packages/desks/include/desks/duties.hpp
@@ -135,19 +135,12 @@
     std::string const duty = rest.substr(0, cut), node = cut == std::string::npos ? "" : rest.substr(cut + 1);
     auto const it = duties_.find(duty);
     if (it == duties_.end()) return h_.write(r, fault(404, "no such duty: " + duty));
-    bool known = node == h_.st.nodeName;
-    for (auto const& [ip, m] : h_.mates) known = known || (!node.empty() && m.node == node && h_.up(ip));
-    if (!known) return h_.write(r, fault(404, "no such node in touch: " + node));
-    Term const* t = h_.committed ? h_.committed->term(duty) : nullptr;
-    if (t == nullptr) return h_.write(r, fault(409, "nobody has the duty yet"));
-    if (t->holder == node && t->next.empty()) return h_.write(r, CallRet{200, "{}"});
-    if (it->second.hand_over(node)) return h_.write(r, CallRet{200, "{}"});
-    if (t->ip == h_.st.ip || !h_.up(t->ip)) return h_.write(r, fault(503, "its holder is not in touch"));
-    DutyCmd c;
-    c.duty = duty;
-    c.node = node;
-    h_.mates[t->ip].link->send(Kind::dutyCmd, 0, c);
-    h_.write(r, CallRet{200, "{}"});
+    HandOver const o{duty, node};
+    carry(h_.submit, o, h_.patience(), [this, r, o, until = now_s() + h_.patience()](Outcome const& x) {
+      if (x.ruling == Ruling::taken) return h_.write(r, answer_of(x));
+      if (std::string const why = hand_over(o); !why.empty()) return h_.write(r, fault(503, why));
+      orders_.push_back(Ordered{o, r, until});
+    });
   }
 
   // The lender knows; another node says where it is.
@@ -221,6 +214,7 @@
   void tick(Secs now) {
     clock_.own(now, wall_s());
     duties(now);
+    answer_orders(now);
     pass_tally(now);
   }
   void leave() {
@@ -250,6 +244,31 @@
   }
 
  private:
+  // Passes an order on to whoever holds the duty; what stood in its way, if anything.
+  std::string hand_over(HandOver const& o) {
+    bool in_touch = o.node == h_.st.nodeName;
+    for (auto const& [ip, m] : h_.mates) in_touch = in_touch || (!o.node.empty() && m.node == o.node && h_.up(ip));
+    if (!in_touch) return "no such node in touch: " + o.node;
+    Term const* t = h_.committed ? h_.committed->term(o.duty) : nullptr;
+    if (t == nullptr) return "nobody has the duty yet";
+    if (Duty& d = duties_.at(o.duty); d.hand_over(o.node) || d.handing()) return "";
+    if (t->ip == h_.st.ip || !h_.up(t->ip)) return "its holder is not in touch";
+    DutyCmd c;
+    c.duty = o.duty;
+    c.node = o.node;
+    h_.mates[t->ip].link->send(Kind::dutyCmd, 0, c);
+    return "";
+  }
+  // An order is answered once the register says that the duty goes where it was ordered to.
+  void answer_orders(Secs now) {
+    std::erase_if(orders_, [&](Ordered const& x) {
+      Outcome const o = h_.committed ? x.o.judge(*h_.committed) : unsettled("no value yet");
+      if (o.ruling != Ruling::taken && now < x.until) return false;
+      h_.write(x.r, answer_of(o));
+      return true;
+    });
+  }
+
   bool wanted(std::string const& duty) const { return duty == "usage" ? reports() : duty == "drain" ? drains() : lends(); }
   bool drains() const {
     return std::any_of(h_.committed->passes.begin(), h_.committed->passes.end(),
@@ -330,8 +349,14 @@
       if (t->allowance) lender_.rule(t->name, BudgetRule{t->allowance->rate, t->allowance->burst, t->allowance->reserve.value_or(0)}, n, now);
   }
 
+  struct Ordered {
+    HandOver o;
+    evhttp_request* r = nullptr;
+    Secs until = 0;
+  };
   House& h_;
   SiteDesk& sites_;
+  std::vector<Ordered> orders_;  // to hand a duty over, on their way
   std::map<std::string, Duty> duties_;
   Reporter reporter_{ReportPlan{}};
   std::unique_ptr<Envoy> envoy_;
--- a/packages/desks/include/desks/house.hpp
+++ b/packages/desks/include/desks/house.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 
+#include "accession/accession.hpp"
 #include "errand/heads.hpp"
 #include "gossip/roll.hpp"
 #include "register/acceptor.hpp"
@@ -29,6 +30,13 @@
   return {code, json::render(f)};
 }
 
+// What an operator's order is answered with.
+inline CallRet answer_of(Outcome const& o) {
+  int const code = status_of(o.ruling);
+  if (code != 200) return fault(code, o.what);
+  return {code, o.id == 0 ? std::string("{}") : "{\"id\":\"" + std::to_string(o.id) + "\"}"};
+}
+
 struct Mate {
   std::unique_ptr<Link> link;  // null: ourselves
   Mismatch off;
@@ -69,6 +77,7 @@
   std::function<void(std::function<bool(State&)>, std::function<void(State const*)>, Secs)> submit;
   std::function<Mate&(std::string const&)> mate;  // made if new
 
+  State const* known() const { return committed ? &*committed : nullptr; }
   bool up(std::string const& ip) const {
     if (ip == st.ip) return true;
     auto const it = mates.find(ip);
@@ -98,6 +107,12 @@
     return g.empty() || g == st.region;
   }
   Secs patience() const { return std::max(0.5, st.bounds.ackBoundS * 0.8); }
+  // Brings an order to the register and answers its call.
+  template <Accession O>
+  void order(evhttp_request* r, O o) const {
+    if (leaving > 0) return write(r, fault(503, "leaving"));
+    carry(submit, std::move(o), patience(), [this, r](Outcome const& x) { write(r, answer_of(x)); });
+  }
   void write(evhttp_request* r, CallRet const& c) const {
     evkeyvalq* out = evhttp_request_get_output_headers(r);
     evhttp_add_header(out, "Content-Type", "application/json");
--- a/packages/desks/include/desks/rollouts.hpp
+++ b/packages/desks/include/desks/rollouts.hpp
@@ -20,7 +20,8 @@
     }
     if (h_.leaving > 0) return h_.write(r, fault(503, "leaving"));
     Secs const now = now_s();
-    if (!h_.st.staged || !worth_staging(a)) return commit_amend(a, h_.patience(), [this, r](CallRet const& c) { h_.write(r, c); });
+    Amend const o(a, h_.known());
+    if (!h_.st.staged || !worth_staging(a)) return h_.order(r, o);
     auto const id = (random64() >> 16) | 1;
     // A large change takes its time on narrow links; asking again too soon would only
     // fill them.
@@ -29,7 +30,7 @@
     for (Item const& i : a.items) bytes += static_cast<double>(i.body.size() + i.key.size());
     plan.resendS += bytes / 200e3;
     plan.stageS += bytes / 400e3;
-    Staged& g = rollouts_.emplace(id, Staged{Rollout(id, plan, now), a, r, now, {}, 99, {}}).first->second;
+    Staged& g = rollouts_.emplace(id, Staged{Rollout(id, plan, now), o, r, now, {}, 99, {}}).first->second;
     LOG4CPLUS_INFO(lg_, "Rollout " << id << " of " << a.items.size() << " items begins.");
     stage_on(g, now);
   }
@@ -61,9 +62,8 @@
   bool order_rollout(RollCmd const& c) {
     auto const it = rollouts_.find(c.id);
     if (it == rollouts_.end()) return false;
-    Rollout& ro = it->second.ro;
     Secs const now = now_s();
-    bool const ok = c.order == RollOrder::pause ? ro.pause() : c.order == RollOrder::resume ? ro.resume(now) : ro.abort();
+    bool const ok = it->second.ro.heed(c.order, now);
     if (ok) stage_on(it->second, now);
     return ok;
   }
@@ -76,12 +76,15 @@
     if (id.empty() || *end != '\0') return h_.write(r, fault(400, "id: wants a number"));
     if (rollouts_.count(c.id) > 0)
       return h_.write(r, order_rollout(c) ? CallRet{200, "{}"} : fault(409, std::string("rollout is ") + phase_str(rollouts_.at(c.id).ro.phase())));
+    // Only the node that leads it knows what became of it. A rollout that this node knows
+    // nothing of may be under way elsewhere: that is no refusal.
     auto const it = notes_.find(c.id);
-    if (it == notes_.end()) return h_.write(r, fault(404, "id: no such rollout"));
-    if (is_over(it->second.phase)) return h_.write(r, fault(409, std::string("rollout is ") + phase_str(it->second.phase)));
-    if (!h_.up(it->second.at)) return h_.write(r, fault(503, "the node that leads it is not in touch"));
-    h_.mates[it->second.at].link->send(Kind::rollCmd, 0, c);
-    h_.write(r, CallRet{200, "{}"});
+    if (it == notes_.end()) return h_.write(r, fault(503, "id: no such rollout is known here"));
+    Member const* m = h_.committed ? h_.committed->member(it->second.at) : nullptr;
+    if (m == nullptr || m->ip == h_.st.ip || !h_.up(m->ip)) return h_.write(r, fault(503, "the node that leads it is not in touch"));
+    char const* const what = o == RollOrder::pause ? "Pause/" : o == RollOrder::resume ? "Resume/" : "Abort/";
+    evhttp_add_header(evhttp_request_get_output_headers(r), "Location", ("http://" + Addr{m->ip, m->control}.str() + "/-/Rollout." + what + id).c_str());
+    h_.write(r, CallRet{307, "{}"});
   }
 
   std::string rollout_status() const {
@@ -149,7 +152,7 @@
  private:
   struct Staged {
     Rollout ro;
-    Amendment a;
+    Amend o;
     evhttp_request* r = nullptr;  // the operator's call, until it is answered
     Secs start = 0;
     RollPhase told{};
@@ -157,35 +160,6 @@
     Ballot seen;  // of the value it was last set against
   };
 
-  // Validates the whole call against what a majority holds, and puts it in force.
-  void commit_amend(Amendment const& a, Secs patience, std::function<void(CallRet const&)> done) {
-    struct Out {
-      Joined how = Joined::same;
-      std::string field;
-    };
-    auto const o = std::make_shared<Out>();
-    h_.submit(
-        [a, o](State& s) {
-          auto items = s.by_key();
-          o->field.clear();
-          o->how = join(items, a, o->field);
-          if (o->how != Joined::changed) return false;
-          s.items.clear();
-          for (auto& [k, i] : items) s.items.push_back(std::move(i));
-          return true;
-        },
-        [done, o](State const* s) {
-          if (s == nullptr) return done(fault(503, "no majority in time"));
-          switch (o->how) {
-            case Joined::changed:
-            case Joined::same: return done(CallRet{200, "{}"});
-            case Joined::clash: return done(fault(409, o->field + ": another body stands under this generation"));
-            case Joined::unknown_service: return done(fault(400, o->field + ": unknown service"));
-          }
-        },
-        patience);
-  }
-
   // Only what changes lanes that nodes already serve by is brought out in stages:
   // a first manifest has no version that anyone trusts, and what changes nothing or
   // is faulty goes to the register at once, whose word is final.
@@ -213,7 +187,7 @@
     if (h_.committed && !is_over(g.ro.phase()) && g.ro.phase() != RollPhase::committing) {
       if (g.seen != bal()) {
         g.seen = bal();
-        if (!brings_news(h_.committed->items, g.a)) g.ro.overtaken();
+        if (!brings_news(h_.committed->items, g.o.asked())) g.ro.overtaken();
       }
     }
     Rollout::Step const st = g.ro.step(now, in_touch(now));
@@ -221,7 +195,7 @@
       Hold h;
       h.id = g.ro.id();
       h.for_ms = static_cast<u32>((g.ro.until() - now + 1.0) * 1000);
-      h.items = g.a.items;
+      h.items = g.o.asked().items;
       to_sites(st.send, h);
     }
     if (st.drop) {
@@ -232,11 +206,11 @@
     }
     if (st.commit) {
       u64 const id = g.ro.id();
-      commit_amend(g.a, h_.patience(), [this, id](CallRet const& c) {
+      carry(h_.submit, g.o, h_.patience(), [this, id](Outcome const& o) {
         auto const it = rollouts_.find(id);
         if (it == rollouts_.end()) return;
-        it->second.ro.committed(c.code == 200);
-        answer_rollout(it->second, c);
+        it->second.ro.committed(o.ruling == Ruling::taken);
+        answer_rollout(it->second, answer_of(o));
         stage_on(it->second, now_s());
       });
     }
@@ -246,7 +220,7 @@
     if (p == RollPhase::overtaken && g.r != nullptr) {
       evhttp_request* const r = g.r;
       g.r = nullptr;
-      commit_amend(g.a, h_.patience(), [this, r](CallRet const& c) { h_.write(r, c); });
+      carry(h_.submit, g.o, h_.patience(), [this, r](Outcome const& o) { h_.write(r, answer_of(o)); });
     }
     if (p != g.told || g.ro.stage() != g.told_stage) {
       if (p != g.told && p != RollPhase::holding && p != RollPhase::committing)
@@ -298,7 +272,7 @@
     n.wanted = static_cast<u32>(g.ro.wanted());
     n.holding = static_cast<u32>(g.ro.holding());
     n.age = now - g.start;
-    for (Item const& i : g.a.items) n.items.push_back(i.key + "@" + json::gen_str(i.gen));
+    for (Item const& i : g.o.asked().items) n.items.push_back(i.key + "@" + json::gen_str(i.gen));
     return n;
   }
 
--- a/packages/drain/include/drain/pass.hpp
+++ b/packages/drain/include/drain/pass.hpp
@@ -27,8 +27,8 @@
 };
 void check(Order const& o);
 
-// Puts the order into the value. The same order again is the same pass; one that overlaps
-// another that is not over is refused. Returns whether the value changed; id is the pass.
+// Puts the order into the value. The same order again is the same pass; another under its
+// number, or one that overlaps another that is not over, is refused. Returns whether the value changed; id is the pass.
 bool start(State& s, Order const& o, u64& id);
 
 // One unit's step, resting on the stage that was seen.
--- a/packages/drain/pass.cpp
+++ b/packages/drain/pass.cpp
@@ -42,6 +42,11 @@
     if (u.pass == pass) v.insert(u.name);
   return v;
 }
+// The same for the same order, whatever order its units come in.
+u64 digest_of(Order o) {
+  std::sort(o.units.begin(), o.units.end(), [](OrderUnit const& a, OrderUnit const& b) { return a.name < b.name; });
+  return hash64(codec::pack(o)) | 1;
+}
 Pass* pass_in(State& s, u64 id) {
   for (Pass& p : s.passes)
     if (p.id == id) return &p;
@@ -74,7 +79,11 @@
 bool start(State& s, Order const& o, u64& id) {
   check(o);
   id = number(o.id);
-  if (s.pass(id) != nullptr) return false;
+  u64 const digest = digest_of(o);
+  if (Pass const* p = s.pass(id); p != nullptr) {
+    if (p->digest != 0 && p->digest != digest) throw OrderFault(409, "id: another order has this number");
+    return false;
+  }
   std::set<std::string> want;
   for (OrderUnit const& u : o.units) want.insert(u.name);
   for (Pass const& p : s.passes)
@@ -104,6 +113,7 @@
   p.replaced = o.replaced;
   p.had = o.had;
   p.total = static_cast<u32>(o.units.size());
+  p.digest = digest;
   s.passes.push_back(std::move(p));
   for (OrderUnit const& u : o.units) {
     Unit x;
--- a/packages/manifest/include/manifest/manifest.hpp
+++ b/packages/manifest/include/manifest/manifest.hpp
@@ -21,18 +21,25 @@
   DB_RECORD(Evac, (std::string, zone), (u64, counter), (bool, on));
 };
 
+struct Need {
+  std::string field, service, key;  // key: the item that names the service
+};
 // What one Config.Amend asks for: items by key, and the services its lanes name.
 struct Amendment {
   std::vector<Item> items;
-  std::vector<std::pair<std::string, std::string>> needs;  // field, service
+  std::vector<Need> needs;
 };
 
+// Is it one item, whatever way its body is spelled (order of members, blanks, 1.0 for 1)?
+bool same_item(Item const& a, Item const& b);
+
 // Throws json::Fault naming the field; nothing of an invalid call survives.
 Amendment read_amend(std::string_view body);
 
 // Outcome of joining an amendment into standing items.
 enum class Joined { changed, same, clash, unknown_service };
-// items is changed only if the outcome is `changed`. field names what was wrong.
+// items is changed only if the outcome is `changed`. field names what was wrong. A call
+// that was taken once gives `changed` or `same` for ever after, whatever came between.
 Joined join(std::map<std::string, Item>& items, Amendment const& a, std::string& field);
 
 // Would joining a change anything? Costs no copy.
--- a/packages/manifest/manifest.cpp
+++ b/packages/manifest/manifest.cpp
@@ -96,7 +96,7 @@
     if (o.key != it.key) continue;
     // The highest version of a name holds, within one call too.
     if (it.gen > o.gen) o = std::move(it);
-    else if (it.gen == o.gen && !(it == o)) throw Fault(at, "two bodies under one generation");
+    else if (it.gen == o.gen && !same_item(it, o)) throw Fault(at, "two bodies under one generation");
     return;
   }
   out.push_back(std::move(it));
@@ -148,9 +148,9 @@
           auto const& p = s.policy[j];
           std::string const at = sat + ".policy[" + std::to_string(j) + "]";
           check_policy(p, at);
-          if (p.actuation.service) out.needs.emplace_back(at + ".actuation.service", *p.actuation.service);
+          if (p.actuation.service) out.needs.push_back({at + ".actuation.service", *p.actuation.service, "r/" + p.name});
           if (p.actuation.split)
-            for (auto const& sh : *p.actuation.split) out.needs.emplace_back(at + ".actuation.split", sh.service);
+            for (auto const& sh : *p.actuation.split) out.needs.push_back({at + ".actuation.split", sh.service, "r/" + p.name});
           // The body keeps the policy as it was sent, beside its host.
           std::string const b = "{\"host\":" + json::dump(*member(socks[i], "host")) + ",\"policy\":" + json::dump(pols[j]) + "}";
           add(out.items, Item{"r/" + p.name, p.generation, false, b}, at + ".name");
@@ -203,31 +203,51 @@
   }
 }
 
+namespace {
+// The body without its generation: hexadecimal digits may be large or small.
+rapidjson::Document bare(std::string const& body) {
+  rapidjson::Document d;
+  d.Parse(body.data(), body.size());
+  Value* v = &d;
+  if (d.IsObject() && d.HasMember("policy")) v = &d["policy"];
+  if (v->IsObject()) v->EraseMember("generation");
+  return d;
+}
+}  // namespace
+
+bool same_item(Item const& a, Item const& b) {
+  if (a.key != b.key || a.gen != b.gen || a.gone != b.gone) return false;
+  if (a.body == b.body) return true;
+  rapidjson::Document const x = bare(a.body), y = bare(b.body);
+  return !x.HasParseError() && !y.HasParseError() && x == y;
+}
+
 Joined join(std::map<std::string, Item>& items, Amendment const& a, std::string& field) {
-  std::vector<Item const*> put;
+  std::map<std::string_view, Item const*> put;
   for (auto const& it : a.items) {
     auto const cur = items.find(it.key);
     if (cur == items.end() || it.gen > cur->second.gen) {
-      put.push_back(&it);
-    } else if (it.gen == cur->second.gen && !(it == cur->second)) {
+      put.emplace(it.key, &it);
+    } else if (it.gen == cur->second.gen && !same_item(it, cur->second)) {
       field = it.key;
       return Joined::clash;
     }
   }
-  for (auto const& [at, svc] : a.needs) {
-    std::string const k = "s/" + svc;
-    bool known = false;
+  for (Need const& n : a.needs) {
+    std::string const k = "s/" + n.service;
     auto const cur = items.find(k);
-    if (cur != items.end()) known = !cur->second.gone;
-    for (auto const* p : put)
-      if (p->key == k) known = !p->gone;
+    auto const own = put.find(k);
+    bool known = own != put.end() ? !own->second->gone : cur != items.end() && !cur->second.gone;
+    // What changes nothing may have been taken while the service stood, though it was
+    // dropped since. A service that nobody ever set is unknown in any case.
+    if (!known && put.count(n.key) == 0) known = cur != items.end();
     if (!known) {
-      field = at;
+      field = n.field;
       return Joined::unknown_service;
     }
   }
   if (put.empty()) return Joined::same;
-  for (auto const* p : put) items[p->key] = *p;
+  for (auto const& [k, p] : put) items[p->key] = *p;
   return Joined::changed;
 }
 
--- /dev/null
+++ b/packages/provenance/include/provenance/provenance.hpp
@@ -0,0 +1,165 @@
+// Is a recorded history linearizable: is there one order of its calls, each at a moment
+// between its start and its end, in which a model gives every answer that was given? The
+// search is Wing and Gong's, with Lowe's memory of (calls placed, state reached). No I/O.
+#pragma once
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace dockbend::provenance {
+
+using Moment = std::uint64_t;
+inline constexpr Moment never = std::numeric_limits<Moment>::max();
+
+// A call whose outcome its caller does not know may have its effect at any moment from
+// `from` up to `to`, or not at all; one that is known had it between the two.
+template <class Op>
+struct Recorded {
+  Op op;
+  Moment from = 0, to = never;
+  bool known = false;
+};
+
+// What the calls are about. next() applies op, if the model allows the answer that it bears
+// (only a known one bears any), and says whether it does; key() tells states apart; lost()
+// says that no later state could explain op's answer: saying it late costs only time.
+template <class M>
+concept Model = requires(typename M::State s, typename M::State const& c, typename M::Op const& op) {
+  { M::next(s, op, true) } -> std::same_as<bool>;
+  { M::key(c) } -> std::convertible_to<std::string>;
+  { M::lost(c, op) } -> std::same_as<bool>;
+};
+
+enum class Finding { linearizable, broken, gave_up };
+
+struct Report {
+  Finding finding = Finding::linearizable;
+  std::size_t placed = 0;          // the most calls that any order tried explains
+  std::vector<std::size_t> stuck;  // with those placed: the calls of which none could come next
+  std::size_t steps = 0;
+};
+
+namespace detail {
+template <Model M>
+struct Search {
+  std::vector<Recorded<typename M::Op>> const& h;
+  std::size_t most, known = 0;
+  std::vector<std::size_t> order;  // by start
+  std::vector<bool> placed;
+  // Where the search failed: state and known calls placed -> the other calls placed. Who has
+  // placed the same and more has fewer left to go on with, and fails too.
+  using Used = std::vector<bool>;
+  std::unordered_map<std::string, std::vector<Used>> failed;
+  Report rep;
+
+  // The call placed just before, if nobody knows its outcome, and the state before it.
+  struct Last {
+    std::size_t x = none;
+    typename M::State before{};
+  };
+  static constexpr std::size_t look = 32;  // calls ahead that are asked whether they are lost
+  static constexpr std::size_t none = std::numeric_limits<std::size_t>::max();
+
+  // Would the same answers come without `last`, or with it placed one later? Then that
+  // order is tried elsewhere, and this one need not be.
+  bool idle(Last const& last, std::size_t y, typename M::State const& both) const {
+    if (last.x == none) return false;
+    typename M::State s = last.before;
+    if (!M::next(s, h[y].op, h[y].known)) return false;
+    std::string const want = M::key(both);
+    if (h[y].known && M::key(s) == want) return true;
+    if (h[last.x].to < h[y].from || (!h[y].known && y > last.x)) return false;
+    return M::next(s, h[last.x].op, false) && M::key(s) == want;
+  }
+
+  // From here on: which calls may come next are those that began before any that is
+  // still to be placed had ended.
+  bool go(typename M::State const& st, std::size_t n_known, std::size_t low, Moment latest, Last const& before) {
+    if (n_known == known) return true;
+    if (++rep.steps > most) return false;
+    while (low < order.size() && placed[order[low]]) ++low;
+    std::string const here = M::key(st);
+    // What lies before `low` is placed, what lies far behind is not: only the window differs.
+    std::string k = here + '\0' + std::to_string(low) + ' ';
+    Used used;
+    for (std::size_t i = low; i < order.size(); ++i) {
+      if (h[order[i]].known) {
+        if (placed[order[i]]) k += std::to_string(i - low) + ' ';
+      } else {
+        used.push_back(placed[order[i]]);
+      }
+    }
+    std::string const own = before.x == none ? k : k + '\0' + std::to_string(before.x) + ' ' + M::key(before.before);
+    if (fails(k, used) || (before.x != none && fails(own, used))) return false;
+    Moment end = never;
+    for (std::size_t i = low; i < order.size(); ++i) {
+      if (h[order[i]].from > end) break;
+      if (!placed[order[i]] && h[order[i]].known) end = std::min(end, h[order[i]].to);
+    }
+    std::vector<std::size_t> may, tried;
+    std::size_t ahead = 0;
+    for (std::size_t i = low; i < order.size() && ahead < look; ++i) {
+      if (placed[order[i]] || !h[order[i]].known) continue;
+      ++ahead;
+      if (M::lost(st, h[order[i]].op)) return false;
+    }
+    for (std::size_t i = low; i < order.size() && h[order[i]].from <= end; ++i) may.push_back(order[i]);
+    std::stable_sort(may.begin(), may.end(), [&](std::size_t a, std::size_t b) { return h[a].to < h[b].to; });
+    for (bool const known_now : {true, false})
+      for (std::size_t const x : may) {
+        // One that is not known has missed its time once a call that began later is placed.
+        if (placed[x] || h[x].known != known_now || h[x].to < latest) continue;
+        if (known_now) tried.push_back(x);
+        typename M::State next = st;
+        if (!M::next(next, h[x].op, known_now)) continue;
+        // What nobody saw and what changes nothing need not have been.
+        if (!known_now && M::key(next) == here) continue;
+        if (idle(before, x, next)) continue;
+        placed[x] = true;
+        Last last;
+        if (!known_now) last = Last{x, st};
+        if (go(next, n_known + (known_now ? 1 : 0), low, std::max(latest, h[x].from), last)) return true;
+        placed[x] = false;
+        if (rep.steps > most) return false;
+      }
+    if (n_known >= rep.placed) {
+      rep.placed = n_known;
+      rep.stuck = tried;
+    }
+    failed[own].push_back(std::move(used));
+    return false;
+  }
+  bool fails(std::string const& k, Used const& used) const {
+    auto const it = failed.find(k);
+    return it != failed.end() && std::any_of(it->second.begin(), it->second.end(), [&](Used const& u) {
+             for (std::size_t i = 0; i < u.size(); ++i)
+               if (u[i] && !used[i]) return false;
+             return true;
+           });
+  }
+};
+}  // namespace detail
+
+// At most `most` states are looked at; a day of a few hundred calls by eight callers takes
+// a few thousand.
+template <Model M>
+Report check(std::vector<Recorded<typename M::Op>> const& h, typename M::State first, std::size_t most = 2'000'000) {
+  detail::Search<M> s{h, most, 0, {}, std::vector<bool>(h.size()), {}, {}};
+  for (std::size_t i = 0; i < h.size(); ++i) {
+    s.order.push_back(i);
+    s.known += h[i].known ? 1 : 0;
+  }
+  std::stable_sort(s.order.begin(), s.order.end(), [&](std::size_t a, std::size_t b) { return h[a].from < h[b].from; });
+  if (s.go(first, 0, 0, 0, {})) {
+    s.rep.placed = s.known;
+    s.rep.stuck.clear();
+  } else {
+    s.rep.finding = s.rep.steps > most ? Finding::gave_up : Finding::broken;
+  }
+  return s.rep;
+}
+
+}  // namespace dockbend::provenance
--- a/packages/register/include/register/state.hpp
+++ b/packages/register/include/register/state.hpp
@@ -45,9 +45,11 @@
 };
 // What an operator ordered. Invariants: units of a pass that is over are gone from the
 // value; max_out is above 0 for servers; only the holder of the duty `drain` moves it.
+// digest is that of the order (0: not known); heard has a bit for each kind of command
+// that was acknowledged, and it only grows; turn rises with each pause and resume.
 struct Pass {
   DB_RECORD(Pass, (u64, id), (bool, servers), (PassState, state), (double, headroom), (u32, max_out), (double, patience),
-            (bool, replaced), (std::string, why), (std::vector<Had>, had), (u32, total), (u32, back));
+            (bool, replaced), (std::string, why), (std::vector<Had>, had), (u32, total), (u32, back), (u64, digest), (u32, heard), (u32, turn));
 };
 
 // Invariants: bal is the ballot that wrote this value (0: founding); epoch is the
--- a/packages/register/state.cpp
+++ b/packages/register/state.cpp
@@ -30,7 +30,8 @@
 bool same(std::vector<Pass> const& a, std::vector<Pass> const& b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](Pass const& x, Pass const& y) {
     return x.id == y.id && x.servers == y.servers && x.state == y.state && x.headroom == y.headroom && x.max_out == y.max_out &&
-           x.patience == y.patience && x.replaced == y.replaced && x.why == y.why && same(x.had, y.had) && x.total == y.total && x.back == y.back;
+           x.patience == y.patience && x.replaced == y.replaced && x.why == y.why && same(x.had, y.had) && x.total == y.total && x.back == y.back &&
+           x.digest == y.digest && x.heard == y.heard && x.turn == y.turn;
   });
 }
 std::string unit_key(Unit const& u) { return std::to_string(u.pass) + "/" + u.name; }
--- a/packages/rollout/include/rollout/rollout.hpp
+++ b/packages/rollout/include/rollout/rollout.hpp
@@ -24,6 +24,8 @@
 char const* phase_str(RollPhase p);
 bool is_over(RollPhase p);
 
+enum class RollOrder : u8 { pause = 1, resume = 2, abort = 3 };
+
 // Invariants: the commit is asked for exactly once, and only after every stage
 // settled; nothing is withdrawn after it was asked for; before it, the end of a
 // rollout drops what is held and changes nothing of how errands are handled.
@@ -44,6 +46,8 @@
   bool pause();
   bool resume(Secs now);
   bool abort();
+  // An operator's order: true if it is taken now, or was before and is sent again.
+  bool heed(RollOrder o, Secs now);
   void overtaken();
   void committed(bool stands);  // what the register said
 
@@ -63,6 +67,7 @@
   std::size_t stage_ = 0, wanted_ = 0, holding_ = 0;
   Secs since_, until_;
   bool drop_due_ = false;
+  std::set<RollOrder> heeded_;
   std::set<std::string> asked_, held_, refused_;
   std::map<std::string, Secs> sent_;
 };
@@ -101,7 +106,6 @@
   DB_RECORD(RollNote, (u64, id), (std::string, at), (RollPhase, phase), (u32, stage), (u32, stages), (u32, wanted),
             (u32, holding), (std::vector<std::string>, items), (double, age));
 };
-enum class RollOrder : u8 { pause = 1, resume = 2, abort = 3 };
 struct RollCmd {
   DB_RECORD(RollCmd, (u64, id), (RollOrder, order));
 };
--- a/packages/rollout/rollout.cpp
+++ b/packages/rollout/rollout.cpp
@@ -108,6 +108,12 @@
   return true;
 }
 
+bool Rollout::heed(RollOrder o, Secs now) {
+  bool const ok = o == RollOrder::pause ? pause() : o == RollOrder::resume ? resume(now) : abort();
+  if (ok) heeded_.insert(o);
+  return ok || heeded_.count(o) > 0;
+}
+
 void Rollout::overtaken() {
   if (is_over(phase_) || phase_ == RollPhase::committing) return;
   phase_ = RollPhase::overtaken;
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -732,30 +732,7 @@
   }
 
   void evacuate(evhttp_request* r, std::string const& zone, bool on) {
-    if (h_.st.zones.count(zone) == 0) return h_.write(r, fault(404, "no such zone"));
-    if (h_.leaving > 0) return h_.write(r, fault(503, "leaving"));
-    submit(
-        [zone, on](State& s) {
-          for (Evac& e : s.evacs)
-            if (e.zone == zone) {
-              if (e.on == on) return false;
-              e.on = on;
-              ++e.counter;
-              return true;
-            }
-          if (!on) return false;
-          Evac e;
-          e.zone = zone;
-          e.counter = 1;
-          e.on = true;
-          s.evacs.push_back(e);
-          return true;
-        },
-        [this, r](State const* s) {
-          if (s == nullptr) return h_.write(r, fault(503, "no majority in time"));
-          h_.write(r, CallRet{200, "{}"});
-        },
-        h_.patience());
+    h_.order(r, Evacuate(zone, on, h_.known(), h_.st.zones.count(zone) > 0));
   }
 
   // Disks that may be lost at once with a majority left.
--- a/tests/net.hpp
+++ b/tests/net.hpp
@@ -2,6 +2,7 @@
 // out in an order drawn by a seed; any may be lost or held back.
 #pragma once
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -114,13 +115,17 @@
         back(3, codec::pack(r));
         break;
       }
-      case 1:
+      case 1: {
+        bool const was = n.prop->done();
         send(n, n.prop->on_prep(m.from, codec::unpack<PrepR>(m.body)));
+        if (!was && n.prop->done() && over) over(n);
         break;
+      }
       case 3: {
         bool const was = n.prop->done();
         send(n, n.prop->on_acc(m.from, codec::unpack<AccR>(m.body)));
         if (!was && n.prop->done() && n.prop->won()) won(n);
+        if (!was && n.prop->done() && over) over(n);
         break;
       }
       case 4: {
@@ -163,6 +168,7 @@
     n.up = true;
   }
 
+  std::function<void(Node&)> over;  // a round ended, won or lost
   std::mt19937 rnd;
   State founding;
   std::map<std::string, Node> nodes;
