Rollout orders: the frame that passed them on is gone, callers follow a 307 instead

Cause: a node that does not lead a rollout confirmed an order that the leader might never have taken. It now names the leader's address; only the leader answers.

--- a/packages/desks/include/desks/rollouts.hpp
+++ b/packages/desks/include/desks/rollouts.hpp
@@ -59,31 +59,24 @@
     while (notes_.size() > 64) notes_.erase(notes_.begin());
   }
 
-  bool order_rollout(RollCmd const& c) {
-    auto const it = rollouts_.find(c.id);
-    if (it == rollouts_.end()) return false;
-    Secs const now = now_s();
-    bool const ok = it->second.ro.heed(c.order, now);
-    if (ok) stage_on(it->second, now);
-    return ok;
-  }
-
-  void order_call(evhttp_request* r, std::string const& id, RollOrder o) {
-    RollCmd c;
+  void order_call(evhttp_request* r, std::string const& text, RollOrder o) {
     char* end = nullptr;
-    c.id = std::strtoull(id.c_str(), &end, 10);
-    c.order = o;
-    if (id.empty() || *end != '\0') return h_.write(r, fault(400, "id: wants a number"));
-    if (rollouts_.count(c.id) > 0)
-      return h_.write(r, order_rollout(c) ? CallRet{200, "{}"} : fault(409, std::string("rollout is ") + phase_str(rollouts_.at(c.id).ro.phase())));
+    u64 const id = std::strtoull(text.c_str(), &end, 10);
+    if (text.empty() || *end != '\0') return h_.write(r, fault(400, "id: wants a number"));
+    if (auto const it = rollouts_.find(id); it != rollouts_.end()) {
+      Secs const now = now_s();
+      if (!it->second.ro.heed(o, now)) return h_.write(r, fault(409, std::string("rollout is ") + phase_str(it->second.ro.phase())));
+      stage_on(it->second, now);
+      return h_.write(r, CallRet{200, "{}"});
+    }
     // Only the node that leads it knows what became of it. A rollout that this node knows
     // nothing of may be under way elsewhere: that is no refusal.
-    auto const it = notes_.find(c.id);
+    auto const it = notes_.find(id);
     if (it == notes_.end()) return h_.write(r, fault(503, "id: no such rollout is known here"));
     Member const* m = h_.committed ? h_.committed->member(it->second.at) : nullptr;
     if (m == nullptr || m->ip == h_.st.ip || !h_.up(m->ip)) return h_.write(r, fault(503, "the node that leads it is not in touch"));
     char const* const what = o == RollOrder::pause ? "Pause/" : o == RollOrder::resume ? "Resume/" : "Abort/";
-    evhttp_add_header(evhttp_request_get_output_headers(r), "Location", ("http://" + Addr{m->ip, m->control}.str() + "/-/Rollout." + what + id).c_str());
+    evhttp_add_header(evhttp_request_get_output_headers(r), "Location", ("http://" + Addr{m->ip, m->control}.str() + "/-/Rollout." + what + text).c_str());
     h_.write(r, CallRet{307, "{}"});
   }
 
--- a/packages/rollout/include/rollout/rollout.hpp
+++ b/packages/rollout/include/rollout/rollout.hpp
@@ -101,13 +101,10 @@
 struct HoldR {
   DB_RECORD(HoldR, (u64, id), (bool, holds), (std::string, front));
 };
-// What mates tell each other of their rollouts, and what an operator asks of one.
+// What mates tell each other of their rollouts.
 struct RollNote {
   DB_RECORD(RollNote, (u64, id), (std::string, at), (RollPhase, phase), (u32, stage), (u32, stages), (u32, wanted),
             (u32, holding), (std::vector<std::string>, items), (double, age));
 };
-struct RollCmd {
-  DB_RECORD(RollCmd, (u64, id), (RollOrder, order));
-};
 
 }  // namespace dockbend
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -24,7 +24,7 @@
   rebuild = 26, rebuildR = 27,
   rows = 30, digest = 31, digestR = 32,
   ask = 40, askR = 41, done = 42, load = 43, leaving = 44,
-  hold = 50, holdR = 51, rollNote = 52, rollCmd = 53, holdFor = 54,
+  hold = 50, holdR = 51, rollNote = 52, holdFor = 54,
   sites = 60, clock = 61, tally = 62, loan = 63, loanR = 64, dutyCmd = 65, survey = 66, surveyR = 67, drain = 68,
   via = 70, viaR = 71, sitesAsk = 72, join = 73,
   zipped = 255,
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -355,7 +355,6 @@
       case Kind::fetch: keys_->fetch(p.ch, l.tag, l.as<Fetch>()); break;
       case Kind::holdR: rollouts_.held(l.as<HoldR>(), now); break;
       case Kind::rollNote: rollouts_.note(l.as<RollNote>()); break;
-      case Kind::rollCmd: rollouts_.order_rollout(l.as<RollCmd>()); break;
       case Kind::rebuild: p.ch->send(Kind::rebuildR, l.tag, keys_->copy_for(l.as<Rebuild>())); break;
       default: break;
     }
