--- a/tests/day.hpp
+++ b/tests/day.hpp
@@ -27,6 +27,7 @@
   double lose_answer = 0.3;   // of answers to callers
   bool staged = true;
   int calm = 0;               // steps between two troubles; 0: none
+  bool members = false;       // they leave and come back
   bool long_cut = false;      // one node is cut off for half of the day, and is still called
 };
 
@@ -73,7 +74,7 @@
   Net net;
   u64 now = 0;
   std::vector<Call> history;
-  std::size_t acked = 0, refused = 0, unknown = 0, resent = 0, overtaken = 0, led = 0, deaths = 0;
+  std::size_t acked = 0, refused = 0, unknown = 0, resent = 0, overtaken = 0, led = 0, deaths = 0, steps = 0;
 
  private:
   struct Waiting {
@@ -121,6 +122,20 @@
   void troubles() {
     if (p_.long_cut && now % 4000 == 500) isolate(Net::name(0));
     if (p_.long_cut && now % 4000 == 2500) net.cut.clear();
+    if (p_.members && now % 120 == 0) {
+      std::string const by = Net::name(static_cast<int>(draw(net.nodes.size()))), who = Net::name(static_cast<int>(draw(net.nodes.size())));
+      Life const life = net.nodes.at(who).acc->life();
+      if (net.nodes.at(by).up)
+        submit(by, [this, who, life](State& s) {
+          for (Member& m : s.roster) m.whole = true;
+          Member m = member(who, life);
+          m.whole = true;
+          bool const in = s.member(who) != nullptr;
+          bool const stepped = in ? s.dismiss(who, life) : s.admit(m);
+          steps += stepped ? 1 : 0;
+          return stepped;
+        }, [](State const*) {});
+    }
     if (p_.calm == 0 || now % static_cast<u64>(p_.calm) != 0) return;
     switch (draw(5)) {
       case 0:
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -132,6 +132,23 @@
   cr_assert(StartPass(other, &s).apply(s).changed);
 }
 
+Test(orders, a_duty_is_handed_over_once_the_register_says_so) {
+  State s;
+  HandOver const o{"usage", "b"};
+  cr_assert(o.apply(s).ruling == Ruling::unsettled, "nobody has it yet");
+  s.duties.emplace_back();
+  s.duties[0].duty = "usage";
+  s.duties[0].holder = "a";
+  cr_assert(o.apply(s).ruling == Ruling::unsettled);
+  s.duties[0].next = "b";
+  cr_assert(o.apply(s).ruling == Ruling::taken);
+  s.duties[0].holder = "b";
+  s.duties[0].next = "a";
+  cr_assert(o.apply(s).ruling == Ruling::unsettled, "it goes back already");
+  s.duties[0].next.clear();
+  cr_assert(o.apply(s).ruling == Ruling::taken, "again");
+}
+
 // A refusal judged on a value that never stood is forgotten with its round.
 Test(orders, only_the_round_that_was_won_is_answered) {
   Order o;
@@ -173,19 +190,21 @@
   DayPlan p;
 };
 std::vector<Shape> shapes() {
-  DayPlan calm, lost, cut, crash;
+  DayPlan calm, lost, cut, crash, members;
   lost.lose_answer = 0.7;
   cut.long_cut = true;
   cut.lose_answer = 0.4;
   crash.calm = 700;
-  return {{"calm", calm}, {"answers lost", lost}, {"a node cut off for long", cut}, {"crashes, power, cuts", crash}};
+  members.members = true;
+  members.calm = 1100;
+  return {{"calm", calm}, {"answers lost", lost}, {"a node cut off for long", cut}, {"crashes, power, cuts", crash}, {"members leave and come back", members}};
 }
 }  // namespace
 
-// Two operators, lost answers, a node cut off that is still called, all without power: there
-// is one order of all calls that explains every answer.
+// Two operators, lost answers, a node cut off that is still called, all without power,
+// members that leave and come back: there is one order of all calls that explains every answer.
 Test(orders, days_are_linearizable) {
-  std::size_t acked = 0, refused = 0, resent = 0, led = 0, deaths = 0, overtaken = 0;
+  std::size_t acked = 0, refused = 0, resent = 0, led = 0, deaths = 0, overtaken = 0, steps = 0;
   for (Shape const& s : shapes())
     for (unsigned seed = 1; seed <= 12; ++seed) {
       Day<> d(seed, s.p);
@@ -199,6 +218,7 @@
       led += d.led;
       deaths += d.deaths;
       overtaken += d.overtaken;
+      steps += d.steps;
     }
   // Enough of each came about.
   cr_assert_gt(acked, 3000u);
@@ -207,6 +227,7 @@
   cr_assert_gt(led, 1000u);
   cr_assert_gt(deaths, 20u);
   cr_assert_gt(overtaken, 100u);
+  cr_assert_gt(steps, 100u);
 }
 
 namespace {
