--- a/packages/accession/accession.cpp
+++ b/packages/accession/accession.cpp
@@ -16,9 +16,9 @@
     case Ruling::invalid: return 400;
     case Ruling::unknown: return 404;
     case Ruling::clash: return 409;
-    case Ruling::unsettled: return 503;
+    case Ruling::unsettled: return 504;
   }
-  return 503;
+  return 504;
 }
 
 Outcome unsettled(std::string why) { return refused(Ruling::unsettled, std::move(why)); }
--- a/packages/accession/include/accession/accession.hpp
+++ b/packages/accession/include/accession/accession.hpp
@@ -20,7 +20,7 @@
   invalid = 2,   // it names what nobody set
   unknown = 3,   // what it is about is not there
   clash = 4,     // another order stands under its number, or in its way
-  unsettled = 5  // not known to stand, and perhaps never: it may be sent again
+  unsettled = 5  // not known to stand; it may yet, or may have: to be sent again
 };
 
 // What an order came to, judged on one value.
@@ -32,7 +32,8 @@
 };
 
 // The one place that turns an outcome into a status. A 4xx is final for the caller, so
-// only what a majority holds may lead to one.
+// only what a majority holds may lead to one; a 503 promises that nothing was done, so what
+// may yet stand is never answered with it.
 int status_of(Ruling v);
 Outcome unsettled(std::string why);
 
@@ -115,7 +116,7 @@
         *got = o.apply(s);  // as a whole: nothing of an earlier round's outcome stays
         return got->changed;
       },
-      [got, done = std::move(done)](State const* s) { done(s == nullptr ? unsettled("no majority in time") : *got); }, patience);
+      [got, done = std::move(done)](State const* s) { done(s == nullptr ? unsettled("no majority in time; it may yet stand") : *got); }, patience);
 }
 
 }  // namespace dockbend
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -27,6 +27,7 @@
   hold = 50, holdR = 51, rollNote = 52, holdFor = 54,
   sites = 60, clock = 61, tally = 62, loan = 63, loanR = 64, dutyCmd = 65, survey = 66, surveyR = 67, drain = 68,
   via = 70, viaR = 71, sitesAsk = 72, join = 73,
+  probe = 80, probeR = 81,
   zipped = 255,
 };
 
@@ -161,6 +162,7 @@
   // Where else to try; asked anew each time.
   void relays(std::function<std::vector<Addr>()> f) { relays_ = std::move(f); }
   Channel* ch() { return up() ? ch_.get() : nullptr; }
+  u64 connection() const { return ch_ ? ch_->id() : 0; }  // no second one in this process has it
   Addr const& to() const { return to_; }
   template <codec::Record T>
   void send(Kind k, u32 tag, T const& x) {
