--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -272,7 +272,6 @@
       case Kind::fetch: keys_->fetch(p.ch, l.tag, l.as<Fetch>()); break;
       case Kind::holdR: rollouts_.held(l.as<HoldR>(), now); break;
       case Kind::rollNote: rollouts_.note(l.as<RollNote>()); break;
-      case Kind::rollCmd: rollouts_.order_rollout(l.as<RollCmd>()); break;
       case Kind::rebuild:  // only of a step that is on disk: else we might yet grant under the roster before it
         if (register_.durable() >= register_.accepted()) p.ch->send(Kind::rebuildR, l.tag, keys_->copy_for(l.as<Rebuild>()));
         break;
@@ -447,30 +446,7 @@
   }
 
   void evacuate(evhttp_request* r, std::string const& zone, bool on) {
-    if (h_.st.zones.count(zone) == 0) return h_.write(r, fault(404, "no such zone"));
-    if (h_.leaving > 0) return h_.write(r, fault(503, "leaving"));
-    submit(
-        [zone, on](State& s) {
-          for (Evac& e : s.evacs)
-            if (e.zone == zone) {
-              if (e.on == on) return false;
-              e.on = on;
-              ++e.counter;
-              return true;
-            }
-          if (!on) return false;
-          Evac e;
-          e.zone = zone;
-          e.counter = 1;
-          e.on = true;
-          s.evacs.push_back(e);
-          return true;
-        },
-        [this, r](State const* s) {
-          if (s == nullptr) return h_.write(r, unsure());
-          h_.write(r, CallRet{200, "{}"});
-        },
-        h_.patience());
+    h_.order(r, Evacuate(zone, on, h_.known(), h_.st.zones.count(zone) > 0));
   }
 
   // Disks that may be lost at once with a majority left.
