Catching up: what a member lacks goes by what changed, in promises, accepts and pulls

A member that missed one change was sent the whole value: by each promise, each accept after a refusal, and each pull. The acceptor now remembers which ballot last changed what (Changes) and leads from any value it once held to its newest; a restarted member names the value on its disk. The whole goes only where there is no base. A round waits by its members' answers, the bytes they are sent and the link as measured (Patience), no longer 1.2 s; who comes late to a won round is still told what it lacks. A long letter on a slow link keeps its channel: the receiver gives signs of life while it arrives.

The sign of life has no test.

--- a/packages/desks/include/desks/register.hpp
+++ b/packages/desks/include/desks/register.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 
 #include "desks/house.hpp"
+#include "register/patience.hpp"
 #include "register/proposer.hpp"
 
 namespace dockbend {
@@ -16,7 +17,9 @@
 // a round that was lost come before the ones that came later.
 class RegisterDesk {
  public:
-  explicit RegisterDesk(House& h) : h_(h), proposer_(h.st.ip) {}
+  explicit RegisterDesk(House& h)
+      : h_(h), proposer_(h.st.ip, [this](Ballot have, Ballot bal) { return accepted() == bal ? h_.acceptor->since(have) : std::nullopt; }),
+        patience_((h.st.linkMbps > 0 ? h.st.linkMbps : 10) * 1e6 / 8) {}
 
   sigc::signal<void()> on_view;          // the view changed; before the nodes we feed hear of it
   sigc::signal<void(bool)> on_value;     // a value is in force; true: its roster is another
@@ -115,7 +118,7 @@
   // The way to a mate is up: what it missed of our round, and what we may have missed.
   void reached(std::string const& ip, Link& l) {
     for (auto& o : proposer_.resend(ip)) send_out(o);
-    l.send(Kind::pull, 0, Pull{bal()});
+    l.send(Kind::pull, 0, lacks());
   }
   // A mate has the value of b in force.
   void ahead(Mate& m, Ballot b, Secs now) {
@@ -124,11 +127,17 @@
       learn(*h_.acceptor->state());
     } else if (now - m.pulled > 0.25) {
       m.pulled = now;
-      m.link->send(Kind::pull, 0, Pull{bal()});
+      m.link->send(Kind::pull, 0, lacks());
     }
   }
-  void on_prep(std::string const& ip, PrepR const& r) { outs(proposer_.on_prep(ip, r)); }
-  void on_acc(std::string const& ip, AccR const& r) { outs(proposer_.on_acc(ip, r)); }
+  void on_prep(std::string const& ip, PrepR const& r) {
+    patience_.answered(ip, now_s());
+    outs(proposer_.on_prep(ip, r));
+  }
+  void on_acc(std::string const& ip, AccR const& r) {
+    patience_.answered(ip, now_s());
+    outs(proposer_.on_acc(ip, r));
+  }
   void prep(Peer& p, u32 tag, Prep const& q, Secs now) {
     if (!h_.born) return;
     PrepR r;
@@ -149,10 +158,15 @@
       if (h_.view.bal > have || h_.view.bal.v == 0) p.ch->send(lacking(have));
       return;
     }
-    if (h_.committed->bal < have || (h_.committed->bal == have && h_.committed->bal.v != 0)) return;
+    if (h_.committed->bal < q.won || (h_.committed->bal == q.won && h_.committed->bal.v != 0)) return;
     Commit c;
     c.bal = h_.committed->bal;
-    c.state = codec::pack(*h_.committed);
+    // Who holds this value needs to hear only that it was won.
+    if (have != c.bal || have == Ballot(0)) {
+      std::optional<Delta> const d = accepted() == c.bal ? h_.acceptor->since(have) : std::nullopt;
+      if (d) c.delta = codec::pack(*d);
+      else c.state = codec::pack(*h_.committed);
+    }
     p.ch->send(Kind::commitR, 0, c);
   }
   // What a node that has the view of `have` lacks of ours.
@@ -196,20 +210,23 @@
       learn(*h_.acceptor->state());
       return;
     }
-    if (h_.committed) {
-      State s = *h_.committed;
-      if (apply(s, codec::unpack<Delta>(c.delta))) {
+    if (!c.delta.empty()) {
+      Delta const d = codec::unpack<Delta>(c.delta);
+      State const* const base = d.base == bal() && h_.committed ? &*h_.committed : d.base == accepted() && h_.acceptor->state() ? &*h_.acceptor->state() : nullptr;
+      if (base != nullptr) {
+        State s = *base;
+        apply(s, d);
         learn(s);
         return;
       }
     }
-    if (h_.mates.count(from) > 0 && h_.mates[from].link) h_.mates[from].link->send(Kind::pull, 0, Pull{bal()});
+    if (h_.mates.count(from) > 0 && h_.mates[from].link) h_.mates[from].link->send(Kind::pull, 0, lacks());
   }
 
   // ---- time --------------------------------------------------------------------------
   void begin(Secs now) { finish_at_ = now + 0.2 + 0.6 * random01(); }
   void tick(Secs now) {
-    if (!proposer_.idle() && now - proposer_.since() > 1.2) {
+    if (!proposer_.idle() && now - proposer_.since() > round_patience()) {
       proposer_.abandon();
       std::vector<Call> b;
       b.swap(batch_);
@@ -237,6 +254,8 @@
     Secs until = 0;
   };
 
+  Pull lacks() const { return Pull{best() != nullptr ? best()->bal : Ballot(), bal()}; }
+
   // Our vote as it is now, with what it changed of the value.
   void vote(std::vector<ValueRow> rows, std::function<void(bool)> done) { writer_->write(h_.acceptor->head(), std::move(rows), std::move(done)); }
 
@@ -283,6 +302,7 @@
       calls_.pop_front();
     }
     proposer_.saw(h_.acceptor->promised());
+    patience_.begin();
     outs(proposer_.begin(
         *b,
         [this](State& s) {
@@ -293,6 +313,13 @@
         now));
   }
 
+  Secs round_patience() const {
+    std::vector<std::string> v;
+    for (Member const& m : proposer_.base().roster)
+      if (m.ip != h_.st.ip) v.push_back(m.ip);
+    return patience_.of(v);
+  }
+
   void outs(std::vector<Proposer::Out> const& v) {
     for (auto const& o : v) send_out(o);
     round_over();
@@ -328,6 +355,7 @@
     }
     Mate& m = h_.mate(o.ip);
     if (!m.link) return;
+    patience_.asked(o.ip, o.acc.state.size() + o.acc.delta.size(), now_s());
     if (o.is_prep)
       m.link->send(Kind::prep, 0, o.prep);
     else
@@ -411,6 +439,7 @@
 
   House& h_;
   Proposer proposer_;
+  Patience patience_;
   std::unique_ptr<VoteWriter<Vellum>> writer_;
   std::deque<Call> calls_;
   std::vector<Call> batch_;
--- a/packages/register/acceptor.cpp
+++ b/packages/register/acceptor.cpp
@@ -16,8 +16,12 @@
   if (st_) {
     r.accepted = st_->bal;
     if (st_->bal > p.have) {
-      r.full = true;
-      r.state = codec::pack(*st_);
+      if (auto const d = since(p.have)) {
+        r.delta = codec::pack(*d);
+      } else {
+        r.full = true;
+        r.state = codec::pack(*st_);
+      }
     }
   }
   return {true};
@@ -28,6 +32,7 @@
   r.life = life_;
   if (a.life != life_) return {};
   r.promised = promised_;
+  if (st_) r.have = st_->bal;
   if (a.bal < promised_) return {};
   if (st_ && st_->bal == a.bal) {  // a repeat of what stands
     r.ok = true;
@@ -65,6 +70,7 @@
 
 Acceptor::Step Acceptor::take(RowDiff d) {
   move_sum(d.sum);
+  changes_.moved(d.rows, *st_);
   return {true, std::move(d.rows)};
 }
 
--- a/packages/register/include/register/acceptor.hpp
+++ b/packages/register/include/register/acceptor.hpp
@@ -1,7 +1,7 @@
 // One disk's vote. No I/O: every step hands out what must be on disk before the
 // reply may leave.
 #pragma once
-#include "register/rows.hpp"
+#include "register/changes.hpp"
 
 namespace dockbend {
 
@@ -11,7 +11,9 @@
 class Acceptor {
  public:
   Acceptor(Life life, Ballot promised, std::optional<State> st) : life_(life), promised_(promised), st_(std::move(st)) {
-    if (st_) move_sum(rows_between(nullptr, *st_).sum);
+    if (!st_) return;
+    move_sum(rows_between(nullptr, *st_).sum);
+    changes_.moved({}, *st_);
   }
 
   struct Step {
@@ -29,6 +31,8 @@
   Step learn(State const& s);
   // What stands beside the rows on disk; its seq is the writer's.
   Head head() const;
+  // From the value of `have` to state(), if that value was held here.
+  std::optional<Delta> since(Ballot have) const { return st_ ? changes_.since(have, *st_) : std::nullopt; }
 
  private:
   void move_sum(RowSum by) {
@@ -41,6 +45,7 @@
   Ballot promised_;
   std::optional<State> st_;
   RowSum sum_;
+  Changes changes_;
 };
 
 }  // namespace dockbend
--- a/packages/register/include/register/proposer.hpp
+++ b/packages/register/include/register/proposer.hpp
@@ -20,7 +20,9 @@
   };
   enum class Phase { idle, preparing, accepting };
 
-  explicit Proposer(std::string const& my_ip);
+  // What leads from the value of one ballot to that of another, if our own disk knows.
+  using Leads = std::function<std::optional<Delta>(Ballot have, Ballot bal)>;
+  explicit Proposer(std::string const& my_ip, Leads leads = nullptr);
 
   // best: the newest value known here. Begins a round with every change queued.
   std::vector<Out> begin(State const& best, Change change, Secs now);
@@ -42,7 +44,8 @@
  private:
   bool majority_of(State const& s, std::set<std::string> const& who) const;
   std::vector<Out> try_accept();
-  Acc acc_for(Member const& m, bool full) const;
+  Ballot have() const { return first_ ? first_->bal : best_.bal; }
+  Acc acc_for(Member const& m, bool full, Ballot have = Ballot()) const;
 
   u64 node_;
   u64 counter_ = 0;
@@ -51,6 +54,8 @@
   Secs since_ = 0;
   Ballot bal_;
   State best_, next_;
+  std::optional<State> first_;  // what the members were told that we have, once best_ is newer
+  Leads leads_;
   Change change_;
   std::string delta_;  // from best_ to next_, packed once for all
   std::set<std::string> asked_;       // "ip/life" asked for a promise
--- a/packages/register/include/register/rows.hpp
+++ b/packages/register/include/register/rows.hpp
@@ -38,6 +38,10 @@
 // rows of it, none besides.
 State value_of(Head const& h, std::vector<ValueRow> rows);
 
+// The key of a unit's row, and the part of it that names the pass.
+std::string unit_row(Unit const& u);
+std::string unit_row_pass(u64 pass);
+
 // A record with a hash before it, for what is read back alone.
 std::string sealed(std::string const& body);
 std::optional<std::string> unsealed(std::string const& s);
--- a/packages/register/include/register/state.hpp
+++ b/packages/register/include/register/state.hpp
@@ -99,6 +99,8 @@
 State view_of(State const& s);
 bool same_view(State const& a, State const& b);
 Delta delta_of(State const& from, State const& to);
+// First a, then b, which begins where a ends.
+Delta joined(Delta a, Delta const& b);
 // False unless st is the delta's base.
 bool apply(State& st, Delta const& d);
 
@@ -108,19 +110,20 @@
 };
 struct PrepR {
   DB_RECORD(PrepR, (bool, ok), (Ballot, bal), (Ballot, promised), (Ballot, accepted), (bool, full),
-                           (std::string, state), (Life, life));
+                           (std::string, state), (Life, life), (std::string, delta));
 };
 struct Acc {
   DB_RECORD(Acc, (Ballot, bal), (Life, life), (std::string, delta), (std::string, state));
 };
 struct AccR {
-  DB_RECORD(AccR, (bool, ok), (Ballot, bal), (Ballot, promised), (bool, want_full), (Life, life));
+  DB_RECORD(AccR, (bool, ok), (Ballot, bal), (Ballot, promised), (bool, want_full), (Life, life), (Ballot, have));
 };
 struct Commit {
   DB_RECORD(Commit, (Ballot, bal), (std::string, delta), (std::string, state));
 };
+// have: the newest value here, won or not; won: the newest known to be.
 struct Pull {
-  DB_RECORD(Pull, (Ballot, have));
+  DB_RECORD(Pull, (Ballot, have), (Ballot, won));
 };
 
 }  // namespace dockbend
--- a/packages/register/proposer.cpp
+++ b/packages/register/proposer.cpp
@@ -14,7 +14,7 @@
 }
 }  // namespace
 
-Proposer::Proposer(std::string const& my_ip) : node_(ip_num(my_ip)) {}
+Proposer::Proposer(std::string const& my_ip, Leads leads) : node_(ip_num(my_ip)), leads_(std::move(leads)) {}
 
 bool Proposer::majority_of(State const& s, std::set<std::string> const& who) const {
   std::size_t n = 0;
@@ -25,6 +25,7 @@
 
 std::vector<Proposer::Out> Proposer::begin(State const& best, Change change, Secs now) {
   best_ = best;
+  first_.reset();
   change_ = std::move(change);
   saw(best.bal);
   bal_ = Ballot(++counter_ << 32 | node_);
@@ -39,7 +40,7 @@
     asked_.insert(id_of(m));
     Out o;
     o.ip = m.ip;
-    o.prep = Prep{bal_, best_.bal, m.life};
+    o.prep = Prep{bal_, have(), m.life};
     out.push_back(std::move(o));
   }
   return out;
@@ -55,21 +56,28 @@
     }
     return {};
   }
-  promised_.insert(id_of(from, r.life));
   std::vector<Out> out;
-  if (r.full) {
-    State s = codec::unpack<State>(r.state);
+  if ((r.full || !r.delta.empty()) && r.accepted > best_.bal) {
+    State s;
+    if (r.full) {
+      s = codec::unpack<State>(r.state);
+    } else {
+      s = first_ ? *first_ : best_;
+      if (!apply(s, codec::unpack<Delta>(r.delta))) return {};  // not what we said that we have: no promise
+    }
     if (s.bal > best_.bal) {
+      if (!first_) first_ = std::move(best_);
       best_ = std::move(s);
       for (Member const& m : best_.roster) {
         if (!asked_.insert(id_of(m)).second) continue;
         Out o;
         o.ip = m.ip;
-        o.prep = Prep{bal_, best_.bal, m.life};
+        o.prep = Prep{bal_, have(), m.life};
         out.push_back(std::move(o));
       }
     }
   }
+  promised_.insert(id_of(from, r.life));
   if (majority_of(best_, promised_)) {
     auto more = try_accept();
     out.insert(out.end(), more.begin(), more.end());
@@ -77,10 +85,22 @@
   return out;
 }
 
-Acc Proposer::acc_for(Member const& m, bool full) const {
+Acc Proposer::acc_for(Member const& m, bool full, Ballot have) const {
   Acc a;
   a.bal = bal_;
   a.life = m.life;
+  if (full && have != Ballot()) {
+    std::optional<Delta> d;
+    if (first_ && first_->bal == have) d = delta_of(*first_, next_);  // what we had ourselves
+    else if (leads_ && !(d = leads_(have, bal_))) {
+      // Our own disk has not taken this value, but may have the one it is made of.
+      if ((d = leads_(have, best_.bal))) d = joined(std::move(*d), delta_of(best_, next_));
+    }
+    if (d) {
+      a.delta = codec::pack(*d);
+      return a;
+    }
+  }
   if (full || best_.bal == Ballot(0))
     a.state = codec::pack(next_);
   else
@@ -121,7 +141,9 @@
 }
 
 std::vector<Proposer::Out> Proposer::on_acc(std::string const& from, AccR const& r) {
-  if (phase_ != Phase::accepting || r.bal != bal_) return {};
+  if (r.bal != bal_) return {};
+  // Who comes late to a round that is won is still told what it lacks.
+  if (phase_ != Phase::accepting && !(won_ && r.want_full)) return {};
   saw(r.promised);
   if (r.ok) {
     accepted_.insert(id_of(from, r.life));
@@ -138,7 +160,7 @@
           Out o;
           o.ip = from;
           o.is_prep = false;
-          o.acc = acc_for(m, true);
+          o.acc = acc_for(m, true, r.have);
           return {o};
         }
     return {};
@@ -161,7 +183,7 @@
       o.ip = ip;
       o.is_prep = phase_ == Phase::preparing;
       if (o.is_prep)
-        o.prep = Prep{bal_, best_.bal, m.life};
+        o.prep = Prep{bal_, have(), m.life};
       else
         o.acc = acc_for(m, true);
       out.push_back(std::move(o));
--- a/packages/register/rows.cpp
+++ b/packages/register/rows.cpp
@@ -78,7 +78,7 @@
   }
 };
 struct UnitRows {
-  static std::string key(Unit const& u) { return "u/" + digits(u.pass) + "/" + u.name; }
+  static std::string key(Unit const& u) { return unit_row(u); }
   static ValueRow row(Unit const& u, std::size_t at) { return placed(key(u), u, at); }
 };
 
@@ -171,6 +171,9 @@
 }
 }  // namespace
 
+std::string unit_row_pass(u64 pass) { return digits(pass); }
+std::string unit_row(Unit const& u) { return "u/" + digits(u.pass) + "/" + u.name; }
+
 void RowSum::add(ValueRow const& r) {
   sum += hash_of(r);
   ++count;
--- a/packages/register/state.cpp
+++ b/packages/register/state.cpp
@@ -135,6 +135,34 @@
   return d;
 }
 
+Delta joined(Delta a, Delta const& b) {
+  a.bal = b.bal;
+  a.epoch = b.epoch;
+  a.open = b.open;
+  a.to_fix = b.to_fix;
+  auto over = [](auto& x, auto const& y, auto key) {
+    std::map<std::string, std::size_t> at;
+    for (std::size_t i = 0; i < x.size(); ++i) at[key(x[i])] = i;
+    for (auto const& e : y) {
+      if (auto const it = at.find(key(e)); it != at.end()) x[it->second] = e;
+      else x.push_back(e);
+    }
+  };
+  over(a.items, b.items, [](Item const& i) { return i.key; });
+  over(a.units, b.units, [](Unit const& u) { return unit_key(u); });
+  auto list = [](bool& on, auto& x, bool set, auto const& y) {
+    if (!set) return;
+    on = true;
+    x = y;
+  };
+  list(a.evacs_set, a.evacs, b.evacs_set, b.evacs);
+  list(a.roster_set, a.roster, b.roster_set, b.roster);
+  list(a.duties_set, a.duties, b.duties_set, b.duties);
+  list(a.fixed_set, a.fixed, b.fixed_set, b.fixed);
+  list(a.passes_set, a.passes, b.passes_set, b.passes);
+  return a;
+}
+
 bool apply(State& st, Delta const& d) {
   if (st.bal != d.base) return false;
   if (!d.items.empty()) {
--- a/packages/stacks/courier.cpp
+++ b/packages/stacks/courier.cpp
@@ -183,7 +183,11 @@
       c->drop();
       return;
     }
-    if (have < head_len + n) return;
+    if (have < head_len + n) {
+      // A long letter on a slow link: its sender's pings wait behind it, and would get no answer in time.
+      if (c->heard_ - c->sent_ > 0.5) c->send(Kind::ping, 1, std::string_view());
+      return;
+    }
     evbuffer_drain(in, head_len);
     std::string body(n, '\0');
     if (n > 0) evbuffer_remove(in, body.data(), n);
