--- a/programs/facsimile.cpp
+++ b/programs/facsimile.cpp
@@ -11,6 +11,7 @@
 
 #include <cstdio>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <memory>
 
@@ -18,7 +19,9 @@
 #include "gossip/roll.hpp"
 #include "keys/ledger.hpp"
 #include "manifest/manifest.hpp"
-#include "register/state.hpp"
+#include "register/acceptor.hpp"
+#include "register/proposer.hpp"
+#include "register/store.hpp"
 #include "stacks/courier.hpp"
 #include "stacks/settings.hpp"
 
@@ -209,6 +212,128 @@
   return static_cast<double>(m.uordblks + m.hblkhd);
 }
 
+// All that this process handed to write calls so far.
+double written() {
+  std::ifstream f("/proc/self/io");
+  std::string k;
+  double n = 0;
+  while (f >> k >> n)
+    if (k == "wchar:") return n;
+  return 0;
+}
+
+// What one change costs a register of three members: what its proposer sends the two others, and
+// what one disk writes, its log's part in the file included. The real rounds, votes and file.
+struct ChangeCost {
+  double sent = 0, disk = 0;      // bytes a change
+  double value = 0, round = 0;    // heap of one value; the most that the proposer's votes and rounds hold
+};
+struct Founders {
+  static int constexpr members = 3, rounds = 60;
+  std::vector<std::unique_ptr<Acceptor>> accs;
+  Proposer prop;
+  double sent = 0, peak = 0;
+  struct File {
+    Store& s;
+    void write_vote(VoteWrite w, std::function<void(bool)> done) {
+      Store::Write x;
+      x.vote = std::move(w);
+      s.commit({&x});
+      done(x.ok);
+    }
+  } file;
+  VoteWriter<File> writer;
+
+  explicit Founders(Store& s) : prop("10.0.0.1", [this](Ballot have, Ballot b) { return accs[0]->state()->bal == b ? accs[0]->since(have) : std::nullopt; }), file{s}, writer(file, 0) {}
+  void write(Acceptor::Step const& s) {
+    if (s.write) writer.write(accs[0]->head(), s.rows, [](bool ok) {
+      if (!ok) throw std::runtime_error("the disk took no vote");
+    });
+  }
+  void deliver(std::vector<Proposer::Out> v) {
+    while (!v.empty()) {
+      Proposer::Out const o = std::move(v.front());
+      v.erase(v.begin());
+      std::size_t const i = static_cast<std::size_t>(o.ip.back() - '1');
+      auto const count = [&](std::size_t n) { sent += i == 0 ? 0 : 9.0 + static_cast<double>(n); };
+      std::vector<Proposer::Out> more;
+      if (o.is_prep) {
+        PrepR r;
+        Acceptor::Step const s = accs[i]->prepare(o.prep, r);
+        if (i == 0) write(s);
+        count(codec::pack(o.prep).size());
+        count(codec::pack(r).size());
+        more = prop.on_prep(o.ip, r);
+      } else {
+        AccR r;
+        Acceptor::Step const s = accs[i]->accept(o.acc, r);
+        if (i == 0) write(s);
+        count(codec::pack(o.acc).size());
+        count(codec::pack(r).size());
+        more = prop.on_acc(o.ip, r);
+      }
+      peak = std::max(peak, heap());
+      v.insert(v.end(), more.begin(), more.end());
+    }
+    if (!prop.won()) throw std::runtime_error("a round was lost");
+  }
+  void round(Proposer::Change c) {
+    prop.saw(accs[0]->promised());
+    deliver(prop.begin(*accs[0]->state(), std::move(c), 0));
+    Commit m;
+    m.bal = prop.value().bal;
+    m.delta = prop.delta();
+    sent += 2 * (9.0 + static_cast<double>(codec::pack(m).size()));
+  }
+  ChangeCost cost(std::function<void(State&, int)> const& change) {
+    double const s0 = sent, w0 = written();
+    for (int i = 0; i < rounds; ++i)
+      round([&](State& s) {
+        change(s, i);
+        return true;
+      });
+    return {(sent - s0) / rounds, (written() - w0) / rounds, 0, 0};
+  }
+};
+
+std::pair<ChangeCost, ChangeCost> change_costs(std::vector<Item> items) {
+  char dir[] = "/tmp/facsimile-XXXXXX";
+  if (::mkdtemp(dir) == nullptr) throw std::runtime_error("no room in /tmp");
+  std::pair<ChangeCost, ChangeCost> out;
+  {
+    Store store(dir);
+    store.load();
+    Founders f(store);
+    State s;
+    std::sort(items.begin(), items.end(), [](Item const& a, Item const& b) { return a.key < b.key; });
+    s.items = std::move(items);
+    for (int i = 0; i < Founders::members; ++i) {
+      Member m;
+      m.ip = "10.0.0." + std::to_string(i + 1);
+      m.life = Life(1);
+      s.roster.push_back(m);
+    }
+    s.duties.push_back(Term{"usage", "core-1", "10.0.0.1", 1, 1, ""});
+    s.bal = Ballot(1);
+    double const none = heap();
+    for (int i = 0; i < Founders::members; ++i) f.accs.push_back(std::make_unique<Acceptor>(Life(1), Ballot(1), s));
+    double const value = (heap() - none) / Founders::members;
+    f.writer.write(f.accs[0]->head(), rows_of(s), [](bool) {});
+    s = State();
+    double const base = heap() - value;  // less our own vote
+    f.round([](State&) { return true; });
+    out.first = f.cost([](State& x, int i) {
+      Item& it = x.items[static_cast<std::size_t>(i) * 7919 % x.items.size()];
+      it.gen = Gen(it.gen.v + 1);
+    });
+    out.first.value = value;
+    out.first.round = f.peak - base;
+    out.second = f.cost([](State& x, int) { ++x.duties[0].counter; });
+  }
+  std::filesystem::remove_all(dir);
+  return out;
+}
+
 // What a node keeps for lanes, tenants and servers, and what an errand's choice costs.
 int library(long lanes, long tenants, long servers) {
   auto item = [](std::string const& body) { return read_amend(body).items; };
@@ -261,8 +386,10 @@
   double const c1 = cpu();
   for (int i = 0; i < rounds * 10; ++i) hit += man->find("h0.example", "/p1/x") ? 1 : 0;
   double const c2 = cpu();
-  std::printf("{\"lanes\":%ld,\"tenants\":%ld,\"servers\":%ld,\"viewBytes\":%zu,\"deflatedBytes\":%zu,\"viewHeapBytes\":%.0f,\"compiledHeapBytes\":%.0f,\"tableHeapBytes\":%.0f,\"chooseUs\":%.2f,\"findUs\":%.3f,\"hits\":%zu}\n",
-              lanes, tenants, servers, packed.size(), deflated, h1 - h0 - static_cast<double>(packed.size()), h2 - h1, h4 - h3, (c1 - c0) / rounds * 1e6, (c2 - c1) / rounds / 10 * 1e6, hit);
+  auto const [changed, renewed] = change_costs(std::move(items));
+  std::printf("{\"lanes\":%ld,\"tenants\":%ld,\"servers\":%ld,\"viewBytes\":%zu,\"deflatedBytes\":%zu,\"viewHeapBytes\":%.0f,\"compiledHeapBytes\":%.0f,\"tableHeapBytes\":%.0f,\"chooseUs\":%.2f,\"findUs\":%.3f,\"hits\":%zu,"
+              "\"changeSentBytes\":%.0f,\"changeDiskBytes\":%.0f,\"renewalSentBytes\":%.0f,\"renewalDiskBytes\":%.0f,\"valueHeapBytes\":%.0f,\"roundHeapBytes\":%.0f}\n",
+              lanes, tenants, servers, packed.size(), deflated, h1 - h0 - static_cast<double>(packed.size()), h2 - h1, h4 - h3, (c1 - c0) / rounds * 1e6, (c2 - c1) / rounds / 10 * 1e6, hit, changed.sent, changed.disk, renewed.sent, renewed.disk, changed.value, changed.round);
   return rc_ok;
 }
 }  // namespace
