Catching up: a whole value in pieces that go on; nothing founded is in force after a restart

A member without a base pulled the whole value as one letter, and began anew after each cut. Above 256 KB it comes in pieces now: each names its value and how far it goes, the next brings the rest and what changed of the part that came, from any member; the whole is taken only if its rows add up. After a restart the founding value on disk is no longer in force at once: a round or a majority says so first.

--- a/packages/desks/include/desks/register.hpp
+++ b/packages/desks/include/desks/register.hpp
@@ -8,6 +8,7 @@
 
 #include "desks/house.hpp"
 #include "register/patience.hpp"
+#include "register/pieces.hpp"
 #include "register/proposer.hpp"
 
 namespace dockbend {
@@ -60,7 +61,8 @@
       std::sort(f.roster.begin(), f.roster.end(), [](Member const& a, Member const& b) { return a.ip < b.ip; });
       d.value = f;
     }
-    if (d.value && d.value->bal == Ballot(0)) h_.committed = d.value;
+    // Only at the very first start is the founding value known to be the newest.
+    if (first && d.value) h_.committed = d.value;
     h_.acceptor = std::make_unique<Acceptor>(l, d.head ? d.head->promised : Ballot(), d.value);
     if (d.head) proposer_.saw(d.head->promised);
     if (!first && d.value) durable_ = d.value->bal;
@@ -125,11 +127,20 @@
     if (b <= bal()) return;
     if (h_.acceptor->state() && h_.acceptor->state()->bal == b) {
       learn(*h_.acceptor->state());
-    } else if (now - m.pulled > 0.25) {
+    } else if (now - m.pulled > 0.25 && now - piece_at_ > 1.0) {
       m.pulled = now;
       m.link->send(Kind::pull, 0, lacks());
     }
   }
+  // A piece of the value in force at a mate; the next is asked of the same one.
+  void piece(std::string const& ip, Piece const& x, Secs now) {
+    if (x.part.bal <= bal()) return;
+    Gather::Took const t = gather_.take(x);
+    if (t.whole) return learn(*t.whole);
+    if (!t.used) return;
+    piece_at_ = now;
+    if (h_.mates.count(ip) > 0 && h_.mates[ip].link) h_.mates[ip].link->send(Kind::pull, 0, lacks());
+  }
   void on_prep(std::string const& ip, PrepR const& r) {
     patience_.answered(ip, now_s());
     outs(proposer_.on_prep(ip, r));
@@ -164,8 +175,18 @@
     // Who holds this value needs to hear only that it was won.
     if (have != c.bal || have == Ballot(0)) {
       std::optional<Delta> const d = accepted() == c.bal ? h_.acceptor->since(have) : std::nullopt;
-      if (d) c.delta = codec::pack(*d);
-      else c.state = codec::pack(*h_.committed);
+      if (d) {
+        c.delta = codec::pack(*d);
+      } else {
+        auto const since = [&](Ballot b) { return accepted() == c.bal ? h_.acceptor->since(b) : std::nullopt; };
+        RowSum const sum = accepted() == c.bal ? h_.acceptor->sum() : rows_between(nullptr, *h_.committed).sum;
+        Piece const x = piece_of(*h_.committed, sum, q.part, q.after, since, piece_bytes);
+        if (x.base != Ballot(0) || !x.last) {
+          p.ch->send(Kind::piece, 0, x);
+          return;
+        }
+        c.state = codec::pack(*h_.committed);
+      }
     }
     p.ch->send(Kind::commitR, 0, c);
   }
@@ -236,7 +257,7 @@
   }
   // A value accepted but not known to be committed is brought to an end.
   void finish(Secs now) {
-    if (h_.acceptor->state() && h_.acceptor->state()->bal > bal()) {
+    if (h_.acceptor->state() && (!h_.committed || accepted() > bal())) {
       if (finish_at_ == 0) finish_at_ = now + 0.8 + 0.8 * random01();
       if (now > finish_at_ && calls_.empty() && proposer_.idle()) {
         finish_at_ = now + 1.0 + random01();
@@ -248,13 +269,14 @@
   }
 
  private:
+  static std::size_t constexpr piece_bytes = 256 * 1024;
   struct Call {
     std::function<bool(State&)> change;
     std::function<void(State const*)> done;  // null: not known to stand
     Secs until = 0;
   };
 
-  Pull lacks() const { return Pull{best() != nullptr ? best()->bal : Ballot(), bal()}; }
+  Pull lacks() const { return Pull{best() != nullptr ? best()->bal : Ballot(), bal(), gather_.have(), gather_.after()}; }
 
   // Our vote as it is now, with what it changed of the value.
   void vote(std::vector<ValueRow> rows, std::function<void(bool)> done) { writer_->write(h_.acceptor->head(), std::move(rows), std::move(done)); }
@@ -440,6 +462,8 @@
   House& h_;
   Proposer proposer_;
   Patience patience_;
+  Gather gather_;       // of a value that comes in pieces
+  Secs piece_at_ = -1;  // when the last one came
   std::unique_ptr<VoteWriter<Vellum>> writer_;
   std::deque<Call> calls_;
   std::vector<Call> batch_;
--- a/packages/register/include/register/acceptor.hpp
+++ b/packages/register/include/register/acceptor.hpp
@@ -31,6 +31,7 @@
   Step learn(State const& s);
   // What stands beside the rows on disk; its seq is the writer's.
   Head head() const;
+  RowSum sum() const { return sum_; }
   // From the value of `have` to state(), if that value was held here.
   std::optional<Delta> since(Ballot have) const { return st_ ? changes_.since(have, *st_) : std::nullopt; }
 
--- a/packages/register/include/register/state.hpp
+++ b/packages/register/include/register/state.hpp
@@ -121,9 +121,10 @@
 struct Commit {
   DB_RECORD(Commit, (Ballot, bal), (std::string, delta), (std::string, state));
 };
-// have: the newest value here, won or not; won: the newest known to be.
+// have: the newest value here, won or not; won: the newest known to be; part, after: of the
+// value of `part` the items up to `after` have come in pieces.
 struct Pull {
-  DB_RECORD(Pull, (Ballot, have), (Ballot, won));
+  DB_RECORD(Pull, (Ballot, have), (Ballot, won), (Ballot, part), (std::string, after));
 };
 
 }  // namespace dockbend
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -19,7 +19,7 @@
 // The kinds of letters. Values are wire format: never reused.
 enum class Kind : u8 {
   ping = 1, hello = 2, helloR = 3, beat = 4, beatR = 5, feed = 6, news = 7,
-  prep = 10, prepR = 11, acc = 12, accR = 13, commit = 14, pull = 15, commitR = 16,
+  prep = 10, prepR = 11, acc = 12, accR = 13, commit = 14, pull = 15, commitR = 16, piece = 17,
   claim = 20, claimR = 21, release = 22, store = 23, fetch = 24, fetchR = 25,
   rebuild = 26, rebuildR = 27,
   rows = 30, digest = 31, digestR = 32,
--- a/programs/archivist.cpp
+++ b/programs/archivist.cpp
@@ -138,6 +138,7 @@
       case Kind::prepR: register_.on_prep(ip, l.as<PrepR>()); break;
       case Kind::accR: register_.on_acc(ip, l.as<AccR>()); break;
       case Kind::commitR: register_.commit(l.as<Commit>(), ip); break;
+      case Kind::piece: register_.piece(ip, l.as<Piece>(), now_s()); break;
       case Kind::rebuildR: keys_->rebuilt(ip, l.as<RebuildR>()); break;
       case Kind::digestR: {
         Digest const d = l.as<Digest>();
--- a/tests/changes_test.cpp
+++ b/tests/changes_test.cpp
@@ -3,6 +3,7 @@
 
 #include "net.hpp"
 #include "register/patience.hpp"
+#include "register/pieces.hpp"
 
 using namespace dockbend;
 using namespace dockbend::test;
@@ -128,6 +129,52 @@
   }
 }
 
+// A member without a base gathers a value in pieces while it changes between any two of them,
+// loses some, hears some twice, and asks another member that knows less far back: it ends with a
+// value that was whole, its pieces are bounded, and what came stays.
+Test(changes, pieces_of_a_value_that_changes_make_it_whole) {
+  for (unsigned seed = 1; seed <= 40; ++seed) {
+    std::mt19937 r(seed);
+    State s;
+    s.bal = Ballot(1);
+    s.roster.push_back(member(Net::name(0), Life(1)));
+    for (int i = 0; i < 300; ++i) s.items.push_back(Item{"r/" + std::to_string(1000 + i), Gen(1), false, std::string(100, 'x')});
+    Acceptor a(Life(1), Ballot(1), s);
+    Gather g;
+    std::optional<State> got;
+    std::size_t pieces = 0;
+    std::string last;
+    for (u64 b = 2; !got; ++b) {
+      cr_assert_lt(b, 400u, "seed %u: it never ends", seed);
+      if (r() % 3 != 0) {
+        State to = *a.state();
+        put_item("r/" + std::to_string(900 + r() % 500), b, std::string(100, 'y'))(to);
+        AccR q;
+        a.accept(acc_of(*a.state(), to, Ballot(b), false), q);
+      }
+      bool const other = seed % 4 == 0 && b == 20;
+      auto const since = [&](Ballot x) { return other ? std::nullopt : a.since(x); };
+      Piece const p = piece_of(*a.state(), a.sum(), g.have(), g.after(), since, 2000);
+      std::string const packed = codec::pack(p);
+      cr_assert_lt(packed.size(), 8000u);
+      ++pieces;
+      if (r() % 5 == 0) continue;  // lost in a cut; asked for again
+      if (!last.empty() && r() % 5 == 0) {
+        std::string const had = g.after();
+        cr_assert_not(g.take(codec::unpack<Piece>(last)).used, "seed %u", seed);
+        cr_assert_str_eq(g.after().c_str(), had.c_str(), "seed %u", seed);
+      }
+      last = packed;
+      got = g.take(codec::unpack<Piece>(packed)).whole;
+    }
+    cr_assert(codec::pack(*got) == codec::pack(*a.state()), "seed %u", seed);
+    cr_assert_gt(pieces, 15u);
+    Piece bad = piece_of(*a.state(), a.sum(), Ballot(), "", [](Ballot) { return std::nullopt; }, 1 << 20);
+    bad.part.items[7].body[3] ^= 1;
+    cr_assert_not(Gather().take(bad).whole.has_value());
+  }
+}
+
 // Patience grows with what a majority is to be sent, over the link as it was measured.
 Test(changes, a_round_waits_for_the_bytes_that_a_majority_is_sent) {
   Patience p(1e6);
