--- a/packages/register/proposer.cpp
+++ b/packages/register/proposer.cpp
@@ -20,11 +20,12 @@
 }
 }  // namespace
 
-Proposer::Proposer(std::string const& my_ip) : node_(ip_num(my_ip)) {}
+Proposer::Proposer(std::string const& my_ip, Leads leads) : node_(ip_num(my_ip)), leads_(std::move(leads)) {}
 
 std::vector<Proposer::Out> Proposer::begin(State const& best, Change change, Secs now, std::optional<Epoch> known) {
   best_ = best;
   known_ = known;
+  first_.reset();
   change_ = std::move(change);
   saw(best.bal);
   bal_ = Ballot(++counter_ << 32 | node_);
@@ -45,7 +46,7 @@
       if (!asked_.insert(id_of(m)).second) continue;
       Out o;
       o.ip = m.ip;
-      o.prep = Prep{bal_, best_.bal, m.life};
+      o.prep = Prep{bal_, have(), m.life};
       out.push_back(std::move(o));
     }
   }
@@ -64,10 +65,17 @@
     return {};
   }
   std::vector<Out> out;
-  if (r.full) {
-    State s = read_state(r.state);
+  if ((r.full || !r.delta.empty()) && r.accepted > best_.bal) {
+    State s;
+    if (r.full) {
+      s = read_state(r.state);
+    } else {
+      s = first_ ? *first_ : best_;
+      if (!apply(s, read_delta(r.delta))) return {};  // not what we said that we have: no promise
+    }
     if (s.bal != r.accepted) throw codec::Malformed("a value under another ballot");
     if (s.bal > best_.bal) {
+      if (!first_) first_ = std::move(best_);
       best_ = std::move(s);
       out = ask_for_promises();
     }
@@ -84,14 +92,32 @@
 std::vector<std::vector<Member> const*> Proposer::voters() const {
   std::vector<std::vector<Member> const*> v{&best_.roster};
   if (!settled()) v.push_back(&best_.was);
-  if (phase_ == Phase::accepting) v.push_back(&next_.roster);
+  if (phase_ == Phase::accepting || won_) v.push_back(&next_.roster);
   return v;
 }
 
-Acc Proposer::acc_for(Member const& m, bool full) const {
+Acc Proposer::acc_for(Member const& m, bool full, Ballot have) const {
   Acc a;
   a.bal = bal_;
   a.life = m.life;
+  if (full && have != Ballot()) {
+    std::optional<Delta> d;
+    if (first_ && first_->bal == have) {
+      // What we had ourselves; it may never have been won, and have what this value lacks, which
+      // a difference can't say.
+      d = delta_of(*first_, next_);
+      State s = *first_;
+      if (!apply(s, *d) || codec::pack(s) != codec::pack(next_)) d.reset();
+    }
+    if (!d && leads_ && !(d = leads_(have, bal_))) {
+      // Our own disk has not taken this value, but may have the one it is made of.
+      if ((d = leads_(have, best_.bal))) d = joined(std::move(*d), delta_of(best_, next_));
+    }
+    if (d) {
+      a.delta = codec::pack(*d);
+      return a;
+    }
+  }
   if (full || best_.bal == Ballot(0))
     a.state = codec::pack(next_);
   else
@@ -139,7 +165,9 @@
 }
 
 std::vector<Proposer::Out> Proposer::on_acc(std::string const& from, AccR const& r) {
-  if (phase_ != Phase::accepting || r.bal != bal_) return {};
+  if (r.bal != bal_) return {};
+  // Who comes late to a round that is won is still told what it lacks.
+  if (phase_ != Phase::accepting && !(won_ && r.want_full)) return {};
   check_ballot(r.promised);
   saw(r.promised);
   if (r.ok) {
@@ -157,7 +185,7 @@
           Out o;
           o.ip = from;
           o.is_prep = false;
-          o.acc = acc_for(m, true);
+          o.acc = acc_for(m, true, r.have);
           return {o};
         }
     return {};
@@ -180,7 +208,7 @@
       o.ip = ip;
       o.is_prep = phase_ == Phase::preparing;
       if (o.is_prep)
-        o.prep = Prep{bal_, best_.bal, m.life};
+        o.prep = Prep{bal_, have(), m.life};
       else
         o.acc = acc_for(m, true);
       out.push_back(std::move(o));
