--- a/packages/desks/include/desks/keys.hpp
+++ b/packages/desks/include/desks/keys.hpp
@@ -23,11 +23,13 @@
     Rebuild q;
     q.epoch = h_.committed->epoch;
     for (Member const& m : h_.committed->roster)
-      if (m.ip != h_.st.ip && rebuild_heard_.count(m.ip) == 0 && h_.mate(m.ip).link) h_.mate(m.ip).link->send(Kind::rebuild, 0, q);
+      if (m.ip != h_.st.ip && rebuild_heard_.count(m.ip) == 0 && h_.mate(m.ip).link) h_.mate(m.ip).link->send(Kind::rebuild, tag_of(q.epoch), q);
   }
 
-  void rebuilt(std::string const& ip, RebuildR const& r) {
+  void rebuilt(std::string const& ip, u32 tag, RebuildR const& r) {
     if (ledger_.whole() || filling_ || !h_.committed || !r.ok) return;
+    // A copy asked for under an earlier roster does not count towards this one's majority.
+    if (tag != tag_of(h_.committed->epoch)) return h_.strays.drop(Stray::epoch);
     Member const* m = h_.committed->member(ip);
     // An answer to what we asked under an earlier roster may lack what was won since.
     if (m == nullptr || m->life != r.life || r.epoch < h_.committed->epoch || !rebuild_heard_.insert(ip).second) return;
@@ -63,17 +65,19 @@
   void claim(ChannelP const& ch, u32 tag, Claim const& c) {
     ClaimR r;
     r.life = h_.acceptor->life();
-    if (c.life != r.life || !h_.born) return;
+    if (c.life != r.life) return h_.strays.drop(Stray::disk_life);
+    if (!h_.born) return;
     Epoch const mine = h_.acceptor->state() ? h_.acceptor->state()->epoch : Epoch(~0ULL);
     if (mine != fit_at_) fit(h_.acceptor->state());
+    u64 const late = ledger_.late();
     if (ledger_.claim(c, mine, now_s(), r) != Say::granted) {
+      h_.strays.drop(Stray::late_claim, ledger_.late() - late);
       ch->send(Kind::claimR, tag, r);
       return;
     }
     std::weak_ptr<Channel> const w = ch;
     h_.vellum->submit({key_op(c.key, c.holder, false)}, [this, w, tag, r, key = c.key, holder = c.holder](bool ok) {
-      ledger_.written(key, holder, ok);
-      if (!ok) return;
+      if (!ledger_.written(key, holder, ok)) return;
       if (auto const cp = w.lock()) cp->send(Kind::claimR, tag, r);
     });
   }
@@ -199,6 +203,7 @@
     ledger_.set_whole(in != 0 && in == filled_);
   }
 
+  static u32 tag_of(Epoch e) { return static_cast<u32>(e.v ^ e.v >> 32); }
   static Vellum::Op key_op(std::string const& k, u64 holder, bool sealed) {
     Vellum::Op o;
     o.what = Vellum::Op::What::put_key;
