--- a/docs/days/draw.py
+++ b/docs/days/draw.py
@@ -258,6 +258,52 @@
     return days
 
 
+def leaving(head: Entry, seed: int) -> list[tuple[Day, str]]:
+    """Servers leave, are replaced and evacuated round troubles of the core."""
+    troubles: list[Entry] = [
+        {"kind": "node_kill", "on": "core", "count": 1, "for_s": 3.0, "how": "power leader meet drain"},
+        {"kind": "zone_loss", "for_s": 4.0, "how": "race drain hard"},
+        {"kind": "core_cut", "for_s": 6.0, "how": "leader race drain hard"},
+        {"kind": "core_cut", "for_s": 6.0, "how": "one_way meet drain"},
+        {"kind": "herd_kill", "on": "core", "for_s": 1.5, "how": "power race drain"},
+        {"kind": "node_freeze", "on": "core", "count": 1, "for_s": 5.0, "how": "leader meet drain"},
+        {"kind": "replace_core", "x": 1.0},
+        {"kind": "replace_core", "x": 1.0, "how": "planned"},
+        {"kind": "ack_lost", "x": 0.8, "for_s": 8.0},
+        {"kind": "zone_cut", "for_s": 6.0},
+        {"kind": "herd_kill", "share": 0.5, "for_s": 2.0, "how": "power"},
+        {"kind": "reset_conns", "share": 0.6, "x": 0.8},
+    ]
+    works: list[list[Entry]] = [
+        [{"kind": "scale_in", "share": 0.2}],
+        [{"kind": "release", "share": 0.4, "x": 2.0, "gap_s": 0.6}],
+        [{"kind": "evacuate", "for_s": 6.0}, {"kind": "scale_in", "share": 0.1, "how": "spot"}],
+        [{"kind": "roll_term", "share": 0.5, "x": 2.0, "gap_s": 0.8}, {"kind": "config_change", "how": "weights"}],
+    ]
+    draw: random.Random = random.Random(f"leaving/{seed}")
+    draw.shuffle(troubles)
+    days: list[tuple[Day, str]] = []
+    for number in range(4):
+        day: Day = Day(head, f"leaving-{seed}-{number}", draw.randrange(1 << 30), 82)
+        told: list[str] = []
+        for block in range(4):
+            trouble: Entry = troubles[(number * 3 + block) % len(troubles)]
+            work: list[Entry] = works[(number + block) % len(works)]
+            start: float = 5 + 19 * block
+            for step, entry in enumerate(work):
+                day.work(start + 1.2 * step, entry)
+            day.fault(start + 4 * draw.random(), trouble)
+            day.fault(start + 1, {"kind": "replace_with_reuse", "share": 0.1, "how": draw.choice(("", "drain", "dark"))})
+            told.append(f"{trouble['kind']} {trouble.get('how', '')}".rstrip() + f" round {work[0]['kind']}")
+        day.changes(4, 78, 3.7)
+        day.close(CLOSINGS[(seed + 3 * number) % len(CLOSINGS)], 0.9)
+        days.append((day, "; ".join(told)))
+    return days
+
+
+SETS = {"members": members, "themes": themes, "leaving": leaving}
+
+
 def natural(text: str) -> int:
     value: int = int(text)
     if value < 0:
@@ -268,9 +314,10 @@
 def options() -> argparse.Namespace:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("site", type=pathlib.Path, help="site file whose head the days take")
-    parser.add_argument("--set", choices=("pairs", "members", "themes"), default="pairs",
+    parser.add_argument("--set", choices=("pairs", "members", "themes", "leaving"), default="pairs",
                         help="pairs: two core troubles during the operator's work; members: replacements, storms, long cuts; "
-                             "themes: one trouble that goes on all day")
+                             "themes: one trouble that goes on all day; "
+                             "leaving: servers that leave round troubles of the core")
     parser.add_argument("--seed", type=natural, default=1, help="what the days are drawn from (1)")
     parser.add_argument("--head", default="trouble-1", help="day of the site file whose head is taken (trouble-1)")
     parser.add_argument("--first", type=natural, default=0, help="index of the first day (0)")
@@ -297,8 +344,8 @@
     if not heads:
         print(f"draw: {args.site} has no day named {args.head}", file=sys.stderr)
         return 2
-    if args.set != "pairs":
-        days = (members if args.set == "members" else themes)(heads[0], args.seed)
+    if args.set in SETS:
+        days = SETS[args.set](heads[0], args.seed)
     else:
         days = [pair_day(heads[0], args.seed, n, args.blocks, 4) for n in range(args.first, args.first + args.days)]
     days = [(d, told) for d, told in days if str(d.fields["name"]).startswith(args.only)]
