--- a/packages/stacks/settings.cpp
+++ b/packages/stacks/settings.cpp
@@ -83,10 +83,11 @@
   known["bootstrap"] = [&](auto const& f, auto const& v) { st.bootstrap = boolean(f, v); };
   known["lossCounted"] = [&](auto const& f, auto const& v) { st.lossCounted = boolean(f, v); };
   num("beatPeriodS", st.beatPeriodS, 0.01, 3600);
-  known["tolerance.machines"] = [&](auto const& f, auto const& v) {
-    st.toleranceMachines = number(f, v, 0, 1e6);
-    if (st.toleranceMachines != std::floor(st.toleranceMachines)) throw BadSetting(f, "wants a whole number: " + v);
-  };
+  for (auto const& [f, dst] : {std::pair{"tolerance.machines", &st.toleranceMachines}, {"tolerance.zones", &st.toleranceZones}, {"tolerance.regions", &st.toleranceRegions}})
+    known[f] = [dst = dst](auto const& k, auto const& v) {
+      *dst = number(k, v, 0, 1e6);
+      if (*dst != std::floor(*dst)) throw BadSetting(k, "wants a whole number: " + v);
+    };
   num("limits.memoryMb", st.memoryMb);
   num("limits.diskMb", st.diskMb);
   num("limits.linkMbps", st.linkMbps);
