Disk: rows changed where SQLite sees nothing wrong are a test of their own

The head's hash was looked at by no test. a_row_changed_behind_our_back_is_seen_on_opening changes, by SQL on a real file, the head, a key, a row of the value, and takes rows out; each is refused on opening.

--- a/tests/disk_test.cpp
+++ b/tests/disk_test.cpp
@@ -210,6 +210,13 @@
     }
   };
   cr_assert(whole(rows));
+  std::string const head = sealed(codec::pack(a.head()));
+  cr_assert(unsealed(head).has_value());
+  for (std::size_t i = 0; i < head.size() * 8; ++i) {
+    std::string b = head;
+    b[i / 8] = static_cast<char>(b[i / 8] ^ (1 << i % 8));
+    cr_assert_not(unsealed(b).has_value());
+  }
   for (std::size_t i = 0; i < rows.size(); ++i) {
     auto v = rows;
     v.erase(v.begin() + static_cast<long>(i));
@@ -428,6 +435,31 @@
   cr_assert_not(Store(d.path).load().fresh, "the mark says that there was a vote");
 }
 
+// Rows that SQLite itself finds nothing wrong with.
+Test(disk, a_row_changed_behind_our_back_is_seen_on_opening) {
+  for (char const* sql : {"UPDATE meta SET v=CAST(substr(v,1,11)||x'7f'||substr(v,13) AS BLOB) WHERE k='head'", "UPDATE claim SET holder=holder+1",
+                          "UPDATE value SET v=x'00' WHERE k LIKE 'm/%'", "DELETE FROM value WHERE k LIKE 'm/%'", "DELETE FROM meta WHERE k='head'"}) {
+    Dir const d;
+    {
+      Member1 m(d.path);
+      Rnd r(3);
+      for (int i = 0; i < 5; ++i) cr_assert(m.accept(r));
+    }
+    sqlite3* h = nullptr;
+    sqlite3_open((d.path + "/register.db").c_str(), &h);
+    cr_assert_eq(sqlite3_exec(h, sql, nullptr, nullptr, nullptr), SQLITE_OK, "%s", sql);
+    cr_assert_gt(sqlite3_changes(h), 0, "%s", sql);
+    sqlite3_close(h);
+    bool refused = false;
+    try {
+      Store(d.path).load();
+    } catch (Unreadable const&) {
+      refused = true;
+    }
+    cr_assert(refused, "%s", sql);
+  }
+}
+
 // Votes are handed in before the one they rest on is known to have failed.
 Test(disk, a_vote_on_top_of_a_refused_one_is_left_out) {
   Dir const d;
