--- a/packages/contact/include/contact/contact.hpp
+++ b/packages/contact/include/contact/contact.hpp
@@ -115,7 +115,7 @@
       p.ahead.clear();
       p.life = a.life;
     }
-    p.until = a.left > 0 ? at + a.left : never;
+    p.until = a.left > 0 ? at + std::min(a.left, p_.bound) : never;  // nobody is in contact for longer
     p.ahead.push_back({at, a.bal});
     if (p.ahead.size() > 16) p.ahead.pop_front();
     cover(p);
--- a/programs/facsimile.cpp
+++ b/programs/facsimile.cpp
@@ -279,7 +279,7 @@
   }
   void round(Proposer::Change c) {
     prop.saw(accs[0]->promised());
-    deliver(prop.begin(*accs[0]->state(), std::move(c), 0));
+    deliver(prop.begin(*accs[0]->state(), std::move(c), 0, std::nullopt));
     Commit m;
     m.bal = prop.value().bal;
     m.delta = prop.delta();
