--- a/tests/day.hpp
+++ b/tests/day.hpp
@@ -18,6 +18,7 @@
   }
   static constexpr bool reads_own = false;  // a read is answered from the node's own value
   static constexpr bool hasty = false;      // an order is confirmed before its round is won
+  static constexpr bool any_round = false;  // a round that held no changes confirms them
   static constexpr bool forgets = false;    // nothing is kept of what was known when an order came in
 };
 
@@ -197,6 +198,8 @@
       d.next = now + draw(30);
       return back(d);
     }
+    // It may only have brought another's step of the roster to its end.
+    if (!n.prop->changed() && !H::any_round) return back(d);
     std::vector<Waiting> b;
     b.swap(d.batch);
     State const v = n.prop->value();
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -247,6 +247,9 @@
 struct ReadsOwn : Handling {
   static constexpr bool reads_own = true;
 };
+struct AnyRound : Handling {
+  static constexpr bool any_round = true;
+};
 struct Forgets : Handling {
   static constexpr bool forgets = true;
 };
@@ -289,7 +292,10 @@
 }  // namespace
 
 Test(orders, planted_faults_break_a_day) {
-  DayPlan cut, crash;
+  DayPlan cut, crash, members;
+  members.members = true;
+  members.calm = 1100;
+  cr_assert(broken_by<AnyRound>(members, 8) > 0, "confirmed by the end of another's step of the roster");
   cut.long_cut = true;
   cut.lose_answer = 0.4;
   cr_assert(broken_by<Forgets>(cut, 24) > 0, "what was refused comes into force late");
