--- a/packages/desks/include/desks/keys.hpp
+++ b/packages/desks/include/desks/keys.hpp
@@ -10,12 +10,9 @@
 
 class KeyDesk {
  public:
-  // said: what the disk says of its keys. It is the membership in which they became whole,
-  // plus one: a disk that left the roster since is not whole, and no write has to say so.
-  KeyDesk(House& h, std::string const& said) : h_(h), ledger_(false), copying_(std::strtoull(said.c_str(), nullptr, 10)) {
-    fit(h_.acceptor->state());
-  }
-  static std::string founder() { return "1"; }
+  // filled: the membership in which the disk's keys became whole, plus one; 0: they are not.
+  // A disk that left the roster since is not whole, and no write has to say so.
+  KeyDesk(House& h, u64 filled) : h_(h), ledger_(false), copying_(filled) { fit(h_.acceptor->state()); }
 
   // A new disk copies the keys of a majority of the others before it votes.
   void rebuild(Secs now) {
@@ -26,19 +23,21 @@
     Rebuild q;
     q.epoch = h_.committed->epoch;
     for (Member const& m : h_.committed->roster)
-      if (m.ip != h_.st.ip && copying_.wants(m.ip) && h_.mate(m.ip).link) h_.mate(m.ip).link->send(Kind::rebuild, 0, q);
+      if (m.ip != h_.st.ip && copying_.wants(m.ip) && h_.mate(m.ip).link) h_.mate(m.ip).link->send(Kind::rebuild, tag_of(q.epoch), q);
   }
 
-  void rebuilt(std::string const& ip, RebuildR const& r) {
-    if (filling_ || !h_.committed) return;
+  void rebuilt(std::string const& ip, u32 tag, RebuildR const& r) {
+    if (ledger_.whole() || filling_ || !h_.committed || !r.ok) return;
     State const& st = *h_.committed;
+    // A copy asked for under an earlier roster does not count towards this one's majority.
+    if (tag != tag_of(st.epoch)) return h_.strays.drop(Stray::epoch);
     Member const* m = st.member(ip);
     Filling::Step const got = copying_.hear(ip, r, m == nullptr ? std::nullopt : std::optional<Life>(m->life), st.epoch, st.majority(), ledger_, now_s());
     std::vector<Vellum::Op> ops;
     for (HeldKey const& k : got.put) ops.push_back(key_op(k.key, k.holder, true));
     if (got.enough) {
       u64 const in = since_in(st);
-      ops.push_back(Vellum::put_meta("whole", std::to_string(in)));
+      ops.push_back(Vellum::put_meta("whole", Store::whole_word(in)));
       filling_ = true;
       h_.vellum->submit(std::move(ops), [this, in](bool ok) {
         filling_ = false;
@@ -62,17 +61,19 @@
   void claim(ChannelP const& ch, u32 tag, Claim const& c) {
     ClaimR r;
     r.life = h_.acceptor->life();
-    if (c.life != r.life || !h_.born) return;
+    if (c.life != r.life) return h_.strays.drop(Stray::disk_life);
+    if (!h_.born) return;
     Epoch const mine = h_.acceptor->state() ? h_.acceptor->state()->epoch : Epoch(~0ULL);
     if (mine != fit_at_) fit(h_.acceptor->state());
+    u64 const late = ledger_.late();
     if (ledger_.claim(c, mine, now_s(), r) != Say::granted) {
+      h_.strays.drop(Stray::late_claim, ledger_.late() - late);
       ch->send(Kind::claimR, tag, r);
       return;
     }
     std::weak_ptr<Channel> const w = ch;
     h_.vellum->submit({key_op(c.key, c.holder, false)}, [this, w, tag, r, key = c.key, holder = c.holder](bool ok) {
-      ledger_.written(key, holder, ok);
-      if (!ok) return;
+      if (!ledger_.written(key, holder, ok)) return;
       if (auto const cp = w.lock()) cp->send(Kind::claimR, tag, r);
     });
   }
@@ -191,6 +192,7 @@
     copying_.fit(since_in(*s), ledger_);
   }
 
+  static u32 tag_of(Epoch e) { return static_cast<u32>(e.v ^ e.v >> 32); }
   static Vellum::Op key_op(std::string const& k, u64 holder, bool sealed) {
     Vellum::Op o;
     o.what = Vellum::Op::What::put_key;
--- a/packages/register/include/register/state.hpp
+++ b/packages/register/include/register/state.hpp
@@ -63,15 +63,15 @@
 // Invariants: bal is the ballot that wrote this value (0: founding); epoch is the
 // ballot that last changed who is in the roster, and so epoch <= bal; open is the
 // ballot that last changed what proxies and agents go by, and so open <= bal; to_fix
-// is the first window (0: none yet) whose report is not fixed, and it never falls; widest
-// is at least the size of every roster under which a key may have been won that still binds;
-// was is the roster that the step of this epoch left, kept until a round's proposer knew
-// that step to be won: as long as it stands here, a majority of it counts as well.
+// is the first window (0: none yet) whose report is not fixed, and it never falls; was
+// is the roster that the step of this epoch left, kept until a round's proposer knew
+// that step to be won: as long as it stands here, a majority of it counts as well; widest
+// is at least the size of every roster under which a key may have been won that still binds.
 struct State {
   DB_RECORD(State, (Ballot, bal), (Epoch, epoch), (std::vector<Item>, items),
                            (std::vector<Evac>, evacs), (std::vector<Member>, roster), (std::vector<Term>, duties),
                            (u64, to_fix), (std::vector<FixedWindow>, fixed), (Ballot, open), (std::vector<Pass>, passes),
-                           (std::vector<Unit>, units), (u32, widest), (std::vector<Retired>, retired), (std::vector<Member>, was));
+                           (std::vector<Unit>, units), (std::vector<Member>, was), (u32, widest), (std::vector<Retired>, retired));
   Pass const* pass(u64 id) const {
     for (Pass const& p : passes)
       if (p.id == id) return &p;
@@ -124,8 +124,8 @@
                            (bool, evacs_set), (std::vector<Evac>, evacs), (bool, roster_set),
                            (std::vector<Member>, roster), (bool, duties_set), (std::vector<Term>, duties), (u64, to_fix),
                            (bool, fixed_set), (std::vector<FixedWindow>, fixed), (Ballot, open), (bool, passes_set),
-                           (std::vector<Pass>, passes), (std::vector<Unit>, units), (u32, widest), (std::vector<Retired>, retired),
-                           (bool, was_set), (std::vector<Member>, was));
+                           (std::vector<Pass>, passes), (std::vector<Unit>, units), (bool, was_set),
+                           (std::vector<Member>, was), (u32, widest), (std::vector<Retired>, retired));
 };
 // The part that proxies and agents go by, under the ballot that last changed it: no
 // renewals, no reports.
