--- a/packages/errand/heads.cpp
+++ b/packages/errand/heads.cpp
@@ -5,8 +5,8 @@
 
 namespace dockbend {
 
-bool same_name(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+bool same_letters(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
            return std::tolower(static_cast<unsigned char>(x)) == std::tolower(static_cast<unsigned char>(y));
          });
 }
--- a/packages/errand/include/errand/heads.hpp
+++ b/packages/errand/include/errand/heads.hpp
@@ -13,7 +13,8 @@
 
 using Heads = std::vector<std::pair<std::string, std::string>>;
 
-bool same_name(std::string_view a, std::string_view b);
+bool same_letters(std::string_view a, std::string_view b);  // of equal length
+inline bool same_name(std::string_view a, std::string_view b) { return a.size() == b.size() && same_letters(a, b); }
 std::string const* find_head(Heads const& h, std::string_view name);
 // Headers that concern one channel only and do not go along.
 bool hop_only(std::string_view name);
