--- a/packages/desks/include/desks/house.hpp
+++ b/packages/desks/include/desks/house.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 
+#include "accession/accession.hpp"
 #include "contact/contact.hpp"
 #include "errand/heads.hpp"
 #include "gossip/roll.hpp"
@@ -32,9 +33,12 @@
   return {code, json::render(f)};
 }
 
-// A change that is not known to stand may yet: its call is never answered with a code that
-// promises that nothing was done.
-inline CallRet unsure() { return fault(504, "no majority in time; it may yet stand"); }
+// What an operator's order is answered with.
+inline CallRet answer_of(Outcome const& o) {
+  int const code = status_of(o.ruling);
+  if (code != 200) return fault(code, o.what);
+  return {code, o.id == 0 ? std::string("{}") : "{\"id\":\"" + std::to_string(o.id) + "\"}"};
+}
 
 struct Mate {
   std::unique_ptr<Link> link;  // null: ourselves
@@ -80,6 +84,7 @@
   std::function<void(std::function<bool(State&)>, std::function<void(State const*)>, Secs)> submit;
   std::function<Mate&(std::string const&)> mate;  // made if new
 
+  State const* known() const { return committed ? &*committed : nullptr; }
   bool up(std::string const& ip) const {
     if (ip == st.ip) return true;
     auto const it = mates.find(ip);
@@ -112,7 +117,28 @@
     return g.empty() || g == st.region;
   }
   Secs patience() const { return std::max(0.5, st.bounds.ackBoundS * 0.8); }
-  void write(evhttp_request* r, CallRet const& c) const {
+  // Brings an order to the register and answers its call.
+  template <Accession O>
+  void order(evhttp_request* r, O o) {
+    if (leaving > 0) return write(r, fault(503, "leaving"));
+    carry(submit, std::move(o), patience(), [this, r](Outcome const& x) { write(r, answer_of(x)); });
+  }
+  evhttp_request const* answered = nullptr;  // the newest call that was, for answer() alone
+  // One call from outside: whatever its handler throws ends this call, not the process.
+  template <class F>
+  void answer(evhttp_request* r, F f) {
+    answered = nullptr;
+    try {
+      f(r);
+    } catch (std::exception const& e) {
+      DB_LOG("archivist");
+      LOG4CPLUS_WARN(lg, "A call to " << evhttp_request_get_uri(r) << " could not be handled: " << e.what() << ".");
+      if (answered != r) write(r, fault(500, e.what()));
+    }
+  }
+  void write(evhttp_request* r, CallRet const& c) {
+    answered = r;
+    if (c.code == 400) ++bad_input().calls;
     evkeyvalq* out = evhttp_request_get_output_headers(r);
     evhttp_add_header(out, "Content-Type", "application/json");
     if (leaving > 0) evhttp_add_header(out, "Connection", "close");
--- a/packages/desks/include/desks/register.hpp
+++ b/packages/desks/include/desks/register.hpp
@@ -7,6 +7,8 @@
 #include <deque>
 
 #include "desks/house.hpp"
+#include "register/patience.hpp"
+#include "register/pieces.hpp"
 #include "register/proposer.hpp"
 
 namespace dockbend {
@@ -16,7 +18,9 @@
 // a round that was lost come before the ones that came later.
 class RegisterDesk {
  public:
-  explicit RegisterDesk(House& h) : h_(h), proposer_(h.st.ip) {}
+  explicit RegisterDesk(House& h)
+      : h_(h), proposer_(h.st.ip, [this](Ballot have, Ballot bal) { return accepted() == bal ? h_.acceptor->since(have) : std::nullopt; }),
+        patience_((h.st.linkMbps > 0 ? h.st.linkMbps : 10) * 1e6 / 8) {}
 
   sigc::signal<void()> on_view;          // the view changed; before the nodes we feed hear of it
   sigc::signal<void(bool)> on_value;     // a value is in force; true: its roster is another
@@ -57,7 +61,8 @@
       std::sort(f.roster.begin(), f.roster.end(), [](Member const& a, Member const& b) { return a.ip < b.ip; });
       d.value = f;
     }
-    if (d.value && d.value->bal == Ballot(0)) h_.committed = d.value;
+    // Only at the very first start is the founding value known to be the newest.
+    if (first && d.value) h_.committed = d.value;
     h_.acceptor = std::make_unique<Acceptor>(l, d.head ? d.head->promised : Ballot(), d.value);
     if (d.head) proposer_.saw(d.head->promised);
     if (!first && d.value) durable_ = d.value->bal;
@@ -111,20 +116,35 @@
   // The way to a mate is up: what it missed of our round, and what we may have missed.
   void reached(std::string const& ip, Link& l) {
     for (auto& o : proposer_.resend(ip)) send_out(o);
-    l.send(Kind::pull, 0, Pull{bal()});
+    l.send(Kind::pull, 0, lacks());
   }
   // A mate has the value of b in force.
   void ahead(Mate& m, Ballot b, Secs now) {
     if (b <= bal()) return;
     if (h_.acceptor->state() && h_.acceptor->state()->bal == b) {
       learn(*h_.acceptor->state());
-    } else if (now - m.pulled > 0.25) {
+    } else if (now - m.pulled > 0.25 && now - piece_at_ > 1.0) {
       m.pulled = now;
-      m.link->send(Kind::pull, 0, Pull{bal()});
+      m.link->send(Kind::pull, 0, lacks());
     }
   }
-  void on_prep(std::string const& ip, PrepR const& r) { outs(proposer_.on_prep(ip, r)); }
-  void on_acc(std::string const& ip, AccR const& r) { outs(proposer_.on_acc(ip, r)); }
+  // A piece of the value in force at a mate; the next is asked of the same one.
+  void piece(std::string const& ip, Piece const& x, Secs now) {
+    if (x.part.bal <= bal()) return;
+    Gather::Took const t = gather_.take(x);
+    if (t.whole) return learn(*t.whole);
+    if (!t.used) return;
+    piece_at_ = now;
+    if (h_.mates.count(ip) > 0 && h_.mates[ip].link) h_.mates[ip].link->send(Kind::pull, 0, lacks());
+  }
+  void on_prep(std::string const& ip, PrepR const& r) {
+    patience_.answered(ip, now_s());
+    outs(proposer_.on_prep(ip, r));
+  }
+  void on_acc(std::string const& ip, AccR const& r) {
+    patience_.answered(ip, now_s());
+    outs(proposer_.on_acc(ip, r));
+  }
   void prep(Peer& p, u32 tag, Prep const& q, Secs now) {
     if (!h_.born) return;
     PrepR r;
@@ -145,10 +165,25 @@
       if (h_.view.bal > have || h_.view.bal.v == 0) p.ch->send(lacking(have));
       return;
     }
-    if (h_.committed->bal < have || (h_.committed->bal == have && h_.committed->bal.v != 0)) return;
+    if (h_.committed->bal < q.won || (h_.committed->bal == q.won && h_.committed->bal.v != 0)) return;
     Commit c;
     c.bal = h_.committed->bal;
-    c.state = codec::pack(*h_.committed);
+    // Who holds this value needs to hear only that it was won.
+    if (have != c.bal || have == Ballot(0)) {
+      std::optional<Delta> const d = accepted() == c.bal ? h_.acceptor->since(have) : std::nullopt;
+      if (d) {
+        c.delta = codec::pack(*d);
+      } else {
+        auto const since = [&](Ballot b) { return accepted() == c.bal ? h_.acceptor->since(b) : std::nullopt; };
+        RowSum const sum = accepted() == c.bal ? h_.acceptor->sum() : rows_between(nullptr, *h_.committed).sum;
+        Piece const x = piece_of(*h_.committed, sum, q.part, q.after, since, piece_bytes);
+        if (x.base != Ballot(0) || !x.last) {
+          p.ch->send(Kind::piece, 0, x);
+          return;
+        }
+        c.state = codec::pack(*h_.committed);
+      }
+    }
     p.ch->send(Kind::commitR, 0, c);
   }
   // What a node that has the view of `have` lacks of ours.
@@ -185,27 +220,32 @@
   void commit(Commit const& c, std::string const& from) {
     if (c.bal <= bal()) return;
     if (!c.state.empty()) {
-      learn(codec::unpack<State>(c.state));
+      State const s = read_state(c.state);
+      if (s.bal != c.bal) throw codec::Malformed("a value under another ballot");
+      learn(s);
       return;
     }
     if (h_.acceptor->state() && h_.acceptor->state()->bal == c.bal) {
       learn(*h_.acceptor->state());
       return;
     }
-    if (h_.committed) {
-      State s = *h_.committed;
-      if (apply(s, codec::unpack<Delta>(c.delta))) {
+    if (!c.delta.empty()) {
+      Delta const d = read_delta(c.delta);
+      State const* const base = d.base == bal() && h_.committed ? &*h_.committed : d.base == accepted() && h_.acceptor->state() ? &*h_.acceptor->state() : nullptr;
+      if (base != nullptr) {
+        State s = *base;
+        apply(s, d);
         learn(s);
         return;
       }
     }
-    if (h_.mates.count(from) > 0 && h_.mates[from].link) h_.mates[from].link->send(Kind::pull, 0, Pull{bal()});
+    if (h_.mates.count(from) > 0 && h_.mates[from].link) h_.mates[from].link->send(Kind::pull, 0, lacks());
   }
 
   // ---- time --------------------------------------------------------------------------
   void begin(Secs now) { finish_at_ = now + 0.2 + 0.6 * random01(); }
   void tick(Secs now) {
-    if (!proposer_.idle() && now - proposer_.since() > 1.2) {
+    if (!proposer_.idle() && now - proposer_.since() > round_patience()) {
       proposer_.abandon();
       std::vector<Call> b;
       b.swap(batch_);
@@ -215,7 +255,7 @@
   }
   // A value accepted but not known to be committed is brought to an end.
   void finish(Secs now) {
-    if (h_.acceptor->state() && h_.acceptor->state()->bal > bal()) {
+    if (h_.acceptor->state() && (!h_.committed || accepted() > bal())) {
       if (finish_at_ == 0) finish_at_ = now + 0.8 + 0.8 * random01();
       if (now > finish_at_ && calls_.empty() && proposer_.idle()) {
         finish_at_ = now + 1.0 + random01();
@@ -227,12 +267,15 @@
   }
 
  private:
+  static std::size_t constexpr piece_bytes = 256 * 1024;
   struct Call {
     std::function<bool(State&)> change;
     std::function<void(State const*)> done;  // null: not known to stand
     Secs until = 0;
   };
 
+  Pull lacks() const { return Pull{best() != nullptr ? best()->bal : Ballot(), bal(), gather_.have(), gather_.after()}; }
+
   // Our vote as it is now, with what it changed of the value.
   void vote(std::vector<ValueRow> rows, std::function<void(bool)> done) { writer_->write(h_.acceptor->head(), std::move(rows), std::move(done)); }
 
@@ -279,6 +322,7 @@
       calls_.pop_front();
     }
     proposer_.saw(h_.acceptor->promised());
+    patience_.begin();
     outs(proposer_.begin(
         *b,
         [this](State& s) {
@@ -289,6 +333,13 @@
         now, h_.committed ? std::optional<Epoch>(h_.committed->epoch) : std::nullopt));
   }
 
+  Secs round_patience() const {
+    std::vector<std::string> v;
+    for (Member const& m : proposer_.base().roster)
+      if (m.ip != h_.st.ip) v.push_back(m.ip);
+    return patience_.of(v);
+  }
+
   void outs(std::vector<Proposer::Out> const& v) {
     for (auto const& o : v) send_out(o);
     round_over();
@@ -324,6 +375,7 @@
     }
     Mate& m = h_.mate(o.ip);
     if (!m.link) return;
+    patience_.asked(o.ip, o.acc.state.size() + o.acc.delta.size(), now_s());
     if (o.is_prep)
       m.link->send(Kind::prep, 0, o.prep);
     else
@@ -410,6 +462,9 @@
 
   House& h_;
   Proposer proposer_;
+  Patience patience_;
+  Gather gather_;       // of a value that comes in pieces
+  Secs piece_at_ = -1;  // when the last one came
   std::unique_ptr<VoteWriter<Vellum>> writer_;
   std::deque<Call> calls_;
   std::vector<Call> batch_;
--- a/packages/errand/heads.cpp
+++ b/packages/errand/heads.cpp
@@ -1,6 +1,7 @@
 #include "errand/heads.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 
 namespace dockbend {
@@ -47,6 +48,31 @@
   return Framing::length;
 }
 
+namespace {
+// RFC 9110, 5.6.2
+bool is_token(std::string_view s) {
+  static auto const table = [] {
+    std::array<bool, 256> t{};
+    for (char const* c = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"; *c != '\0'; ++c) t[static_cast<u8>(*c)] = true;
+    return t;
+  }();
+  for (char const c : s)
+    if (!table[static_cast<u8>(c)]) return false;
+  return !s.empty();
+}
+}  // namespace
+
+bool well_formed(Heads const& h) {
+  std::size_t ids = 0;
+  for (auto const& [k, v] : h) {
+    if (!is_token(k) || v.find('\r') != std::string::npos) return false;
+    ids += same_name(k, "X-Attempt-Id") ? 1 : 0;
+  }
+  return ids < 2;
+}
+
+bool well_formed_target(std::string_view uri) { return uri.find(' ') == std::string_view::npos && !has_control(uri); }
+
 bool surely_not_run(End e) { return e == End::not_run || e == End::misdirected || e == End::unsent; }
 
 char const* reason_of(int code) {
--- a/packages/register/acceptor.cpp
+++ b/packages/register/acceptor.cpp
@@ -3,6 +3,7 @@
 namespace dockbend {
 
 Acceptor::Step Acceptor::prepare(Prep const& p, PrepR& r) {
+  check_ballot(p.bal);
   r.bal = p.bal;
   r.life = life_;
   if (p.life != life_) return {};  // meant for another disk: no vote, and no news of ours either
@@ -16,18 +17,24 @@
   if (st_) {
     r.accepted = st_->bal;
     if (st_->bal > p.have) {
-      r.full = true;
-      r.state = codec::pack(*st_);
+      if (auto const d = since(p.have)) {
+        r.delta = codec::pack(*d);
+      } else {
+        r.full = true;
+        r.state = codec::pack(*st_);
+      }
     }
   }
   return {true, {}};
 }
 
 Acceptor::Step Acceptor::accept(Acc const& a, AccR& r) {
+  check_ballot(a.bal);
   r.bal = a.bal;
   r.life = life_;
   if (a.life != life_) return {};
   r.promised = promised_;
+  if (st_) r.have = st_->bal;
   if (a.bal < promised_) return {};
   if (st_ && st_->bal == a.bal) {  // a repeat of what stands
     r.ok = true;
@@ -36,12 +43,15 @@
   if (st_ && st_->bal > a.bal) return {};
   RowDiff d;
   if (!a.state.empty()) {
-    State next = codec::unpack<State>(a.state);
+    State next = read_state(a.state);
+    if (next.bal != a.bal) throw codec::Malformed("a value under another ballot");
     d = rows_between(st_ ? &*st_ : nullptr, next);
     st_ = std::move(next);
   } else {
+    Delta const delta = read_delta(a.delta);
+    if (delta.bal != a.bal) throw codec::Malformed("a value under another ballot");
     std::optional<RowDiff> by;
-    if (st_) by = apply_rows(*st_, codec::unpack<Delta>(a.delta));
+    if (st_) by = apply_rows(*st_, delta);
     if (!by) {
       r.want_full = true;
       return {};
@@ -65,6 +75,7 @@
 
 Acceptor::Step Acceptor::take(RowDiff d) {
   move_sum(d.sum);
+  changes_.moved(d.rows, *st_);
   return {true, std::move(d.rows)};
 }
 
--- a/packages/register/include/register/state.hpp
+++ b/packages/register/include/register/state.hpp
@@ -55,9 +55,11 @@
 };
 // What an operator ordered. Invariants: units of a pass that is over are gone from the
 // value; max_out is above 0 for servers; only the holder of the duty `drain` moves it.
+// digest is that of the order (0: not known); heard has a bit for each kind of command
+// that was acknowledged, and it only grows; turn rises with each pause and resume.
 struct Pass {
   DB_RECORD(Pass, (u64, id), (bool, servers), (PassState, state), (double, headroom), (u32, max_out), (double, patience),
-            (bool, replaced), (std::string, why), (std::vector<Had>, had), (u32, total), (u32, back));
+            (bool, replaced), (std::string, why), (std::vector<Had>, had), (u32, total), (u32, back), (u64, digest), (u32, heard), (u32, turn));
 };
 
 // Invariants: bal is the ballot that wrote this value (0: founding); epoch is the
@@ -130,8 +132,23 @@
 // The part that proxies and agents go by, under the ballot that last changed it: no
 // renewals, no reports.
 State view_of(State const& s);
+// No round has a ballot above this: one that a garbled letter named would leave no room for
+// the next, and the register would stand still for ever. Throws codec::Malformed.
+Ballot constexpr last_ballot{~0ULL >> 1};
+inline void check_ballot(Ballot b) {
+  if (b > last_ballot) throw codec::Malformed("a ballot that no round can have");
+}
+
+// Reads a value, or what changed of one, that came from outside. Throws codec::Malformed unless
+// it keeps what every value keeps: a roster of distinct addresses, epoch and open not above
+// bal, items of known kinds.
+State read_state(std::string_view bytes);
+Delta read_delta(std::string_view bytes);
+
 bool same_view(State const& a, State const& b);
 Delta delta_of(State const& from, State const& to);
+// First a, then b, which begins where a ends.
+Delta joined(Delta a, Delta const& b);
 // False unless st is the delta's base.
 bool apply(State& st, Delta const& d);
 
@@ -141,19 +158,21 @@
 };
 struct PrepR {
   DB_RECORD(PrepR, (bool, ok), (Ballot, bal), (Ballot, promised), (Ballot, accepted), (bool, full),
-                           (std::string, state), (Life, life));
+                           (std::string, state), (Life, life), (std::string, delta));
 };
 struct Acc {
   DB_RECORD(Acc, (Ballot, bal), (Life, life), (std::string, delta), (std::string, state));
 };
 struct AccR {
-  DB_RECORD(AccR, (bool, ok), (Ballot, bal), (Ballot, promised), (bool, want_full), (Life, life));
+  DB_RECORD(AccR, (bool, ok), (Ballot, bal), (Ballot, promised), (bool, want_full), (Life, life), (Ballot, have));
 };
 struct Commit {
   DB_RECORD(Commit, (Ballot, bal), (std::string, delta), (std::string, state));
 };
+// have: the newest value here, won or not; won: the newest known to be; part, after: of the
+// value of `part` the items up to `after` have come in pieces.
 struct Pull {
-  DB_RECORD(Pull, (Ballot, have));
+  DB_RECORD(Pull, (Ballot, have), (Ballot, won), (Ballot, part), (std::string, after));
 };
 
 }  // namespace dockbend
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -154,7 +154,7 @@
       case Kind::loanR: loaned(l.as<LoanRet>()); break;
       case Kind::survey: surveyed(l.tag, l.as<SurveyAsk>()); break;
       case Kind::drain: told_to_drain(l.as<DrainSaid>()); break;
-      default: break;
+      default: ++bad_input().letters; break;
     }
   }
 
@@ -162,7 +162,7 @@
     Secs const now = now_s();
     if (!n.state.empty()) {
       tell_held_back();
-      State const s = codec::unpack<State>(n.state);
+      State const s = read_state(n.state);
       // A node never steps back in one life.
       if (!have_state_ || s.bal > bal_) {
         have_state_ = true;
@@ -173,7 +173,7 @@
         manifest_changed(now);
       }
     } else if (!n.delta.empty()) {
-      Delta const d = codec::unpack<Delta>(n.delta);
+      Delta const d = read_delta(n.delta);
       if (have_state_ && d.bal > bal_) {
         bal_ = d.bal;
         for (Item const& i : d.items) man_.put(i);
@@ -382,7 +382,10 @@
     bytes_in_ += static_cast<double>(body + size_of(heads)) + 150;
     Admission a = admit(Arrival{heads, uri, body, chunks}, have_state_ ? &man_ : nullptr, man_.limits(), drains(), random01());
     if (a.why != nullptr) ++given_up_[a.why];
-    if (!a.ok) return write(r, a.no, a.id);
+    if (!a.ok) {
+      if (a.no.code == 400) ++bad_input().calls;
+      return write(r, a.no, a.id);
+    }
 
     auto up = std::make_unique<Errand>();
     Errand& e = *up;
@@ -504,12 +507,23 @@
   void asked(u32 tag, AskR const& a) {
     Errand* const e = requests_.asked(tag, [&](Errand const& x) { return a.holder == x.holder; });
     if (e == nullptr) return;
+    // An answer that can't be read is told to its client before it ends the agent's channel.
+    std::optional<Return> first;
+    if (a.leave == Leave::repeat) {
+      try {
+        first = codec::unpack<Return>(a.ret);
+      } catch (codec::Malformed const&) {
+        carry(*e, e->core.claim_refused(own(502)));
+        throw;
+      }
+      if (first->code < 200 || first->code > 599) return carry(*e, e->core.claim_refused(own(502)));
+    }
     switch (a.leave) {
       case Leave::run:
         carry(*e, e->core.claim_granted());
         break;
       case Leave::repeat: {
-        Return const r = codec::unpack<Return>(a.ret);
+        Return const& r = *first;
         if (r.key != e->key) {
           requests_.fence().drop(Drop::other_key);
           return carry(*e, e->core.claim_refused(own(502)));
@@ -535,6 +549,7 @@
       case Leave::at_work: carry(*e, e->core.claim_refused(own(409, false, 0.1 + 0.3 * e->lane->setpoint))); break;
       case Leave::lost: carry(*e, e->core.claim_refused(own(502))); break;
       case Leave::unavailable: carry(*e, e->core.claim_refused(own(503, false, 0.2 + 0.2 * random01()), "key not granted")); break;
+      default: carry(*e, e->core.claim_refused(own(502))); break;  // a word that we don't know promises nothing
     }
   }
 
@@ -579,7 +594,7 @@
     }
     if (e.tenant) evhttp_add_header(out, "X-Tenant", e.tenant->name.c_str());
     char b[32];
-    std::snprintf(b, sizeof b, "%d", std::max(1, static_cast<int>((e.deadline() - now) * 1000)));
+    std::snprintf(b, sizeof b, "%d", static_cast<int>(std::clamp((e.deadline() - now) * 1000, 1.0, 2e9)));
     evhttp_add_header(out, "X-Time-Left", b);
     evhttp_add_header(out, "X-Target-Server", t.id.c_str());
     evhttp_add_header(out, "Connection", "keep-alive");
@@ -632,7 +647,7 @@
     bool const closing = cn != nullptr && same_name(*cn, "close");
     if (std::string const* cl = find_head(rep.heads, "X-Cold-Remaining"); cl != nullptr) {
       double const left = std::strtod(cl->c_str(), nullptr);
-      if (left > 0) as_.cold(c.server, left, now);
+      if (left > 0 && left < 1e9) as_.cold(c.server, left, now);
     }
     if (en == End::broken || surplus || closing || draining_) {
       if (en == End::whole || en == End::not_run || en == End::misdirected) {
@@ -643,7 +658,7 @@
       Secs limit = 4;
       if (std::string const* ka = find_head(rep.heads, "Keep-Alive"); ka != nullptr) {
         auto const p = ka->find("timeout=");
-        if (p != std::string::npos) limit = std::max(0.0, std::strtod(ka->c_str() + p + 8, nullptr) - 1.5);
+        if (p != std::string::npos) limit = std::clamp(std::strtod(ka->c_str() + p + 8, nullptr) - 1.5, 0.0, 3600.0);
       }
       e->chan = nullptr;
       shelf_.keep(c, limit, now);
@@ -847,6 +862,10 @@
       fenced_at_ = now;
       if (std::string const d = requests_.fence().since(); !d.empty()) LOG4CPLUS_INFO(lg_, "Dropped as not the answer that was waited for: " << d << ".");
     }
+    if (now - bad_at_ > 10) {
+      bad_at_ = now;
+      say_bad_input();
+    }
     if (now - said_at_ > 10 && !given_up_.empty()) {
       said_at_ = now;
       std::string line;
@@ -906,7 +925,7 @@
   Secs fenced_at_ = 0;
   u64 to_fix_ = 0;
   std::map<std::string, u64> given_up_;  // by reason, since it was last logged
-  Secs said_at_ = 0;
+  Secs said_at_ = 0, bad_at_ = 0;
   bool have_state_ = false, draining_ = false, tally_all_ = false;
   Ballot bal_;
   Secs drain_at_ = 0, closed_at_ = 0, cpu_at_ = 0, tallied_ = 0;
