A first answer with homes never passes a relay: bodies stay at home on their way too

An agent without a way to the core goes through another agent, of any region. Over a relayed connection nothing is stored or fetched for a key with homes; a repeat gets what a lost answer gets. Test: a_body_with_homes_never_passes_a_relay.

--- a/packages/keys/include/keys/claims.hpp
+++ b/packages/keys/include/keys/claims.hpp
@@ -81,8 +81,10 @@
   Claims(std::string zone, std::string region, std::string node) : zone_(std::move(zone)), region_(std::move(region)), node_(std::move(node)) {}
 
   // ---- disks ---------------------------------------------------------------------
-  void up(std::string const& ip, u64 connection) {
+  // `relayed`: the connection leads through another agent, of any region.
+  void up(std::string const& ip, u64 connection, bool relayed = false) {
     disks_[ip].connection = connection;
+    disks_[ip].relayed = relayed;
     order();
     // Once more what may have been on its way when the connection ended, and what came since.
     if (auto const it = owed_.find(ip); it != owed_.end()) {
@@ -179,7 +181,7 @@
       ret = codec::pack(r);
     }
     for (std::string const& ip : near_)
-      if (is_home(ip, t.homes)) {
+      if (may_see_body(ip, t.homes)) {
         out_.emplace_back(StoreOut{ip, std::move(ret)});
         break;
       }
@@ -275,6 +277,7 @@
   struct Disk {
     u64 connection = 0;  // 0: down
     Secs rtt = 0.1;
+    bool relayed = false;
   };
   struct Job {
     std::string key;
@@ -309,6 +312,11 @@
       if (m.ip == ip) return &m;
     return nullptr;
   }
+  // Bodies stay at home on their way too: a relay may stand in any region.
+  bool may_see_body(std::string const& ip, std::vector<std::string> const& homes) const {
+    auto const d = disks_.find(ip);
+    return is_home(ip, homes) && (homes.empty() || d == disks_.end() || !d->second.relayed);
+  }
   bool is_home(std::string const& ip, std::vector<std::string> const& homes) const {
     Member const* m = member(ip);
     return m != nullptr && (homes.empty() || std::find(homes.begin(), homes.end(), m->region) != homes.end());
@@ -397,7 +405,7 @@
     j.asked.clear();
     Secs worst = 0;
     for (std::string const& ip : near_) {
-      if (!is_home(ip, j.homes)) continue;
+      if (!may_see_body(ip, j.homes)) continue;
       worst = std::max(worst, disks_[ip].rtt);
       j.asked[ip] = disks_[ip].connection;
       FetchOut f;
--- a/programs/page.cpp
+++ b/programs/page.cpp
@@ -92,7 +92,7 @@
       l.ch()->send(Kind::probe, 0, std::string_view());
       feeds();
       if (mates_[ip].feeding) beat(ip, mates_[ip]);
-      claims_.up(ip, l.connection());
+      claims_.up(ip, l.connection(), l.relayed());
       say_claims();
     });
     m.link->on_down.connect([this, ip](Link&) {
--- a/tests/claims_test.cpp
+++ b/tests/claims_test.cpp
@@ -496,3 +496,30 @@
     cr_assert(w.empty() || w == "a grant is left behind", "seed %u: %s", seed, w.c_str());
   }
 }
+
+Test(claims, a_body_with_homes_never_passes_a_relay) {
+  for (bool const relayed : {false, true})
+    for (bool const homes : {false, true}) {
+      Claims<> c("z", "r", "node");
+      State st;
+      Member m;
+      m.ip = "10.0.0.1";
+      m.zone = "z";
+      m.region = "r";
+      m.life = Life(1);
+      st.roster.push_back(m);
+      c.roster(st, 1);
+      c.proxy(7);
+      c.up(m.ip, 1, relayed);
+      Told t;
+      t.key = "k";
+      t.holder = 5;
+      t.outcome = Outcome::returned;
+      t.ret = "body";
+      if (homes) t.homes.push_back("r");
+      c.told(t);
+      auto const out = c.take();
+      bool const stored = std::any_of(out.begin(), out.end(), [](ClaimStep const& x) { return std::holds_alternative<StoreOut>(x); });
+      cr_assert_eq(stored, !(relayed && homes), "relayed %d, homes %d", relayed, homes);
+    }
+}
