--- a/packages/desks/include/desks/duties.hpp
+++ b/packages/desks/include/desks/duties.hpp
@@ -135,19 +135,12 @@
     std::string const duty = rest.substr(0, cut), node = cut == std::string::npos ? "" : rest.substr(cut + 1);
     auto const it = duties_.find(duty);
     if (it == duties_.end()) return h_.write(r, fault(404, "no such duty: " + duty));
-    bool known = node == h_.st.nodeName;
-    for (auto const& [ip, m] : h_.mates) known = known || (!node.empty() && m.node == node && h_.up(ip));
-    if (!known) return h_.write(r, fault(404, "no such node in touch: " + node));
-    Term const* t = h_.committed ? h_.committed->term(duty) : nullptr;
-    if (t == nullptr) return h_.write(r, fault(409, "nobody has the duty yet"));
-    if (t->holder == node && t->next.empty()) return h_.write(r, CallRet{200, "{}"});
-    if (it->second.hand_over(node)) return h_.write(r, CallRet{200, "{}"});
-    if (t->ip == h_.st.ip || !h_.up(t->ip)) return h_.write(r, fault(503, "its holder is not in touch"));
-    DutyCmd c;
-    c.duty = duty;
-    c.node = node;
-    h_.mates[t->ip].link->send(Kind::dutyCmd, 0, c);
-    h_.write(r, CallRet{200, "{}"});
+    HandOver const o{duty, node};
+    carry(h_.submit, o, h_.patience(), [this, r, o, until = now_s() + h_.patience()](Outcome const& x) {
+      if (x.ruling == Ruling::taken) return h_.write(r, answer_of(x));
+      if (std::string const why = hand_over(o); !why.empty()) return h_.write(r, fault(503, why));
+      orders_.push_back(Ordered{o, r, until});
+    });
   }
 
   // The lender knows; another node says where it is.
@@ -156,15 +149,13 @@
     Duty const& d = duties_.at("allowance");
     if (!tenant.empty()) {
       TenantP const p = h_.partners.tenant(tenant);
-      if (!p) return h_.write(r, fault(404, "no such tenant: " + tenant));
-      if (!p->allowance) return h_.write(r, fault(404, "tenant without an allowance: " + tenant));
+      if (!p || !p->allowance) return refuse(r, tenant, uri);
     }
     if (!d.holds()) {
       Term const* t = h_.committed ? h_.committed->term("allowance") : nullptr;
       Member const* m = t == nullptr ? nullptr : h_.committed->member(t->ip);
       if (m == nullptr || m->ip == h_.st.ip) return h_.write(r, lends() ? fault(503, "nobody lends yet") : CallRet{200, "{\"allowances\":[]}"});
-      evhttp_add_header(evhttp_request_get_output_headers(r), "Location", ("http://" + Addr{m->ip, m->control}.str() + uri).c_str());
-      return h_.write(r, CallRet{307, "{}"});
+      return h_.write(r, CallRet{307, "{}", "http://" + Addr{m->ip, m->control}.str() + uri});
     }
     rapidjson::StringBuffer sb;
     rapidjson::Writer<rapidjson::StringBuffer> w(sb);
@@ -221,6 +212,7 @@
   void tick(Secs now) {
     clock_.own(now, wall_s());
     duties(now);
+    answer_orders(now);
     pass_tally(now);
   }
   void leave() {
@@ -232,7 +224,11 @@
     return x;
   }
   void told(DutyCmd const& c) {
-    if (auto const it = duties_.find(c.duty); it != duties_.end()) it->second.hand_over(c.node);
+    auto const it = duties_.find(c.duty);
+    if (it == duties_.end()) return;
+    // Meant for a term that is over: whoever has the duty now was not spoken of.
+    if (c.fence != it->second.fence()) return h_.strays.drop(Stray::term);
+    it->second.hand_over(c.node);
   }
   void mate_clock(std::string const& ip, Secs steady, Wall said) { clock_.mate(ip, steady, said); }
   void join(TallyNote const& n) {
@@ -250,12 +246,49 @@
   }
 
  private:
+  // Passes an order on to whoever holds the duty; what stood in its way, if anything.
+  std::string hand_over(HandOver const& o) {
+    bool in_touch = o.node == h_.st.nodeName;
+    for (auto const& [ip, m] : h_.mates) in_touch = in_touch || (!o.node.empty() && m.node == o.node && h_.up(ip));
+    if (!in_touch) return "no such node in touch: " + o.node;
+    Term const* t = h_.committed ? h_.committed->term(o.duty) : nullptr;
+    if (t == nullptr) return "nobody has the duty yet";
+    if (Duty& d = duties_.at(o.duty); d.hand_over(o.node) || d.handing()) return "";
+    if (t->ip == h_.st.ip || !h_.up(t->ip)) return "its holder is not in touch";
+    DutyCmd c;
+    c.duty = o.duty;
+    c.node = o.node;
+    c.fence = t->fence;
+    h_.mates[t->ip].link->send(Kind::dutyCmd, 0, c);
+    return "";
+  }
+  // An order is answered once the register says that the duty goes where it was ordered to.
+  void answer_orders(Secs now) {
+    std::erase_if(orders_, [&](Ordered const& x) {
+      Outcome const o = h_.committed ? x.o.judge(*h_.committed) : unsettled("no value yet");
+      if (o.ruling != Ruling::taken && now < x.until) return false;
+      h_.write(x.r, answer_of(o));
+      return true;
+    });
+  }
+
+  // Only a value read on a majority refuses.
+  void refuse(evhttp_request* r, std::string const& tenant, std::string const& uri) {
+    h_.submit([](State&) { return false; },
+              [this, r, tenant, uri](State const* s) {
+                if (s == nullptr) return h_.write(r, fault(503, "no majority in time"));
+                TenantP const p = h_.partners.tenant(tenant);
+                if (p && p->allowance) return allowance_call(r, tenant, uri);
+                h_.write(r, fault(404, (p ? "tenant without an allowance: " : "no such tenant: ") + tenant));
+              },
+              h_.patience());
+  }
   bool wanted(std::string const& duty) const { return duty == "usage" ? reports() : duty == "drain" ? drains() : lends(); }
   bool drains() const {
     return std::any_of(h_.committed->passes.begin(), h_.committed->passes.end(),
                        [](Pass const& p) { return p.state == PassState::running || p.state == PassState::paused; });
   }
-  bool fit() const { return h_.born && h_.leaving == 0 && h_.settled(); }
+  bool fit() const { return h_.born && h_.leaving == 0 && h_.in_contact(); }
 
   bool reports() const {
     return h_.st.cloud && envoy_ && std::find(h_.st.cloudTasks.begin(), h_.st.cloudTasks.end(), "usage_report") != h_.st.cloudTasks.end() && h_.partners.has_tenants();
@@ -330,8 +363,14 @@
       if (t->allowance) lender_.rule(t->name, BudgetRule{t->allowance->rate, t->allowance->burst, t->allowance->reserve.value_or(0)}, n, now);
   }
 
+  struct Ordered {
+    HandOver o;
+    evhttp_request* r = nullptr;
+    Secs until = 0;
+  };
   House& h_;
   SiteDesk& sites_;
+  std::vector<Ordered> orders_;  // to hand a duty over, on their way
   std::map<std::string, Duty> duties_;
   Reporter reporter_{ReportPlan{}};
   std::unique_ptr<Envoy> envoy_;
--- a/packages/desks/include/desks/house.hpp
+++ b/packages/desks/include/desks/house.hpp
@@ -8,12 +8,15 @@
 #include <memory>
 #include <optional>
 
+#include "accession/accession.hpp"
+#include "contact/contact.hpp"
 #include "errand/heads.hpp"
 #include "gossip/roll.hpp"
 #include "register/acceptor.hpp"
 #include "register/vellum.hpp"
 #include "stacks/log.hpp"
 #include "stacks/program.hpp"
+#include "stacks/strays.hpp"
 
 namespace dockbend {
 
@@ -21,6 +24,7 @@
 struct CallRet {
   int code = 200;
   std::string body;
+  std::string location = {};  // of a 307
 };
 
 inline CallRet fault(int code, std::string const& what) {
@@ -29,10 +33,18 @@
   return {code, json::render(f)};
 }
 
+// What an operator's order is answered with.
+inline CallRet answer_of(Outcome const& o) {
+  int const code = status_of(o.ruling);
+  if (code != 200) return fault(code, o.what);
+  return {code, o.id == 0 ? std::string("{}") : "{\"id\":\"" + std::to_string(o.id) + "\"}"};
+}
+
 struct Mate {
   std::unique_ptr<Link> link;  // null: ourselves
   Mismatch off;
   Secs pulled = 0, digest_sent = 0;
+  u32 digests = 0;  // names the newest; an answer to an earlier one tells no time
   bool fit = false;  // may take a duty over at once
   std::string node;
   std::vector<std::string> told_known;  // mates we named to it last
@@ -46,6 +58,7 @@
   Hello hello;
   bool feeding = false, primary = false;
   u64 counts_told = 0, beats = 0;
+  std::string front;  // of the site that registered over it
 };
 
 // Invariants: committed is the newest value known to stand on a majority; view is its
@@ -57,29 +70,35 @@
   std::unique_ptr<Vellum> vellum;
   std::unique_ptr<Acceptor> acceptor;
   std::optional<State> committed;
+  Contact<> contact;
   State view;
   Compiled partners;
   std::map<std::string, Mate> mates;
   std::map<u64, Peer> peers;
   std::map<std::string, Unit> out;  // units of passes that are cordoned or further, not back, by name
   bool born = false;  // our disk's life is on disk
+  Strays strays;      // what was dropped here because no open question fits it
   Secs leaving = 0;   // since when; 0: we stay
   // Brings a change to the register; done gets the value, or null if it is not known
   // to stand.
   std::function<void(std::function<bool(State&)>, std::function<void(State const*)>, Secs)> submit;
   std::function<Mate&(std::string const&)> mate;  // made if new
 
+  State const* known() const { return committed ? &*committed : nullptr; }
   bool up(std::string const& ip) const {
     if (ip == st.ip) return true;
     auto const it = mates.find(ip);
     return it != mates.end() && it->second.link && it->second.link->up();
   }
-  // In touch with a majority of the roster, ourselves counted.
-  bool settled() const {
-    if (!committed) return false;
-    std::size_t n = 0;
-    for (Member const& m : committed->roster) n += up(m.ip) ? 1 : 0;
-    return n >= committed->majority();
+  // In contact with a majority of the roster, ourselves counted: fresh answers, not channels
+  // that are up, for these stay up for a while in a silent cut.
+  bool in_contact() const { return committed && contact.in_contact(now_s()); }
+  // What a call gets that may be answered only in contact: where to go instead, if a member
+  // is in contact for certain, and else to come back.
+  CallRet elsewhere(std::string const& uri) const {
+    Member const* m = committed ? committed->member(contact.other(now_s())) : nullptr;
+    if (m == nullptr || m->control == 0) return fault(503, "not in contact with a majority");
+    return {307, "{}", "http://" + Addr{m->ip, m->control}.str() + uri};
   }
   std::size_t mates_up() const {
     std::size_t n = 0;
@@ -98,10 +117,32 @@
     return g.empty() || g == st.region;
   }
   Secs patience() const { return std::max(0.5, st.bounds.ackBoundS * 0.8); }
-  void write(evhttp_request* r, CallRet const& c) const {
+  // Brings an order to the register and answers its call.
+  template <Accession O>
+  void order(evhttp_request* r, O o) {
+    if (leaving > 0) return write(r, fault(503, "leaving"));
+    carry(submit, std::move(o), patience(), [this, r](Outcome const& x) { write(r, answer_of(x)); });
+  }
+  evhttp_request const* answered = nullptr;  // the newest call that was, for answer() alone
+  // One call from outside: whatever its handler throws ends this call, not the process.
+  template <class F>
+  void answer(evhttp_request* r, F f) {
+    answered = nullptr;
+    try {
+      f(r);
+    } catch (std::exception const& e) {
+      DB_LOG("archivist");
+      LOG4CPLUS_WARN(lg, "A call to " << evhttp_request_get_uri(r) << " could not be handled: " << e.what() << ".");
+      if (answered != r) write(r, fault(500, e.what()));
+    }
+  }
+  void write(evhttp_request* r, CallRet const& c) {
+    answered = r;
+    if (c.code == 400) ++bad_input().calls;
     evkeyvalq* out = evhttp_request_get_output_headers(r);
     evhttp_add_header(out, "Content-Type", "application/json");
     if (leaving > 0) evhttp_add_header(out, "Connection", "close");
+    if (!c.location.empty()) evhttp_add_header(out, "Location", c.location.c_str());
     if (c.code == 503) evhttp_add_header(out, "Retry-After", "0.3");
     evbuffer* b = evbuffer_new();
     evbuffer_add(b, c.body.data(), c.body.size());
--- a/packages/desks/include/desks/keys.hpp
+++ b/packages/desks/include/desks/keys.hpp
@@ -4,13 +4,15 @@
 #include <set>
 
 #include "desks/house.hpp"
-#include "keys/ledger.hpp"
+#include "keys/filling.hpp"
 
 namespace dockbend {
 
 class KeyDesk {
  public:
-  KeyDesk(House& h, bool whole) : h_(h), ledger_(whole) {}
+  // filled: the membership in which the disk's keys became whole, plus one; 0: they are not.
+  // A disk that left the roster since is not whole, and no write has to say so.
+  KeyDesk(House& h, u64 filled) : h_(h), ledger_(false), copying_(filled) { fit(h_.acceptor->state()); }
 
   // A new disk copies the keys of a majority of the others before it votes.
   void rebuild(Secs now) {
@@ -21,35 +23,36 @@
     Rebuild q;
     q.epoch = h_.committed->epoch;
     for (Member const& m : h_.committed->roster)
-      if (m.ip != h_.st.ip && rebuild_heard_.count(m.ip) == 0 && h_.mate(m.ip).link) h_.mate(m.ip).link->send(Kind::rebuild, 0, q);
+      if (m.ip != h_.st.ip && copying_.wants(m.ip) && h_.mate(m.ip).link) h_.mate(m.ip).link->send(Kind::rebuild, 0, q);
   }
 
   void rebuilt(std::string const& ip, RebuildR const& r) {
-    if (ledger_.whole() || filling_ || !h_.committed || !r.ok) return;
-    Member const* m = h_.committed->member(ip);
-    if (m == nullptr || m->life != r.life || !rebuild_heard_.insert(ip).second) return;
-    Secs const now = now_s();
+    if (filling_ || !h_.committed) return;
+    State const& st = *h_.committed;
+    Member const* m = st.member(ip);
+    if (r.ok && r.epoch < st.epoch) h_.strays.drop(Stray::epoch);  // asked under an earlier roster
+    Filling::Step const got = copying_.hear(ip, r, m == nullptr ? std::nullopt : std::optional<Life>(m->life), st.epoch, st.majority(), ledger_, now_s());
     std::vector<Vellum::Op> ops;
-    for (HeldKey const& k : r.keys) {
-      u64 const holder = ledger_.seal(k.key, k.holder, now);
-      ops.push_back(key_op(k.key, holder, true));
-    }
-    if (rebuild_heard_.size() >= h_.committed->majority()) {
-      ops.push_back(Vellum::put_meta("whole", "1"));
+    for (HeldKey const& k : got.put) ops.push_back(key_op(k.key, k.holder, true));
+    if (got.enough) {
+      u64 const in = since_in(st);
+      ops.push_back(Vellum::put_meta("whole", Store::whole_word(in)));
       filling_ = true;
-      h_.vellum->submit(std::move(ops), [this](bool ok) {
+      h_.vellum->submit(std::move(ops), [this, in](bool ok) {
         filling_ = false;
         if (!ok) {
-          rebuild_heard_.clear();
+          copying_.reset();
           return;
         }
-        ledger_.set_whole();
+        copying_.done(in);
+        fit(h_.acceptor->state());
+        if (!ledger_.whole()) return;  // out of the roster meanwhile
         on_whole.emit();
         LOG4CPLUS_INFO(lg_, "Keys are whole, " << ledger_.size() << " of them.");
       });
     } else if (!ops.empty()) {
       h_.vellum->submit(std::move(ops), [this](bool ok) {
-        if (!ok) rebuild_heard_.clear();
+        if (!ok) copying_.reset();
       });
     }
   }
@@ -57,16 +60,19 @@
   void claim(ChannelP const& ch, u32 tag, Claim const& c) {
     ClaimR r;
     r.life = h_.acceptor->life();
-    if (c.life != r.life || !h_.born) return;
+    if (c.life != r.life) return h_.strays.drop(Stray::disk_life);
+    if (!h_.born) return;
     Epoch const mine = h_.acceptor->state() ? h_.acceptor->state()->epoch : Epoch(~0ULL);
+    if (mine != fit_at_) fit(h_.acceptor->state());
+    u64 const late = ledger_.late();
     if (ledger_.claim(c, mine, now_s(), r) != Say::granted) {
+      h_.strays.drop(Stray::late_claim, ledger_.late() - late);
       ch->send(Kind::claimR, tag, r);
       return;
     }
     std::weak_ptr<Channel> const w = ch;
     h_.vellum->submit({key_op(c.key, c.holder, false)}, [this, w, tag, r, key = c.key, holder = c.holder](bool ok) {
-      ledger_.written(key, holder, ok);
-      if (!ok) return;
+      if (!ledger_.written(key, holder, ok)) return;
       if (auto const cp = w.lock()) cp->send(Kind::claimR, tag, r);
     });
   }
@@ -133,14 +139,31 @@
       if (auto const c = w.lock()) c->send(Kind::fetchR, tag, r);
     });
   }
-  RebuildR copy_for(Rebuild const& q) const {
-    RebuildR r;
-    r.life = h_.acceptor->life();
-    r.ok = ledger_.whole() && h_.acceptor->state() && h_.acceptor->state()->epoch >= q.epoch;
-    if (r.ok) r.keys = ledger_.all();
-    return r;
+  RebuildR copy_for(Rebuild const& q) {
+    if (h_.acceptor->state() && h_.acceptor->state()->epoch != fit_at_) fit(h_.acceptor->state());
+    std::optional<State> const& st = h_.acceptor->state();
+    return Filling::answer(ledger_, h_.acceptor->life(), st ? std::optional<Epoch>(st->epoch) : std::nullopt, q);
+  }
+  void roster_changed() {
+    copying_.reset();
+    fit(h_.acceptor->state());
+  }
+  // Hands our first answers to that mate, the newest first, some at each call; true once
+  // all are on their way.
+  bool hand_on(std::string const& ip) {
+    if (handing_ != ip) {
+      handing_ = ip;
+      hand_ix_ = ret_order_.size();
+    }
+    for (int i = 0; i < 100 && hand_ix_ > 0; ++i) {
+      Kept const& k = ret_order_[--hand_ix_];
+      h_.vellum->find_ret(k.key, [this, ip](std::string const& v) {
+        auto const it = h_.mates.find(ip);
+        if (!v.empty() && it != h_.mates.end() && it->second.link && it->second.link->up()) it->second.link->ch()->send(Kind::store, 0, std::string_view(v));
+      });
+    }
+    return hand_ix_ == 0;
   }
-  void roster_changed() { rebuild_heard_.clear(); }
   void forget_old(Secs now) {
     auto const old = ledger_.forget(h_.st.bounds.keyHorizonS * 1.25 + 5, now, 200);
     if (old.empty()) return;
@@ -156,6 +179,18 @@
   Ledger const& ledger() const { return ledger_; }
 
  private:
+  // The membership of our disk in that roster.
+  u64 since_in(State const& s) const {
+    Member const* m = s.member(h_.st.ip);
+    return Filling::membership(m == nullptr || m->life != h_.acceptor->life() ? std::nullopt : std::optional<Epoch>(m->since));
+  }
+  // Whole is what was filled in this very membership.
+  void fit(std::optional<State> const& s) {
+    if (!s) return;
+    fit_at_ = s->epoch;
+    copying_.fit(since_in(*s), ledger_);
+  }
+
   static Vellum::Op key_op(std::string const& k, u64 holder, bool sealed) {
     Vellum::Op o;
     o.what = Vellum::Op::What::put_key;
@@ -173,10 +208,13 @@
 
   House& h_;
   Ledger ledger_;
-  std::set<std::string> rebuild_heard_;
+  Filling copying_;
   std::deque<Kept> ret_order_;  // oldest first
   std::size_t ret_bytes_ = 0;   // of all in it
   bool filling_ = false;
+  Epoch fit_at_{~0ULL};    // the epoch for which that was last looked at
+  std::string handing_;    // to whom our first answers go
+  std::size_t hand_ix_ = 0;
   Secs rebuild_at_ = 0;
   log4cplus::Logger lg_ = log4cplus::Logger::getInstance("archivist");
 };
--- a/packages/gossip/include/gossip/roll.hpp
+++ b/packages/gossip/include/gossip/roll.hpp
@@ -80,10 +80,11 @@
 struct DrainSaid {
   DB_RECORD(DrainSaid, (u32, stage), (u64, life));
 };
-// Registration and keepalive. primary: this directory tells the others of the site.
+// Registration and keepalive. primary: this directory tells the others of the site. strays:
+// what its agent has dropped because no open question fits it.
 struct SiteBeat {
   DB_RECORD(SiteBeat, (std::string, front), (std::string, zone), (std::string, region), (bool, ready),
-                           (double, load), (Ballot, bal), (bool, primary), (DrainWord, drain));
+                           (double, load), (Ballot, bal), (bool, primary), (DrainWord, drain), (u64, strays));
 };
 // What a directory tells its mates of the sites it is the primary of. age: since the
 // site was last heard, so that a row ends when it would have ended there.
@@ -100,7 +101,7 @@
   DB_RECORD(ZoneCount, (std::string, zone), (u32, n));
 };
 struct SiteBeatR {
-  DB_RECORD(SiteBeatR, (std::vector<ZoneCount>, sites), (Ballot, bal), (u64, digest), (bool, settled),
+  DB_RECORD(SiteBeatR, (std::vector<ZoneCount>, sites), (Ballot, bal), (u64, digest), (bool, in_contact),
             (double, wall), (std::vector<std::string>, relays), (DrainSaid, drain));
 };
 // True time, as the agent knows it, for its proxy.
@@ -116,7 +117,7 @@
 };
 struct Digest {
   DB_RECORD(Digest, (u64, digest), (Ballot, bal), (std::vector<std::string>, mates), (Life, life), (Ballot, accepted),
-            (double, wall), (bool, fit), (std::string, node));
+            (double, wall), (bool, fit), (std::string, node), (double, contact_left));
 };
 
 // Tells a lasting difference of two rolls from news that is still on its way: the
--- a/packages/register/include/register/state.hpp
+++ b/packages/register/include/register/state.hpp
@@ -1,6 +1,7 @@
 // The register's one value: manifest items, evacuations, roster. It is replaced
 // by ballots (CASPaxos); inside it items join by their own generation.
 #pragma once
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -8,14 +9,23 @@
 
 namespace dockbend {
 
-// Invariants: at most one member an ip; (ip, life) names one disk for ever; whole
-// is set only once that disk holds every key that a majority held, so the members
-// that are whole are always a majority of the roster.
+// Invariants: at most one member an ip; (ip, life) names one disk for ever; since is the
+// ballot that took this disk in (0: a founder), and a disk that left and came back has
+// another; whole is set only once that disk holds every key that a majority held, in the
+// membership that since names, so the members that are whole are always a majority of the
+// roster.
 struct Member {
   DB_RECORD(Member, (std::string, ip), (Life, life), (std::string, zone), (std::string, region),
-                           (u32, control), (bool, whole));
+                           (u32, control), (bool, whole), (Epoch, since));
   bool same_disk(Member const& o) const { return ip == o.ip && life == o.life; }
 };
+// Stands for since while a round is being made; its ballot takes the place.
+inline constexpr Epoch unnamed{~0ULL};
+// A disk that an operator took out. Invariant: it is not in the roster, and does not come
+// back in that life before an operator says so.
+struct Retired {
+  DB_RECORD(Retired, (std::string, ip), (Life, life));
+};
 
 // Who carries out a duty that one node at a time has. Invariants: fence rises with
 // every holder and never falls; counter rises with every renewal under one fence; next
@@ -45,20 +55,25 @@
 };
 // What an operator ordered. Invariants: units of a pass that is over are gone from the
 // value; max_out is above 0 for servers; only the holder of the duty `drain` moves it.
+// digest is that of the order (0: not known); heard has a bit for each kind of command
+// that was acknowledged, and it only grows; turn rises with each pause and resume.
 struct Pass {
   DB_RECORD(Pass, (u64, id), (bool, servers), (PassState, state), (double, headroom), (u32, max_out), (double, patience),
-            (bool, replaced), (std::string, why), (std::vector<Had>, had), (u32, total), (u32, back));
+            (bool, replaced), (std::string, why), (std::vector<Had>, had), (u32, total), (u32, back), (u64, digest), (u32, heard), (u32, turn));
 };
 
 // Invariants: bal is the ballot that wrote this value (0: founding); epoch is the
 // ballot that last changed who is in the roster, and so epoch <= bal; open is the
 // ballot that last changed what proxies and agents go by, and so open <= bal; to_fix
-// is the first window (0: none yet) whose report is not fixed, and it never falls.
+// is the first window (0: none yet) whose report is not fixed, and it never falls; was
+// is the roster that the step of this epoch left, kept until a round's proposer knew
+// that step to be won: as long as it stands here, a majority of it counts as well; widest
+// is at least the size of every roster under which a key may have been won that still binds.
 struct State {
   DB_RECORD(State, (Ballot, bal), (Epoch, epoch), (std::vector<Item>, items),
                            (std::vector<Evac>, evacs), (std::vector<Member>, roster), (std::vector<Term>, duties),
                            (u64, to_fix), (std::vector<FixedWindow>, fixed), (Ballot, open), (std::vector<Pass>, passes),
-                           (std::vector<Unit>, units));
+                           (std::vector<Unit>, units), (std::vector<Member>, was), (u32, widest), (std::vector<Retired>, retired));
   Pass const* pass(u64 id) const {
     for (Pass const& p : passes)
       if (p.id == id) return &p;
@@ -75,10 +90,29 @@
     return nullptr;
   }
   std::size_t majority() const { return roster.size() / 2 + 1; }
+  // Does this value stand, if just the disks for which on_disk(member) is true hold it?
+  template <class F>
+  bool stands(F on_disk) const {
+    auto most = [&](std::vector<Member> const& l) {
+      return static_cast<std::size_t>(std::count_if(l.begin(), l.end(), on_disk)) > l.size() / 2;
+    };
+    return most(roster) && (was.empty() || most(was));
+  }
   // Takes a member in, or a new disk at its address, or news of itself; false if
   // it must wait: a disk that can't vote on keys yet may come only while those
   // that can are a majority without it, or nobody could ever fill it.
   bool admit(Member const& me);
+  // Takes that disk out; false if it is no member in that life, or if too few disks that
+  // vote on keys would be left. Who asks has looked at what the roster is to bear.
+  bool dismiss(std::string const& ip, Life life);
+  // May a roster of n disks follow? A key won under the widest roster is on all whole disks
+  // but ceil(widest/2)-1 at most; no majority of n may consist of such disks alone.
+  bool may_shrink_to(std::size_t n) const;
+  bool is_retired(std::string const& ip, Life life) const {
+    for (Retired const& r : retired)
+      if (r.ip == ip && r.life == life) return true;
+    return false;
+  }
   std::map<std::string, Item> by_key() const {
     std::map<std::string, Item> m;
     for (Item const& i : items) m[i.key] = i;
@@ -92,13 +126,29 @@
                            (bool, evacs_set), (std::vector<Evac>, evacs), (bool, roster_set),
                            (std::vector<Member>, roster), (bool, duties_set), (std::vector<Term>, duties), (u64, to_fix),
                            (bool, fixed_set), (std::vector<FixedWindow>, fixed), (Ballot, open), (bool, passes_set),
-                           (std::vector<Pass>, passes), (std::vector<Unit>, units));
+                           (std::vector<Pass>, passes), (std::vector<Unit>, units), (bool, was_set),
+                           (std::vector<Member>, was), (u32, widest), (std::vector<Retired>, retired));
 };
 // The part that proxies and agents go by, under the ballot that last changed it: no
 // renewals, no reports.
 State view_of(State const& s);
+// No round has a ballot above this: one that a garbled letter named would leave no room for
+// the next, and the register would stand still for ever. Throws codec::Malformed.
+Ballot constexpr last_ballot{~0ULL >> 1};
+inline void check_ballot(Ballot b) {
+  if (b > last_ballot) throw codec::Malformed("a ballot that no round can have");
+}
+
+// Reads a value, or what changed of one, that came from outside. Throws codec::Malformed unless
+// it keeps what every value keeps: a roster of distinct addresses, epoch and open not above
+// bal, items of known kinds.
+State read_state(std::string_view bytes);
+Delta read_delta(std::string_view bytes);
+
 bool same_view(State const& a, State const& b);
 Delta delta_of(State const& from, State const& to);
+// First a, then b, which begins where a ends.
+Delta joined(Delta a, Delta const& b);
 // False unless st is the delta's base.
 bool apply(State& st, Delta const& d);
 
@@ -108,19 +158,21 @@
 };
 struct PrepR {
   DB_RECORD(PrepR, (bool, ok), (Ballot, bal), (Ballot, promised), (Ballot, accepted), (bool, full),
-                           (std::string, state), (Life, life));
+                           (std::string, state), (Life, life), (std::string, delta));
 };
 struct Acc {
   DB_RECORD(Acc, (Ballot, bal), (Life, life), (std::string, delta), (std::string, state));
 };
 struct AccR {
-  DB_RECORD(AccR, (bool, ok), (Ballot, bal), (Ballot, promised), (bool, want_full), (Life, life));
+  DB_RECORD(AccR, (bool, ok), (Ballot, bal), (Ballot, promised), (bool, want_full), (Life, life), (Ballot, have));
 };
 struct Commit {
   DB_RECORD(Commit, (Ballot, bal), (std::string, delta), (std::string, state));
 };
+// have: the newest value here, won or not; won: the newest known to be; part, after: of the
+// value of `part` the items up to `after` have come in pieces.
 struct Pull {
-  DB_RECORD(Pull, (Ballot, have));
+  DB_RECORD(Pull, (Ballot, have), (Ballot, won), (Ballot, part), (std::string, after));
 };
 
 }  // namespace dockbend
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -19,14 +19,15 @@
 // The kinds of letters. Values are wire format: never reused.
 enum class Kind : u8 {
   ping = 1, hello = 2, helloR = 3, beat = 4, beatR = 5, feed = 6, news = 7,
-  prep = 10, prepR = 11, acc = 12, accR = 13, commit = 14, pull = 15, commitR = 16,
+  prep = 10, prepR = 11, acc = 12, accR = 13, commit = 14, pull = 15, commitR = 16, piece = 17,
   claim = 20, claimR = 21, release = 22, store = 23, fetch = 24, fetchR = 25,
   rebuild = 26, rebuildR = 27,
   rows = 30, digest = 31, digestR = 32,
   ask = 40, askR = 41, done = 42, load = 43, leaving = 44,
-  hold = 50, holdR = 51, rollNote = 52, rollCmd = 53, holdFor = 54,
+  hold = 50, holdR = 51, rollNote = 52, holdFor = 54,
   sites = 60, clock = 61, tally = 62, loan = 63, loanR = 64, dutyCmd = 65, survey = 66, surveyR = 67, drain = 68,
   via = 70, viaR = 71, sitesAsk = 72, join = 73,
+  probe = 80, probeR = 81,
   zipped = 255,
 };
 
@@ -54,6 +55,15 @@
 };
 std::string sent_by_kind();
 
+// What this process was given from outside and did not take, since its start.
+struct BadInput {
+  u64 channels = 0;  // ended for a frame that could not be read
+  u64 letters = 0;   // of a kind that nobody here waits for: ignored
+  u64 calls = 0;     // calls of the control API and requests refused as malformed
+};
+BadInput& bad_input();
+void say_bad_input();  // a log line, if there is more than the last time
+
 class Channel : public std::enable_shared_from_this<Channel> {
  public:
   sigc::signal<void(Channel&, Letter const&)> on_letter;
@@ -70,6 +80,7 @@
   template <codec::Record T>
   void send(Kind k, u32 tag, T const& x) { send(k, tag, std::string_view(codec::pack(x))); }
   void close();  // no signal
+  void end() { drop(); }  // with its signal
   bool up() const { return up_; }
   bool open() const { return bev_ != nullptr; }
   Secs heard() const { return heard_; }
@@ -82,6 +93,8 @@
   void head(Kind k, u32 tag, std::size_t n);
   void arm(event_base* eb, evutil_socket_t fd);
   void drop();
+  void refuse(std::string const& why);  // bytes that can't be read
+  struct Input;
   static void read_cb(bufferevent*, void* p);
   static void event_cb(bufferevent*, short what, void* p);
   bufferevent* bev_ = nullptr;
@@ -161,6 +174,7 @@
   // Where else to try; asked anew each time.
   void relays(std::function<std::vector<Addr>()> f) { relays_ = std::move(f); }
   Channel* ch() { return up() ? ch_.get() : nullptr; }
+  u64 connection() const { return ch_ ? ch_->id() : 0; }  // no second one in this process has it
   Addr const& to() const { return to_; }
   template <codec::Record T>
   void send(Kind k, u32 tag, T const& x) {
--- a/packages/stacks/include/stacks/settings.hpp
+++ b/packages/stacks/include/stacks/settings.hpp
@@ -22,6 +22,7 @@
   std::string str() const { return ip + ":" + std::to_string(port); }
   friend auto operator<=>(Addr const&, Addr const&) = default;
 };
+bool is_ip(std::string const& s);  // an IPv4 address in four parts
 // Throws BadSetting(field) unless s is IPV4:PORT.
 Addr parse_addr(std::string const& s, std::string const& field);
 
@@ -58,6 +59,7 @@
   std::optional<Addr> drainHook;  // restarts a proxy that a pass has emptied; none: the operator does
   bool bootstrap = false;
   double toleranceMachines = 0;  // disks that may be lost at once
+  double toleranceZones = 0, toleranceRegions = 0;  // or so many whole zones, or regions
   bool lossCounted = false;
   double beatPeriodS = 1.5;
   double linkMbps = 0, memoryMb = 256, fdLimit = 1024, cpuShare = 1, diskMb = 0;
