--- a/packages/errand/arrival.cpp
+++ b/packages/errand/arrival.cpp
@@ -97,7 +97,7 @@
     return std::move(out);
   };
   // Two names for one request: we would go by the one and the server by the other.
-  if (!well_framed(a) || !well_formed(a.heads) || n.hosts != 1 || n.ids > 1 || n.keys > 1) return no(verdict_of(400, -1, true));
+  if (!well_framed(a) || n.hosts != 1 || n.ids > 1 || n.keys > 1 || !well_formed(a.heads)) return no(verdict_of(400, -1, true));
   if (size_of(a.heads) + a.target.size() > limits.header_bytes) return no(verdict_of(431, -1, true));
   if (a.body > limits.body_bytes) return no(verdict_of(413, -1, true));
   if (a.target.empty() || a.target[0] != '/' || !well_formed_target(a.target)) return no(verdict_of(400, -1, true));
--- a/packages/errand/heads.cpp
+++ b/packages/errand/heads.cpp
@@ -63,9 +63,12 @@
 }  // namespace
 
 bool well_formed(Heads const& h) {
-  for (auto const& [k, v] : h)
+  std::size_t ids = 0;
+  for (auto const& [k, v] : h) {
     if (!is_token(k) || v.find('\r') != std::string::npos) return false;
-  return true;
+    ids += same_name(k, "X-Attempt-Id") ? 1 : 0;
+  }
+  return ids < 2;
 }
 
 bool well_formed_target(std::string_view uri) { return uri.find(' ') == std::string_view::npos && !has_control(uri); }
--- a/packages/register/acceptor.cpp
+++ b/packages/register/acceptor.cpp
@@ -17,8 +17,12 @@
   if (st_) {
     r.accepted = st_->bal;
     if (st_->bal > p.have) {
-      r.full = true;
-      r.state = codec::pack(*st_);
+      if (auto const d = since(p.have)) {
+        r.delta = codec::pack(*d);
+      } else {
+        r.full = true;
+        r.state = codec::pack(*st_);
+      }
     }
   }
   return {true, {}};
@@ -30,6 +34,7 @@
   r.life = life_;
   if (a.life != life_) return {};
   r.promised = promised_;
+  if (st_) r.have = st_->bal;
   if (a.bal < promised_) return {};
   if (st_ && st_->bal == a.bal) {  // a repeat of what stands
     r.ok = true;
@@ -43,10 +48,10 @@
     d = rows_between(st_ ? &*st_ : nullptr, next);
     st_ = std::move(next);
   } else {
+    Delta const delta = read_delta(a.delta);
+    if (delta.bal != a.bal) throw codec::Malformed("a value under another ballot");
     std::optional<RowDiff> by;
-    Delta const change = read_delta(a.delta);
-    if (change.bal != a.bal) throw codec::Malformed("a value under another ballot");
-    if (st_) by = apply_rows(*st_, change);
+    if (st_) by = apply_rows(*st_, delta);
     if (!by) {
       r.want_full = true;
       return {};
@@ -70,6 +75,7 @@
 
 Acceptor::Step Acceptor::take(RowDiff d) {
   move_sum(d.sum);
+  changes_.moved(d.rows, *st_);
   return {true, std::move(d.rows)};
 }
 
--- a/packages/register/include/register/proposer.hpp
+++ b/packages/register/include/register/proposer.hpp
@@ -24,7 +24,9 @@
   };
   enum class Phase { idle, preparing, accepting };
 
-  explicit Proposer(std::string const& my_ip);
+  // What leads from the value of one ballot to that of another, if our own disk knows.
+  using Leads = std::function<std::optional<Delta>(Ballot have, Ballot bal)>;
+  explicit Proposer(std::string const& my_ip, Leads leads = nullptr);
 
   // best: the newest value known here, won or not; known: the epoch of the newest value
   // known to be won. Begins a round with every change queued.
@@ -46,6 +48,7 @@
   Secs since() const { return since_; }
   Phase phase() const { return phase_; }
   Ballot ballot() const { return bal_; }
+  u64 counter() const { return counter_; }
   std::set<std::string> const& promised() const { return promised_; }  // "ip/life" each
   std::set<std::string> const& accepted() const { return accepted_; }
   void saw(Ballot b) { counter_ = std::max(counter_, b.v >> 32); }
@@ -56,7 +59,8 @@
   std::vector<Out> ask_for_promises();
   std::vector<std::vector<Member> const*> voters() const;
   std::vector<Out> try_accept();
-  Acc acc_for(Member const& m, bool full) const;
+  Ballot have() const { return first_ ? first_->bal : best_.bal; }
+  Acc acc_for(Member const& m, bool full, Ballot have = Ballot()) const;
 
   u64 node_;
   u64 counter_ = 0;
@@ -66,6 +70,8 @@
   Ballot bal_;
   std::optional<Epoch> known_;
   State best_, next_;
+  std::optional<State> first_;  // what the members were told that we have, once best_ is newer
+  Leads leads_;
   Change change_;
   std::string delta_;  // from best_ to next_, packed once for all
   std::set<std::string> asked_;       // "ip/life" asked for a promise
--- a/packages/register/state.cpp
+++ b/packages/register/state.cpp
@@ -34,7 +34,8 @@
 bool same(std::vector<Pass> const& a, std::vector<Pass> const& b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](Pass const& x, Pass const& y) {
     return x.id == y.id && x.servers == y.servers && x.state == y.state && x.headroom == y.headroom && x.max_out == y.max_out &&
-           x.patience == y.patience && x.replaced == y.replaced && x.why == y.why && same(x.had, y.had) && x.total == y.total && x.back == y.back;
+           x.patience == y.patience && x.replaced == y.replaced && x.why == y.why && same(x.had, y.had) && x.total == y.total && x.back == y.back &&
+           x.digest == y.digest && x.heard == y.heard && x.turn == y.turn;
   });
 }
 std::string unit_key(Unit const& u) { return std::to_string(u.pass) + "/" + u.name; }
@@ -182,10 +183,10 @@
   d.to_fix = to.to_fix;
   d.evacs_set = !same(from.evacs, to.evacs);
   if (d.evacs_set) d.evacs = to.evacs;
-  d.roster_set = !same(from.roster, to.roster) || from.widest != to.widest || !same(from.retired, to.retired);
+  d.widest = to.widest;
+  d.roster_set = !same(from.roster, to.roster) || !same(from.retired, to.retired);
   if (d.roster_set) {  // what belongs to the roster goes with it
     d.roster = to.roster;
-    d.widest = to.widest;
     d.retired = to.retired;
   }
   d.was_set = !same(from.was, to.was);
@@ -201,6 +202,37 @@
   return d;
 }
 
+Delta joined(Delta a, Delta const& b) {
+  a.bal = b.bal;
+  a.epoch = b.epoch;
+  a.open = b.open;
+  a.to_fix = b.to_fix;
+  auto over = [](auto& x, auto const& y, auto key) {
+    std::map<std::string, std::size_t> at;
+    for (std::size_t i = 0; i < x.size(); ++i) at[key(x[i])] = i;
+    for (auto const& e : y) {
+      if (auto const it = at.find(key(e)); it != at.end()) x[it->second] = e;
+      else x.push_back(e);
+    }
+  };
+  over(a.items, b.items, [](Item const& i) { return i.key; });
+  over(a.units, b.units, [](Unit const& u) { return unit_key(u); });
+  auto list = [](bool& on, auto& x, bool set, auto const& y) {
+    if (!set) return;
+    on = true;
+    x = y;
+  };
+  list(a.evacs_set, a.evacs, b.evacs_set, b.evacs);
+  a.widest = b.widest;
+  if (b.roster_set) a.retired = b.retired;
+  list(a.roster_set, a.roster, b.roster_set, b.roster);
+  list(a.was_set, a.was, b.was_set, b.was);
+  list(a.duties_set, a.duties, b.duties_set, b.duties);
+  list(a.fixed_set, a.fixed, b.fixed_set, b.fixed);
+  list(a.passes_set, a.passes, b.passes_set, b.passes);
+  return a;
+}
+
 bool apply(State& st, Delta const& d) {
   if (st.bal != d.base) return false;
   if (!d.items.empty()) {
@@ -219,11 +251,11 @@
   if (d.duties_set) st.duties = d.duties;
   if (d.fixed_set) st.fixed = d.fixed;
   st.to_fix = d.to_fix;
+  st.widest = d.widest;
   st.open = d.open;
   if (d.evacs_set) st.evacs = d.evacs;
   if (d.roster_set) {
     st.roster = d.roster;
-    st.widest = d.widest;
     st.retired = d.retired;
   }
   if (d.was_set) st.was = d.was;
--- a/packages/stacks/courier.cpp
+++ b/packages/stacks/courier.cpp
@@ -160,7 +160,11 @@
     if (k != Kind::ping) return c->on_letter.emit(*c, Letter{k, h.tag, body});
     if (h.tag == 0) c->send(Kind::ping, 1, std::string_view());
   });
-  if (!bad) return;
+  if (!bad) {
+    // A long letter on a slow link: its sender's pings wait behind it, and would get no answer in time.
+    if (c->bev_ != nullptr && evbuffer_get_length(bufferevent_get_input(bev)) > 0 && c->heard_ - c->sent_ > 0.5) c->send(Kind::ping, 1, std::string_view());
+    return;
+  }
   c->refuse(*bad);
   if (c->bev_ != nullptr) c->drop();
 }
--- a/packages/stacks/include/stacks/courier.hpp
+++ b/packages/stacks/include/stacks/courier.hpp
@@ -19,14 +19,15 @@
 // The kinds of letters. Values are wire format: never reused.
 enum class Kind : u8 {
   ping = 1, hello = 2, helloR = 3, beat = 4, beatR = 5, feed = 6, news = 7,
-  prep = 10, prepR = 11, acc = 12, accR = 13, commit = 14, pull = 15, commitR = 16,
+  prep = 10, prepR = 11, acc = 12, accR = 13, commit = 14, pull = 15, commitR = 16, piece = 17,
   claim = 20, claimR = 21, release = 22, store = 23, fetch = 24, fetchR = 25,
   rebuild = 26, rebuildR = 27,
   rows = 30, digest = 31, digestR = 32,
   ask = 40, askR = 41, done = 42, load = 43, leaving = 44,
-  hold = 50, holdR = 51, rollNote = 52, rollCmd = 53, holdFor = 54,
+  hold = 50, holdR = 51, rollNote = 52, holdFor = 54,
   sites = 60, clock = 61, tally = 62, loan = 63, loanR = 64, dutyCmd = 65, survey = 66, surveyR = 67, drain = 68,
   via = 70, viaR = 71, sitesAsk = 72, join = 73,
+  probe = 80, probeR = 81,
   zipped = 255,
 };
 
--- a/programs/circulation.cpp
+++ b/programs/circulation.cpp
@@ -382,8 +382,10 @@
     bytes_in_ += static_cast<double>(body + size_of(heads)) + 150;
     Admission a = admit(Arrival{heads, uri, body, chunks}, have_state_ ? &man_ : nullptr, man_.limits(), drains(), random01());
     if (a.why != nullptr) ++given_up_[a.why];
-    if (!a.ok && a.no.code == 400) ++bad_input().calls;
-    if (!a.ok) return write(r, a.no, a.id);
+    if (!a.ok) {
+      if (a.no.code == 400) ++bad_input().calls;
+      return write(r, a.no, a.id);
+    }
 
     auto up = std::make_unique<Errand>();
     Errand& e = *up;
@@ -505,19 +507,23 @@
   void asked(u32 tag, AskR const& a) {
     Errand* const e = requests_.asked(tag, [&](Errand const& x) { return a.holder == x.holder; });
     if (e == nullptr) return;
+    // An answer that can't be read is told to its client before it ends the agent's channel.
+    std::optional<Return> first;
+    if (a.leave == Leave::repeat) {
+      try {
+        first = codec::unpack<Return>(a.ret);
+      } catch (codec::Malformed const&) {
+        carry(*e, e->core.claim_refused(own(502)));
+        throw;
+      }
+      if (first->code < 200 || first->code > 599) return carry(*e, e->core.claim_refused(own(502)));
+    }
     switch (a.leave) {
       case Leave::run:
         carry(*e, e->core.claim_granted());
         break;
       case Leave::repeat: {
-        Return r;
-        try {
-          r = codec::unpack<Return>(a.ret);
-        } catch (codec::Malformed const&) {  // told to its client before it ends the agent's channel
-          carry(*e, e->core.claim_refused(own(502)));
-          throw;
-        }
-        if (r.code < 200 || r.code > 599) return carry(*e, e->core.claim_refused(own(502)));
+        Return const& r = *first;
         if (r.key != e->key) {
           requests_.fence().drop(Drop::other_key);
           return carry(*e, e->core.claim_refused(own(502)));
@@ -854,9 +860,12 @@
     while (shelf_.late > 0 && shelf_.late--) requests_.fence().drop(Drop::late_answer);
     if (now - fenced_at_ > 10) {
       fenced_at_ = now;
-      say_bad_input();
       if (std::string const d = requests_.fence().since(); !d.empty()) LOG4CPLUS_INFO(lg_, "Dropped as not the answer that was waited for: " << d << ".");
     }
+    if (now - bad_at_ > 10) {
+      bad_at_ = now;
+      say_bad_input();
+    }
     if (now - said_at_ > 10 && !given_up_.empty()) {
       said_at_ = now;
       std::string line;
@@ -916,7 +925,7 @@
   Secs fenced_at_ = 0;
   u64 to_fix_ = 0;
   std::map<std::string, u64> given_up_;  // by reason, since it was last logged
-  Secs said_at_ = 0;
+  Secs said_at_ = 0, bad_at_ = 0;
   bool have_state_ = false, draining_ = false, tally_all_ = false;
   Ballot bal_;
   Secs drain_at_ = 0, closed_at_ = 0, cpu_at_ = 0, tallied_ = 0;
--- a/tests/input.hpp
+++ b/tests/input.hpp
@@ -366,7 +366,7 @@
   Proposer prop("10.0.0.1");
   for (std::uint64_t i = 0; i < rounds; ++i) {
     State const best = *acc.state();
-    auto const asks = prop.begin(best, [](State& s) { return ++s.to_fix > 0; }, 0, best.epoch);
+    auto const asks = prop.begin(best, [](State& s) { return ++s.to_fix > 0; }, 0);
     if (asks.empty()) {
       o.fault("a value without a roster stands");
       break;
