A value that came in pieces is checked like one that came whole

Cause: one last piece without rows, with a sum over nothing, would have been learned as a value without a roster. Not shown: no test of its own drives the desk.

--- a/packages/desks/include/desks/register.hpp
+++ b/packages/desks/include/desks/register.hpp
@@ -131,7 +131,9 @@
   // A piece of the value in force at a mate; the next is asked of the same one.
   void piece(std::string const& ip, Piece const& x, Secs now) {
     if (x.part.bal <= bal()) return;
+    check_ballot(x.part.bal);
     Gather::Took const t = gather_.take(x);
+    if (t.whole) check_value(*t.whole);
     if (t.whole) return learn(*t.whole);
     if (!t.used) return;
     piece_at_ = now;
--- a/packages/register/include/register/state.hpp
+++ b/packages/register/include/register/state.hpp
@@ -144,6 +144,7 @@
 // bal, items of known kinds.
 State read_state(std::string_view bytes);
 Delta read_delta(std::string_view bytes);
+void check_value(State const& s);  // the same of one that came in pieces
 
 bool same_view(State const& a, State const& b);
 Delta delta_of(State const& from, State const& to);
--- a/packages/register/state.cpp
+++ b/packages/register/state.cpp
@@ -90,6 +90,8 @@
   return s;
 }
 
+void check_value(State const& s) { check(s, true); }
+
 Delta read_delta(std::string_view bytes) {
   Delta d = codec::unpack<Delta>(bytes);
   check(d, d.roster_set);
--- a/tests/input.hpp
+++ b/tests/input.hpp
@@ -13,7 +13,9 @@
 #include "errand/heads.hpp"
 #include "gossip/roll.hpp"
 #include "keys/ask.hpp"
+#include "contact/contact.hpp"
 #include "register/acceptor.hpp"
+#include "register/pieces.hpp"
 #include "register/proposer.hpp"
 #include "rollout/rollout.hpp"
 #include "stacks/courier.hpp"
@@ -118,7 +120,8 @@
     hana::type<Acc>, hana::type<AccR>, hana::type<Commit>, hana::type<Pull>, hana::type<Member>, hana::type<Ask>, hana::type<AskR>, hana::type<Told>,
     hana::type<Load>, hana::type<Claim>, hana::type<ClaimR>, hana::type<Release>, hana::type<Return>, hana::type<Fetch>, hana::type<FetchR>,
     hana::type<Rebuild>, hana::type<RebuildR>, hana::type<Hold>, hana::type<HoldFor>, hana::type<HoldR>, hana::type<RollNote>,
-    hana::type<TallyNote>, hana::type<LoanAsk>, hana::type<LoanRet>, hana::type<SurveyAsk>, hana::type<Survey>, hana::type<DutyCmd>, hana::type<DrainSaid>>;
+    hana::type<TallyNote>, hana::type<LoanAsk>, hana::type<LoanRet>, hana::type<SurveyAsk>, hana::type<Survey>, hana::type<DutyCmd>, hana::type<DrainSaid>,
+    hana::type<Piece>, hana::type<ProbeR>>;
 
 template <class R>
 void spoil_record(Spoiler& sp, Outcomes& o) {
