--- a/packages/desks/include/desks/members.hpp
+++ b/packages/desks/include/desks/members.hpp
@@ -259,7 +259,7 @@
     h_.submit(
         [ip, known](State& s) {
           std::size_t const n = std::erase_if(s.retired, [&](Retired const& x) { return x.ip == ip; });
-          *known = n > 0 || s.member(ip) != nullptr;
+          *known = *known || n > 0 || s.member(ip) != nullptr;  // a round that stood unseen is met again
           return n > 0;
         },
         [this, r, ip, known](State const* s) {
--- a/programs/dockbend.cpp
+++ b/programs/dockbend.cpp
@@ -38,6 +38,9 @@
                "  evacuation finish ZONE    takes that back\n"
                "  evacuation preview ZONE.. who would take over; changes nothing\n"
                "  evacuation compare FILE   a saved preview against what the sites receive now\n"
+               "  member list               the core's members: state, since when, what may be lost\n"
+               "  member remove ADDRESS     takes one out for good; refused where that would harm\n"
+               "  member add ADDRESS        lets one that was taken out come back\n"
                "  duty status               who carries out what only one node does\n"
                "  duty hand-over DUTY NODE  moves a duty\n"
                "  allowance list            the partners' budgets\n"
@@ -433,6 +436,13 @@
     path = "/-/Evacuation.Begin/" + w[2];
   } else if (is(3, "evacuation", "finish")) {
     path = "/-/Evacuation.Finish/" + w[2];
+  } else if (is(2, "member", "list")) {
+    cmd = EVHTTP_REQ_GET;
+    path = "/-/Member.List";
+  } else if (is(3, "member", "remove")) {
+    path = "/-/Member.Remove/" + w[2];
+  } else if (is(3, "member", "add")) {
+    path = "/-/Member.Add/" + w[2];
   } else if (is(2, "duty", "status")) {
     cmd = EVHTTP_REQ_GET;
     path = "/-/Duty.Status";
