--- a/packages/desks/include/desks/members.hpp
+++ b/packages/desks/include/desks/members.hpp
@@ -125,6 +125,11 @@
     join_at_ = std::min(join_at_, now + 0.3 * random01());
   }
 
+  // Wider rosters bind no more, if the round finds the epoch that stood for a horizon.
+  static void forget_wider(State& s, std::optional<Epoch> const& settled) {
+    if (settled && s.epoch == *settled) s.widest = static_cast<u32>(s.roster.size());
+  }
+
   // Who takes others in: the first of the roster that is up, ourselves counted; "": we do.
   std::string usher() const {
     for (Member const& m : h_.committed->roster)
@@ -170,7 +175,7 @@
     auto const out = std::make_shared<bool>(false);
     h_.submit(
         [x = *x, e = watch_.settled(now), out](State& s) {
-          if (e && s.epoch == *e) s.widest = static_cast<u32>(s.roster.size());
+          forget_wider(s, e);
           Member const* const by = s.member(x.by.ip);
           Member const* const m = s.member(x.gone.ip);
           *out = by != nullptr && by->whole && by->same_disk(x.by) && m != nullptr && m->since == x.gone.since && s.dismiss(x.gone.ip, x.gone.life);
@@ -208,7 +213,7 @@
     auto const why = std::make_shared<std::string>();
     h_.submit(
         [ip = h_.st.ip, life = h_.acceptor->life(), t = tolerance(), why, e = watch_.settled(now)](State& s) {
-          if (e && s.epoch == *e) s.widest = static_cast<u32>(s.roster.size());
+          forget_wider(s, e);
           return take_out(s, ip, life, t, *why);
         },
         [this, why](State const* s) {
@@ -230,7 +235,7 @@
     auto const o = std::make_shared<Out>();
     h_.submit(
         [ip, o, t = tolerance(), e = watch_.settled(now_s())](State& s) {
-          if (e && s.epoch == *e) s.widest = static_cast<u32>(s.roster.size());
+          forget_wider(s, e);
           Member const* const m = s.member(ip);
           o->why.clear();
           o->known = m != nullptr || std::any_of(s.retired.begin(), s.retired.end(), [&](Retired const& x) { return x.ip == ip; });
