Sight: late operator calls, copies of keys, failed attempts by cause, and what a proxy's end cuts off

They tell the hypotheses of the incident apart: a controller logs operator calls that fail or take over a second and each answer with keys; a proxy counts sent attempts without an answer by what ended them (each by itself after a SIGTERM) and says at its end which requests it cuts and how many answers have not wholly left the process.

--- a/packages/controller/controller.cpp
+++ b/packages/controller/controller.cpp
@@ -93,9 +93,11 @@
 std::unique_ptr<HttpListener> Controller::listen(char const* name, HttpListener::Handler handler) {
   auto const bound = context_.settings.bind.find(name);
   if (bound == context_.settings.bind.end()) return nullptr;
-  return std::make_unique<HttpListener>(
-      context_.loop, bound->second,
-      [this, handler = std::move(handler)](evhttp_request* request) { context_.api.guard(request, handler); });
+  return std::make_unique<HttpListener>(context_.loop, bound->second,
+                                        [this, handler = std::move(handler)](evhttp_request* request) {
+                                          context_.api.begin(request);
+                                          context_.api.guard(request, handler);
+                                        });
 }
 
 void Controller::settings(Settings const& changed) {
--- a/packages/controller/idempotency_service.cpp
+++ b/packages/controller/idempotency_service.cpp
@@ -27,6 +27,8 @@
   KeyBackfill::Progress const got = copying_.on_response(
       ip, r, {m == nullptr ? std::nullopt : std::optional<Incarnation>(m->incarnation), st.epoch, st.majority()},
       ledger_, steady_now());
+  LOG4CPLUS_INFO(logger_, "Keys of " << ip << ": an answer with " << r.keys.size() << " keys, "
+                                     << got.keys_to_store.size() << " of them taken in.");
   std::vector<StoreOperation> ops;
   for (HeldKey const& k : got.keys_to_store)
     ops.push_back(StoreOperation::put_key(k.key, k.holder, true));
@@ -130,6 +132,7 @@
 KeyCopyResponse IdempotencyService::copy_for(KeyCopyRequest const& q) {
   if (context_.acceptor->state() && context_.acceptor->state()->epoch != fit_at_) fit(context_.acceptor->state());
   std::optional<ReplicatedState> const& st = context_.acceptor->state();
+  if (ledger_.is_complete()) LOG4CPLUS_INFO(logger_, "Keys for another disk: " << ledger_.size() << " are sent.");
   return KeyBackfill::answer_request(ledger_, context_.acceptor->incarnation(),
                                      st ? std::optional<Epoch>(st->epoch) : std::nullopt, q);
 }
--- a/packages/controller/include/controller/api_responder.hpp
+++ b/packages/controller/include/controller/api_responder.hpp
@@ -4,6 +4,7 @@
 
 #include <exception>
 #include <string>
+#include <unordered_map>
 
 #include "logging/log.hpp"
 #include "operator_commands/operator_commands.hpp"
@@ -26,6 +27,8 @@
  public:
   /// Answers a call. Must be called once for each; the request is libevent's again afterwards.
   void write(evhttp_request* request, ApiResponse const& response);
+  /// A call has arrived. Its answer is logged if it comes late or tells of a failure here.
+  void begin(evhttp_request const* request) { began_at_[request] = steady_now(); }
   /// Runs the handler of a call from outside: whatever it throws ends this call with a 500, not the process.
   template <class Handler>
   void guard(evhttp_request* request, Handler const& handler) {
@@ -41,9 +44,11 @@
 
  private:
   void on_handler_failed(evhttp_request* request, std::exception const& error);
+  void log_if_late_or_failed(evhttp_request* request, int code);
 
   evhttp_request const* last_answered_ = nullptr;  // the newest request that was; for `guard` alone
   bool closes_connections_ = false;
+  std::unordered_map<evhttp_request const*, Seconds> began_at_;  // of calls that are not answered yet
 };
 
 }  // namespace dockbend
--- a/packages/proxy/activity_log.cpp
+++ b/packages/proxy/activity_log.cpp
@@ -6,6 +6,15 @@
 namespace dockbend {
 namespace {
 Seconds constexpr kLogInterval = 10;
+
+/// `name n, name n`; the counts begin anew.
+std::string take_summary(std::map<std::string, u64>& counts) {
+  std::string line;
+  for (auto const& [name, count] : counts)
+    line += (line.empty() ? "" : ", ") + name + " " + std::to_string(count);
+  counts.clear();
+  return line;
+}
 }  // namespace
 
 void ActivityLog::tick(Seconds now) {
@@ -15,6 +24,7 @@
   log_discards(now);
   log_rejections(now);
   log_given_up(now);
+  log_failed_attempts(now);
 }
 
 void ActivityLog::log_remote_traffic(Seconds now) {
@@ -45,11 +55,13 @@
 void ActivityLog::log_given_up(Seconds now) {
   if (now - given_up_logged_at_ <= kLogInterval || context_.given_up.empty()) return;
   given_up_logged_at_ = now;
-  std::string line;
-  for (auto const& [reason, count] : context_.given_up)
-    line += (line.empty() ? "" : ", ") + reason + " " + std::to_string(count);
-  context_.given_up.clear();
-  LOG4CPLUS_INFO(logger_, "Requests given up: " << line << ".");
+  LOG4CPLUS_INFO(logger_, "Requests given up: " << take_summary(context_.given_up) << ".");
+}
+
+void ActivityLog::log_failed_attempts(Seconds now) {
+  if (now - failed_attempts_logged_at_ <= kLogInterval || context_.failed_attempts.empty()) return;
+  failed_attempts_logged_at_ = now;
+  LOG4CPLUS_INFO(logger_, "Attempts without an answer: " << take_summary(context_.failed_attempts) << ".");
 }
 
 }  // namespace dockbend
--- a/packages/proxy/attempt_runner.cpp
+++ b/packages/proxy/attempt_runner.cpp
@@ -1,5 +1,7 @@
 #include "proxy/attempt_runner.hpp"
 
+#include <log4cplus/loggingmacros.h>
+
 namespace dockbend {
 namespace {
 Seconds constexpr kShortestTimeForAttempt = 0.002;
@@ -92,6 +94,15 @@
   }
 }
 
+void AttemptRunner::record_failure(ProxiedRequest const& request, char const* cause) {
+  ++context_.failed_attempts[cause];
+  if (!context_.drain.is_terminating()) return;
+  LOG4CPLUS_INFO(logger_, "While shutting down, attempt "
+                              << request.retry_state().attempts() << " of " << request.machine.attempt_id() << " at "
+                              << context_.load_balancer.endpoint(request.server).address << " ended after "
+                              << steady_now() - request.retry_state().attempt_started_at() << " s: " << cause << ".");
+}
+
 void AttemptRunner::on_timer(ProxiedRequest& request) {
   Seconds const now = steady_now();
   bool const has_connection = request.connection != nullptr;
@@ -125,6 +136,7 @@
   auto const spend_budget = [&] { return spend_retry_budget(request, now); };
   if (!request.machine.replace_attempt(now, context_.drain.is_terminating(), choose_server, spend_budget)) return false;
   ServerIndex const server = request.server;
+  record_failure(request, "replaced, for it was late");
   retire_connection(request);
   balancer.attempt_abandoned(server);
   usage_.count(request);
@@ -135,7 +147,10 @@
 
 void AttemptRunner::expire(ProxiedRequest& request, Seconds now) {
   bool const is_sent = request.connection != nullptr && request.connection->has_sent;
-  if (is_sent) usage_.count(request);
+  if (is_sent) {
+    usage_.count(request);
+    record_failure(request, "deadline");
+  }
   if (request.connection != nullptr) {
     retire_connection(request);
     context_.load_balancer.attempt_abandoned(request.server);
--- a/packages/proxy/include/proxy/attempt_runner.hpp
+++ b/packages/proxy/include/proxy/attempt_runner.hpp
@@ -1,5 +1,7 @@
 /// Chooses servers, and handles retries, late attempts and deadlines.
 #pragma once
+#include <log4cplus/logger.h>
+
 #include "load_balancing/load_balancer.hpp"
 #include "proxy/proxy_context.hpp"
 #include "proxy/request_flow.hpp"
@@ -20,6 +22,9 @@
   void on_failed(ProxiedRequest& request, AttemptResult result);
   /// The request's timer fired: its deadline, a connect that takes too long, or an attempt that is late.
   void on_timer(ProxiedRequest& request);
+  /// Counts an attempt that had been sent and is over without an answer; after a SIGTERM also logs it by itself.
+  /// cause: a literal.
+  void record_failure(ProxiedRequest const& request, char const* cause);
 
  private:
   EndpointQuery query_of(ProxiedRequest const& request) const;
@@ -40,6 +45,7 @@
   RequestFlow& flow_;
   UsageMetering& usage_;
   UpstreamSender sender_;
+  log4cplus::Logger logger_ = log4cplus::Logger::getInstance("proxy");
 };
 
 }  // namespace dockbend
--- a/packages/proxy/include/proxy/proxy_context.hpp
+++ b/packages/proxy/include/proxy/proxy_context.hpp
@@ -10,6 +10,7 @@
 #include "planning/traffic_observer.hpp"
 #include "proxy/drain_status.hpp"
 #include "proxy/proxied_request.hpp"
+#include "proxy/response_flush_tracker.hpp"
 #include "settings/settings.hpp"
 #include "transport/peer_link.hpp"
 #include "upstream/connection_pool.hpp"
@@ -39,10 +40,13 @@
   PeerLink agent;
   u64 incarnation;  ///< of this process; never 0
   DrainStatus drain;
+  ResponseFlushTracker response_flushes;
   RequestsInFlight requests;
   TrafficObserver traffic_observer;
   TrafficCounters traffic;
   std::map<std::string, u64> given_up;  ///< requests that were given up, by reason, since it was last logged
+  /// Attempts that had been sent and brought no answer, by what ended them, since it was last logged.
+  std::map<std::string, u64> failed_attempts;
 
   /// The address that bind.`name` sets; throws SettingsError if it is missing.
   Address bind_address(char const* name) const;
--- a/packages/proxy/include/proxy/response_writer.hpp
+++ b/packages/proxy/include/proxy/response_writer.hpp
@@ -5,13 +5,14 @@
 #include "idempotency/proxy_messages.hpp"
 #include "proxy/drain_status.hpp"
 #include "proxy/proxied_request.hpp"
+#include "proxy/response_flush_tracker.hpp"
 
 namespace dockbend {
 
 /// The only place that calls evhttp_send_reply for a client. It does not end requests: callers do that next.
 class ResponseWriter {
  public:
-  explicit ResponseWriter(DrainStatus const& drain) : drain_(drain) {}
+  ResponseWriter(DrainStatus const& drain, ResponseFlushTracker& flushes) : drain_(drain), flushes_(flushes) {}
 
   /// An answer of the proxy's own. attempt_id: empty if the client named none.
   void write_local_reply(evhttp_request* client_request, LocalReply const& reply, std::string const& attempt_id) const;
@@ -23,7 +24,9 @@
 
  private:
   void close_if_draining(evkeyvalq* headers) const;
+  void send(evhttp_request* client_request, int status, char const* reason, evbuffer* body) const;
   DrainStatus const& drain_;
+  ResponseFlushTracker& flushes_;
 };
 
 /// The answer as it is kept for repeats of its key. body is copied, not drained.
--- a/packages/proxy/include/proxy/shutdown_sequence.hpp
+++ b/packages/proxy/include/proxy/shutdown_sequence.hpp
@@ -23,6 +23,8 @@
   void tick(Seconds now);
 
  private:
+  /// What the end of the process cuts off.
+  void log_end(Seconds now) const;
   ProxyContext& context_;
   FrontListener& front_;
   LoadReporter& load_;
--- a/packages/proxy/request_driver.cpp
+++ b/packages/proxy/request_driver.cpp
@@ -4,7 +4,7 @@
 
 RequestDriver::RequestDriver(ProxyContext& context, std::string front)
     : context_(context),
-      writer_(context.drain),
+      writer_(context.drain, context.response_flushes),
       key_outcomes_(context.agent),
       usage_(context),
       quota_(context, *this, std::move(front)),
--- a/packages/proxy/response_receiver.cpp
+++ b/packages/proxy/response_receiver.cpp
@@ -62,6 +62,7 @@
   // An idle connection that the server had closed or forgotten: no byte came back.
   if (connection.idle_before > 0 && now - request.retry_state().attempt_started_at() < kIdleResetWithin)
     context_.load_balancer.report_idle_reset(connection.server, connection.idle_before, now);
+  if (connection.has_sent) attempts_.record_failure(request, exchange_failure_name(connection.failure));
   attempts_.on_failed(request, connection.has_sent ? AttemptResult::broken : AttemptResult::unsent);
 }
 
--- a/packages/proxy/response_writer.cpp
+++ b/packages/proxy/response_writer.cpp
@@ -13,6 +13,11 @@
   if (drain_.closes_connections()) evhttp_add_header(headers, "Connection", "close");
 }
 
+void ResponseWriter::send(evhttp_request* client_request, int status, char const* reason, evbuffer* body) const {
+  flushes_.track(client_request);
+  evhttp_send_reply(client_request, status, reason, body);
+}
+
 void ResponseWriter::write_local_reply(evhttp_request* client_request, LocalReply const& reply,
                                        std::string const& attempt_id) const {
   evkeyvalq* const headers = evhttp_request_get_output_headers(client_request);
@@ -26,7 +31,7 @@
   evhttp_add_header(headers, "Content-Type", "text/plain");
   BufferOwner const body(evbuffer_new());
   evbuffer_add_printf(body.get(), "%s\n", reply.reason);
-  evhttp_send_reply(client_request, reply.status, reply.reason, body.get());
+  send(client_request, reply.status, reply.reason, body.get());
 }
 
 void ResponseWriter::forward(ProxiedRequest& request, evhttp_request* upstream_request,
@@ -37,8 +42,8 @@
       evhttp_add_header(headers, name.c_str(), value.c_str());
   close_if_draining(headers);
   char const* const line = evhttp_request_get_response_code_line(upstream_request);
-  evhttp_send_reply(request.client_request, response.status,
-                    line != nullptr && *line != '\0' ? line : reason_phrase(response.status), body);
+  send(request.client_request, response.status,
+       line != nullptr && *line != '\0' ? line : reason_phrase(response.status), body);
 }
 
 void ResponseWriter::write_stored_answer(ProxiedRequest& request, StoredAnswer const& answer) const {
@@ -54,7 +59,7 @@
   close_if_draining(headers);
   BufferOwner const body(evbuffer_new());
   evbuffer_add(body.get(), answer.body.data(), answer.body.size());
-  evhttp_send_reply(request.client_request, static_cast<int>(answer.code), answer.reason.c_str(), body.get());
+  send(request.client_request, static_cast<int>(answer.code), answer.reason.c_str(), body.get());
 }
 
 StoredAnswer make_stored_answer(ProxiedRequest const& request, evhttp_request* upstream_request,
--- a/packages/proxy/shutdown_sequence.cpp
+++ b/packages/proxy/shutdown_sequence.cpp
@@ -40,7 +40,21 @@
       !front_.is_accepting() && context_.requests.size() == 0 && now - stopped_accepting_at_ > kQuietBeforeEnd;
   if (!is_idle && elapsed <= grace_period - kEndMargin) return;
   usage_.report_immediately(now);
+  log_end(now);
   event_base_loopbreak(context_.loop);
 }
 
+void ShutdownSequence::log_end(Seconds now) const {
+  LOG4CPLUS_INFO(logger_, "Shut down after " << now - context_.drain.shutdown_started_at() << " s. "
+                                             << context_.requests.size() << " requests in flight, "
+                                             << context_.response_flushes.unflushed() << " answers not sent wholly.");
+  context_.requests.for_each([&](ProxiedRequest const& request) {
+    Seconds const at_work = request.connection != nullptr ? now - request.retry_state().attempt_started_at() : 0;
+    LOG4CPLUS_WARN(logger_, "Cut at the end of the grace period: "
+                                << request.machine.attempt_id() << ", taken "
+                                << request.arrived_at - context_.drain.shutdown_started_at()
+                                << " s after the SIGTERM, at its server for " << at_work << " s.");
+  });
+}
+
 }  // namespace dockbend
--- a/packages/upstream/connection_pool.cpp
+++ b/packages/upstream/connection_pool.cpp
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 
 #include <algorithm>
+#include <cerrno>
 
 #include "transport/periodic_timer.hpp"
 #include "transport/socket_options.hpp"
@@ -40,6 +41,23 @@
     ++connection->pool->late_responses;
 }
 
+// libevent calls this before on_done, while the socket's error is still at hand.
+void on_exchange_failed(evhttp_request_error error, void* argument) {
+  auto* const connection = static_cast<UpstreamConnection*>(argument);
+  int const socket_error = EVUTIL_SOCKET_ERROR();
+  switch (error) {
+    case EVREQ_HTTP_EOF: connection->failure = ExchangeFailure::closed; return;
+    case EVREQ_HTTP_INVALID_HEADER:
+    case EVREQ_HTTP_DATA_TOO_LONG: connection->failure = ExchangeFailure::unreadable; return;
+    case EVREQ_HTTP_BUFFER_ERROR:
+      connection->failure = socket_error == ETIMEDOUT ? ExchangeFailure::unacknowledged
+                            : socket_error == ECONNRESET || socket_error == ECONNREFUSED ? ExchangeFailure::reset
+                                                                                         : ExchangeFailure::other;
+      return;
+    default: connection->failure = ExchangeFailure::other;
+  }
+}
+
 Address address_of(Endpoint const& endpoint) {
   try {
     return parse_addr(endpoint.address, "address");
@@ -59,6 +77,7 @@
   UpstreamConnection& connection = idle != nullptr ? *idle : open(server);
   connection.is_busy = true;
   connection.has_sent = false;
+  connection.failure = ExchangeFailure::none;
   connection.owner = owner;
   return connection;
 }
@@ -80,7 +99,9 @@
 }
 
 evhttp_request* ConnectionPool::new_request(UpstreamConnection& connection) {
-  return evhttp_request_new(on_done, &connection);
+  evhttp_request* const request = evhttp_request_new(on_done, &connection);
+  evhttp_request_set_error_cb(request, on_exchange_failed);
+  return request;
 }
 
 bool ConnectionPool::send(UpstreamConnection& connection, evhttp_request* request, evhttp_cmd_type method,
--- a/packages/upstream/include/upstream/upstream_connection.hpp
+++ b/packages/upstream/include/upstream/upstream_connection.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include "base/types.hpp"
 #include "transport/event_owners.hpp"
+#include "upstream/exchange_failure.hpp"
 
 namespace dockbend {
 
@@ -25,9 +26,10 @@
   bool is_busy = false;
   bool is_retired = false;
   bool has_sent = false;
-  Seconds idle_since = 0;    ///< time point
-  Seconds idle_limit = 4;    ///< how long it may be idle
-  Seconds idle_before = -1;  ///< how long it was idle before this request; < 0: it is new
+  ExchangeFailure failure = ExchangeFailure::none;  ///< of the newest exchange
+  Seconds idle_since = 0;                           ///< time point
+  Seconds idle_limit = 4;                           ///< how long it may be idle
+  Seconds idle_before = -1;                         ///< how long it was idle before this request; < 0: it is new
 };
 
 }  // namespace dockbend
