--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -31,4 +31,4 @@
 tests/package_list.sh $build
 
 echo "--- unit tests"
-ctest --test-dir $build -j"$(nproc)" --output-on-failure
+tests/unit_tests.sh $build
--- a/tests/request/request_machine_test.cpp
+++ b/tests/request/request_machine_test.cpp
@@ -623,3 +623,19 @@
   cr_assert(r.on_attempt_ended(AttemptResult::broken, 1.2, 0.1, [] { return false; }).step ==
             RequestAction::Step::send_local_reply);
 }
+
+// The incident of 2026-12-02: a late attempt was broken off for a retry whose servers let nobody in, a SIGTERM came
+// meanwhile, and the client got 502 although its first server had been at work all the time.
+Test(request, a_late_attempt_outlives_a_retry_that_reaches_no_server) {
+  RequestMachine r = at_work(2);
+  auto const yes = [] { return true; };
+  cr_assert(r.replace_attempt(2, false, yes, yes));
+  RequestAction action;
+  do {
+    r.attempt_started(2, 1, 0.25);
+    action = r.on_attempt_ended(AttemptResult::unsent, 2.25, 0.1, [] { return false; });
+  } while (action.step == RequestAction::Step::choose_server);
+  cr_assert(action.step == RequestAction::Step::wait, "the first server is at work, no answer of ours takes its place");
+  cr_assert(r.on_attempt_ended(AttemptResult::complete, 5, 0.1, [] { return false; }).step ==
+            RequestAction::Step::forward_response);
+}
