A new disk copies keys page by page, and asks a disk again only once it has answered

Every answer was also written to disk anew. The class: a repeated question by timer, answered with a whole that grows. Change: pages of 60 KiB, four to a request; one request under way to a disk; no more disks at a time than are missing to a majority; near disks first, silent and incomplete ones last; only what changed is written; what was written for an earlier beginning completes nothing. Wire: KeyCopyRequest and KeyCopyResponse have two new fields at the end (golden bytes of these two only); a program of before still gets and sends all keys in one answer.

--- a/packages/controller/idempotency_service.cpp
+++ b/packages/controller/idempotency_service.cpp
@@ -3,56 +3,70 @@
 namespace dockbend {
 
 IdempotencyService::IdempotencyService(ControllerContext& h, u64 filled)
-    : context_(h), ledger_(false), copying_(filled) {
+    : context_(h), ledger_(false), backfill_(filled) {
   fit(context_.acceptor->state());
 }
 
 void IdempotencyService::rebuild(Seconds now) {
-  if (ledger_.is_complete() || !context_.committed || now < rebuild_at_) return;
-  Member const* me = context_.committed->member(context_.settings.ip);
+  if (ledger_.is_complete() || !context_.committed) return;
+  Member const* const me = context_.committed->member(context_.settings.ip);
   if (me == nullptr || me->incarnation != context_.acceptor->incarnation()) return;
-  rebuild_at_ = now + 0.7;
-  KeyCopyRequest q;
-  q.epoch = context_.committed->epoch;
-  for (Member const& m : context_.committed->membership)
-    if (m.ip != context_.settings.ip && copying_.needs_copy_from(m.ip) && context_.controller(m.ip).link)
-      context_.controller(m.ip).link->send(MessageType::key_copy_request, 0, q);
-}
-
-void IdempotencyService::rebuilt(std::string const& ip, KeyCopyResponse const& r) {
-  if (filling_ || !context_.committed) return;
-  ReplicatedState const& st = *context_.committed;
-  Member const* m = st.member(ip);
-  if (r.ok && r.epoch < st.epoch) context_.unmatched.drop(UnmatchedReason::epoch);  // asked in an earlier epoch
-  KeyBackfill::Progress const got = copying_.on_response(
-      ip, r, {m == nullptr ? std::nullopt : std::optional<Incarnation>(m->incarnation), st.epoch, st.majority()},
-      ledger_, steady_now());
-  LOG4CPLUS_INFO(logger_, "Keys of " << ip << ": an answer with " << r.keys.size() << " keys, "
-                                     << got.keys_to_store.size() << " of them taken in.");
-  std::vector<StoreOperation> ops;
-  for (HeldKey const& k : got.keys_to_store)
-    ops.push_back(StoreOperation::put_key(k.key, k.holder, true));
-  if (got.has_majority) {
-    u64 const in = since_in(st);
-    ops.push_back(StoreOperation::put_meta("whole", DiskStore::complete_keys_word(in)));
-    filling_ = true;
-    context_.disk->submit(std::move(ops), [this, in](bool ok) {
-      filling_ = false;
-      if (!ok) {
-        copying_.restart();
-        return;
-      }
-      copying_.set_completed(in);
-      fit(context_.acceptor->state());
-      if (!ledger_.is_complete()) return;  // no longer a member
-      on_whole.emit();
-      LOG4CPLUS_INFO(logger_, "Keys are whole, " << ledger_.size() << " of them.");
-    });
-  } else if (!ops.empty()) {
-    context_.disk->submit(std::move(ops), [this](bool ok) {
-      if (!ok) copying_.restart();
-    });
-  }
+  ReplicatedState const& state = *context_.committed;
+  for (KeyBackfill::Question const& question :
+       backfill_.questions_due(copy_candidates(), state.epoch, state.majority(), now))
+    context_.controllers[question.ip].link->send(MessageType::key_copy_request, 0, question.request);
+}
+
+std::vector<std::string> IdempotencyService::copy_candidates() const {
+  std::vector<std::string> near, far;
+  for (Member const& member : context_.committed->membership)
+    if (member.ip != context_.settings.ip && context_.peers.is_up(member.ip))
+      (context_.peers.is_near(member.ip) ? near : far).push_back(member.ip);
+  near.insert(near.end(), far.begin(), far.end());
+  return near;
+}
+
+void IdempotencyService::rebuilt(std::string const& ip, KeyCopyResponse const& response) {
+  if (is_completing_ || !context_.committed) return;
+  ReplicatedState const& state = *context_.committed;
+  Member const* const member = state.member(ip);
+  if (response.ok && response.epoch < state.epoch)
+    context_.unmatched.drop(UnmatchedReason::epoch);  // asked in an earlier epoch
+  Seconds const now = steady_now();
+  KeyBackfill::Source const source{member == nullptr ? std::nullopt : std::optional<Incarnation>(member->incarnation),
+                                   state.epoch, state.majority()};
+  KeyBackfill::Progress const progress = backfill_.on_response(ip, response, source, ledger_, now);
+  store_copied(progress);
+  if (!backfill_.needs_copy_from(ip) && !response.has_more)
+    LOG4CPLUS_INFO(logger_, "The keys of " << ip << " are copied, " << ledger_.size() << " in all.");
+  if (!progress.has_majority) rebuild(now);
+}
+
+void IdempotencyService::store_copied(KeyBackfill::Progress const& progress) {
+  std::vector<StoreOperation> operations;
+  for (HeldKey const& key : progress.keys_to_store)
+    operations.push_back(StoreOperation::put_key(key.key, key.holder, true));
+  if (progress.has_majority) return complete_backfill(std::move(operations));
+  if (operations.empty()) return;
+  context_.disk->submit(std::move(operations), [this](bool is_written) {
+    if (!is_written) backfill_.on_write_failed();
+  });
+}
+
+void IdempotencyService::complete_backfill(std::vector<StoreOperation> operations) {
+  u64 const membership = since_in(*context_.committed);
+  operations.push_back(StoreOperation::put_meta("whole", DiskStore::complete_keys_word(membership)));
+  is_completing_ = true;
+  context_.disk->submit(std::move(operations), [this, membership, begun = backfill_.generation()](bool is_written) {
+    is_completing_ = false;
+    if (!is_written) return backfill_.on_write_failed();
+    if (begun != backfill_.generation()) return;  // the membership changed, or an earlier write failed
+    backfill_.set_completed(membership);
+    fit(context_.acceptor->state());
+    if (!ledger_.is_complete()) return;  // no longer a member
+    on_whole.emit();
+    LOG4CPLUS_INFO(logger_, "Keys are whole, " << ledger_.size() << " of them.");
+  });
 }
 
 void IdempotencyService::claim(ConnectionPtr const& ch, u32 tag, ClaimRequest const& c) {
@@ -129,16 +143,21 @@
   });
 }
 
-KeyCopyResponse IdempotencyService::copy_for(KeyCopyRequest const& q) {
-  if (context_.acceptor->state() && context_.acceptor->state()->epoch != fit_at_) fit(context_.acceptor->state());
-  std::optional<ReplicatedState> const& st = context_.acceptor->state();
-  if (ledger_.is_complete()) LOG4CPLUS_INFO(logger_, "Keys for another disk: " << ledger_.size() << " are sent.");
-  return KeyBackfill::answer_request(ledger_, context_.acceptor->incarnation(),
-                                     st ? std::optional<Epoch>(st->epoch) : std::nullopt, q);
+void IdempotencyService::answer_copy_request(Connection& connection, u32 tag, KeyCopyRequest request) {
+  std::optional<ReplicatedState> const& state = context_.acceptor->state();
+  if (state && state->epoch != fit_at_) fit(state);
+  std::optional<Epoch> const epoch = state ? std::optional<Epoch>(state->epoch) : std::nullopt;
+  for (u32 page = 0; page == 0 || page < request.pages; ++page) {
+    KeyCopyResponse const response =
+        KeyBackfill::answer_request(ledger_, context_.acceptor->incarnation(), epoch, request);
+    connection.send(MessageType::key_copy_response, tag, response);
+    if (!response.has_more) return;
+    request.after = response.keys.back().key;
+  }
 }
 
 void IdempotencyService::roster_changed() {
-  copying_.restart();
+  backfill_.restart();
   fit(context_.acceptor->state());
 }
 
@@ -181,7 +200,7 @@
 void IdempotencyService::fit(std::optional<ReplicatedState> const& s) {
   if (!s) return;
   fit_at_ = s->epoch;
-  copying_.update_completeness(since_in(*s), ledger_);
+  backfill_.update_completeness(since_in(*s), ledger_);
 }
 
 }  // namespace dockbend
--- a/packages/controller/inbound_sessions.cpp
+++ b/packages/controller/inbound_sessions.cpp
@@ -231,8 +231,8 @@
 void InboundSessions::on_key_copy_request(Request const& request) {
   // Only of a membership that is on disk: else this disk might yet grant a key under the one before it.
   if (services_.consensus.durable() >= services_.consensus.accepted())
-    request.session.ch->send(MessageType::key_copy_response, request.message.tag,
-                             services_.idempotency.copy_for(request.message.as<KeyCopyRequest>()));
+    services_.idempotency.answer_copy_request(*request.session.ch, request.message.tag,
+                                              request.message.as<KeyCopyRequest>());
 }
 
 }  // namespace dockbend
--- a/packages/controller/include/controller/idempotency_service.hpp
+++ b/packages/controller/include/controller/idempotency_service.hpp
@@ -22,8 +22,8 @@
   /// votes.
   void rebuild(Seconds now);
 
-  /// A member sent its keys.
-  void rebuilt(std::string const& ip, KeyCopyResponse const& r);
+  /// A member sent a page of its keys.
+  void rebuilt(std::string const& ip, KeyCopyResponse const& response);
 
   /// Votes on a claim over ch, once the vote is on disk. Claims to another incarnation are fenced here;
   /// KeyTable::claim fences those of another epoch.
@@ -41,8 +41,9 @@
   void release(ReleaseRequest const& r);
   /// Sends the stored answer of a key over ch, or that there is none.
   void fetch(ConnectionPtr const& ch, u32 tag, FetchAnswerRequest const& f);
-  /// All our keys, for a disk that fills itself; not ok if ours are incomplete or our epoch is older than its own.
-  KeyCopyResponse copy_for(KeyCopyRequest const& q);
+  /// Sends pages of our keys over the connection, for a disk that fills itself; one that is not ok if ours are
+  /// incomplete or our epoch is older than its own.
+  void answer_copy_request(Connection& connection, u32 tag, KeyCopyRequest request);
   /// The committed membership has changed.
   void roster_changed();
   /// Sends our stored answers to that peer, the newest first, at most 100 at each call; true once all are sent.
@@ -57,6 +58,12 @@
   // Updates whether the keys are complete: they are if they were filled in the membership that s names.
   void fit(std::optional<ReplicatedState> const& s);
 
+  /// The other members that can be reached, those of our region first.
+  std::vector<std::string> copy_candidates() const;
+  void store_copied(KeyBackfill::Progress const& progress);
+  /// Writes the last keys of a backfill, and then counts the table as complete.
+  void complete_backfill(std::vector<StoreOperation> operations);
+
   /// A stored answer.
   struct Kept {
     std::string key;
@@ -66,14 +73,13 @@
 
   ControllerContext& context_;
   KeyTable ledger_;
-  KeyBackfill copying_;
+  KeyBackfill backfill_;
   std::deque<Kept> ret_order_;  // oldest first
   std::size_t ret_bytes_ = 0;   // of all answers in ret_order_
-  bool filling_ = false;
-  Epoch fit_at_{~0ULL};  // the epoch for which fit() was last called
-  std::string handing_;  // the peer that gets our stored answers
+  bool is_completing_ = false;  // the last keys of a backfill are being written
+  Epoch fit_at_{~0ULL};         // the epoch for which fit() was last called
+  std::string handing_;         // the peer that gets our stored answers
   std::size_t hand_ix_ = 0;
-  Seconds rebuild_at_ = 0;
   log4cplus::Logger logger_ = log4cplus::Logger::getInstance("controller");
 };
 
--- a/packages/idempotency/include/idempotency/claim_messages.hpp
+++ b/packages/idempotency/include/idempotency/claim_messages.hpp
@@ -57,9 +57,11 @@
   DB_RECORD(FetchAnswerResponse, (bool, found, have), (std::string, stored_answer, ret));
 };
 
-/// A new disk asks another one for all its keys. `epoch`: of the membership that the new disk knows.
+/// A new disk asks another one for keys. `epoch`: of the membership that the new disk knows; `after`: the keys behind
+/// this one in their order, "" for the first; `pages`: at most so many answers, each with the keys behind the one
+/// before. 0 pages: a program of before 2026-12-02, which wants all keys in one answer.
 struct KeyCopyRequest {
-  DB_RECORD(KeyCopyRequest, (Epoch, epoch), (u32, part));
+  DB_RECORD(KeyCopyRequest, (Epoch, epoch), (u32, part), (std::string, after), (u32, pages));
 };
 
 /// A key that a disk has granted, and to whom.
@@ -67,10 +69,11 @@
   DB_RECORD(HeldKey, (std::string, key), (u64, holder));
 };
 
-/// All keys of one disk. `epoch`: of the disk that was copied; it grants nothing under an earlier one from
-/// then on.
+/// A page of the keys of one disk: those that follow `after`; `has_more`: others follow these. `epoch`: of the disk
+/// that is copied; it grants nothing under an earlier one from then on.
 struct KeyCopyResponse {
-  DB_RECORD(KeyCopyResponse, (bool, ok), (Incarnation, incarnation), (std::vector<HeldKey>, keys), (Epoch, epoch));
+  DB_RECORD(KeyCopyResponse, (bool, ok), (Incarnation, incarnation), (std::vector<HeldKey>, keys), (Epoch, epoch),
+            (std::string, after), (bool, has_more));
 };
 
 }  // namespace dockbend
--- a/packages/idempotency/include/idempotency/key_table.hpp
+++ b/packages/idempotency/include/idempotency/key_table.hpp
@@ -1,7 +1,7 @@
 #pragma once
 #include <deque>
+#include <map>
 #include <string>
-#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -42,14 +42,25 @@
   /// Frees the key if this holder has it; true if so. The holder is granted nothing from then on, so that a
   /// claim which arrives after its release takes no effect.
   bool release(ReleaseRequest const& request);
-  /// Enters a key copied from another disk. Returns the holder to write to disk.
-  u64 seal(std::string const& key, u64 holder, Seconds now);
+  /// A sealed entry, and whether that differs from what the table had: then it has to be written to disk.
+  struct SealedEntry {
+    u64 holder = kNobody;
+    bool is_changed = false;
+  };
+  /// Enters a key copied from another disk.
+  SealedEntry seal(std::string const& key, u64 holder, Seconds now);
   /// Enters a key read from our own disk at the start.
   void load(std::string const& key, u64 holder, bool is_sealed, Seconds now);
   /// Drops at most `limit` durable keys that are older than `age` seconds; returns them.
   std::vector<std::string> forget_older_than(Seconds age, Seconds now, std::size_t limit);
 
-  /// All keys with their holders, for a disk that copies them.
+  /// Keys with their holders, in the order of the keys, for a disk that copies them.
+  struct Page {
+    std::vector<HeldKey> keys;
+    bool has_more = false;  ///< others follow
+  };
+  /// The keys behind `after` ("": from the first on), until they come to max_bytes; at least one, if there is one.
+  Page keys_after(std::string const& after, std::size_t max_bytes) const;
   std::vector<HeldKey> all_keys() const;
   std::size_t size() const { return entries_.size(); }
   bool is_complete() const { return is_complete_; }
@@ -70,7 +81,7 @@
   void remember_released(u64 holder);
 
   bool is_complete_;
-  std::unordered_map<std::string, Entry> entries_;
+  std::map<std::string, Entry> entries_;      ///< in an order that lasts, so that it can be copied page by page
   std::unordered_set<u64> released_holders_;  ///< those of released_order_
   std::deque<u64> released_order_;            ///< the newest kMaxReleasedHolders that released, oldest first
   u64 claims_after_release_ = 0;
--- a/packages/idempotency/key_table.cpp
+++ b/packages/idempotency/key_table.cpp
@@ -1,10 +1,13 @@
 #include "idempotency/key_table.hpp"
 
+#include <limits>
 #include <utility>
 
 namespace dockbend {
 namespace {
 double constexpr kMillisecondsPerSecond = 1000.0;
+/// What a key takes in a message besides its own bytes, at most.
+std::size_t constexpr kHeldKeyOverheadBytes = 24;
 }  // namespace
 
 ClaimVote KeyTable::claim(ClaimRequest const& request, Epoch epoch, Seconds now, ClaimResponse& response) {
@@ -56,18 +59,20 @@
   released_order_.pop_front();
 }
 
-u64 KeyTable::seal(std::string const& key, u64 holder, Seconds now) {
+KeyTable::SealedEntry KeyTable::seal(std::string const& key, u64 holder, Seconds now) {
   auto const [place, is_new] = entries_.try_emplace(key);
   Entry& entry = place->second;
+  bool is_changed = is_new || !entry.is_sealed;
   if (is_new) {
     entry.holder = holder;
     entry.granted_at = now;
-  } else if (entry.holder != holder) {
+  } else if (entry.holder != holder && entry.holder != kNobody) {
     entry.holder = kNobody;
+    is_changed = true;
   }
   entry.is_sealed = true;
   entry.is_durable = true;
-  return entry.holder;
+  return {entry.holder, is_changed};
 }
 
 void KeyTable::load(std::string const& key, u64 holder, bool is_sealed, Seconds now) {
@@ -88,16 +93,25 @@
   return forgotten;
 }
 
-std::vector<HeldKey> KeyTable::all_keys() const {
-  std::vector<HeldKey> keys;
-  keys.reserve(entries_.size());
-  for (auto const& [key, entry] : entries_) {
+KeyTable::Page KeyTable::keys_after(std::string const& after, std::size_t max_bytes) const {
+  Page page;
+  std::size_t bytes = 0;
+  for (auto entry = after.empty() ? entries_.begin() : entries_.upper_bound(after); entry != entries_.end(); ++entry) {
+    bytes += entry->first.size() + kHeldKeyOverheadBytes;
+    if (bytes > max_bytes && !page.keys.empty()) {
+      page.has_more = true;
+      break;
+    }
     HeldKey held;
-    held.key = key;
-    held.holder = entry.holder;
-    keys.push_back(std::move(held));
+    held.key = entry->first;
+    held.holder = entry->second.holder;
+    page.keys.push_back(std::move(held));
   }
-  return keys;
+  return page;
+}
+
+std::vector<HeldKey> KeyTable::all_keys() const {
+  return keys_after("", std::numeric_limits<std::size_t>::max()).keys;
 }
 
 }  // namespace dockbend
--- a/packages/model_checking/idempotency_events.cpp
+++ b/packages/model_checking/idempotency_events.cpp
@@ -296,6 +296,7 @@
   Epoch const epoch = nodes_[index].committed->epoch;
   KeyCopyRequest request;
   request.epoch = faults_.copies_under_old_epoch ? Epoch(0) : epoch;
+  request.pages = 1;
   if (!faults_.copies_unwritten_state) write(from);  // an answer waits for all writes before it
   update_completeness(from);
   Node const& source = nodes_[from];
