--- a/programs/agent.cpp
+++ b/programs/agent.cpp
@@ -14,6 +14,7 @@
 #include "logging/log.hpp"
 #include "planning/traffic_survey.hpp"
 #include "process/program.hpp"
+#include "quorum_contact/catch_up_gate.hpp"
 #include "quorum_contact/controller_selection.hpp"
 #include "quorum_contact/quorum_contact.hpp"
 #include "quota/quota_messages.hpp"
@@ -37,8 +38,9 @@
   bool feeding = false;
   ReportedContact contact;  // its contact with a majority, as it reports it
   DigestMismatchDetector off;
-  Seconds pulled = 0, beat_sent = 0, hello_sent = 0, behind = 0;  // behind: since when its state is newer than ours
+  Seconds beat_sent = 0, hello_sent = 0, behind = 0;  // behind: since when its state is newer than ours
   u32 beats = 0;  // tag of the newest heartbeat; a response to an earlier one measures no round trip
+  CatchUpGate catch_up;
 
   double rtt = 0.1;
   std::map<std::string, u32> sites;
@@ -111,6 +113,7 @@
     m.link->on_down.connect([this, ip](PeerLink&) {
       ControllerLink& x = controllers_[ip];
       x.feeding = false;
+      x.catch_up.reset();
       x.off.reset();
       x.sites.clear();
       claims_.on_disk_disconnected(ip);
@@ -206,10 +209,8 @@
         } else if (m.behind == 0) {
           m.behind = now;
         }
-        if (late && (!have_ || now - m.behind > 0.5) && now - m.pulled > 1.0) {
-          m.pulled = now;
-          m.link->send(MessageType::catch_up_request, 0, CatchUpRequest{have_ ? state_.ballot : Ballot()});
-        }
+        m.catch_up.on_heartbeat_response(l.tag);
+        if (late && (!have_ || now - m.behind > 0.5)) request_catch_up(m, now, 1.0);
         if (m.feeding && r.in_contact && m.off.observe(roll_.digest(), r.digest))
           m.link->send(MessageType::subscribe, 0, SubscribeRequest{true, have_ ? state_.ballot : Ballot()});
         break;
@@ -275,11 +276,15 @@
     if (!have_ || d.ballot <= state_.ballot) return;
     ReplicatedState s = state_;
     if (apply(s, d)) return take(std::move(s), &d);
-    ControllerLink& m = controllers_[from];
-    if (m.link->up() && steady_now() - m.pulled > 0.3) {
-      m.pulled = steady_now();
-      m.link->send(MessageType::catch_up_request, 0, CatchUpRequest{state_.ballot});
-    }
+    request_catch_up(controllers_[from], steady_now(), 0.3);
+  }
+
+  // Asks for what is newer than our state, unless such a question is under way or was asked less than interval ago. The
+  // heartbeat behind it shows when it has been handled: a controller handles what one connection brings in order.
+  void request_catch_up(ControllerLink& m, Seconds now, Seconds interval) {
+    if (!m.link->up() || !m.catch_up.may_ask(now, interval, !have_)) return;
+    m.link->send(MessageType::catch_up_request, 0, CatchUpRequest{have_ ? state_.ballot : Ballot()});
+    m.catch_up.on_asked(now, m.beats);
   }
 
   // Takes a committed state over if it is newer.
@@ -449,12 +454,7 @@
     if (Connection* const c = controllers_[x.to].link->ch(); c != nullptr)
       c->send(MessageType::store_answer, 1, std::string_view(x.answer));  // tag 1: it sends the second copy on
   }
-  void say(SendCatchUp const& x) {
-    ControllerLink& m = controllers_[x.to];
-    if (steady_now() - m.pulled <= 0.05) return;
-    m.pulled = steady_now();
-    m.link->send(MessageType::catch_up_request, 0, CatchUpRequest{state_.ballot});
-  }
+  void say(SendCatchUp const& x) { request_catch_up(controllers_[x.to], steady_now(), 0.05); }
   void say(SendAnswer const& x) {
     if (proxy_ && proxy_->id() == x.asker) proxy_->send(MessageType::acquire_key_response, x.tag, x.answer);
   }
