Shutdown: nothing that is begun late outlasts the process, and it ends only when all answers have left it

Not seen in 362 logged shutdowns, but there by construction where the grace period is 10 s and deadlines are 8 to 21 s: requests were begun until the very end and cut 0.4 s before the grace period was over (one shutdown lasted 8.04 s); the process ended once no request was open, though an answer, a key's outcome or the last usage report might still wait in its buffers. Now a request that comes later than 2.8 s after the SIGTERM is begun only if its deadline is before the process must end, else 503; the process ends after 0.3 s in which nothing was open and no answer waited, or 0.5 s before the end of the grace period; the last usage report gets a turn of the loop to leave.

--- a/packages/proxy/include/proxy/proxy_context.hpp
+++ b/packages/proxy/include/proxy/proxy_context.hpp
@@ -11,6 +11,7 @@
 #include "proxy/drain_status.hpp"
 #include "proxy/proxied_request.hpp"
 #include "proxy/response_flush_tracker.hpp"
+#include "proxy/shutdown_schedule.hpp"
 #include "settings/settings.hpp"
 #include "transport/peer_link.hpp"
 #include "upstream/connection_pool.hpp"
@@ -51,6 +52,8 @@
 
   /// The address that bind.`name` sets; throws SettingsError if it is missing.
   Address bind_address(char const* name) const;
+  /// Of the shutdown under way.
+  ShutdownSchedule shutdown_schedule() const { return {drain.shutdown_started_at(), settings.bounds.gracePeriodS}; }
   /// Is there something to route by, a server to send to, and no shutdown?
   bool is_ready() const;
   /// Is the server in another region than this proxy?
--- a/packages/proxy/include/proxy/request_intake.hpp
+++ b/packages/proxy/include/proxy/request_intake.hpp
@@ -18,6 +18,8 @@
   void on_request(evhttp_request* client_request);
 
  private:
+  /// May the request still be at work when this process, which got a SIGTERM, must end?
+  bool outlasts_shutdown(AdmittedRequest const& request, Seconds now) const;
   void refuse(evhttp_request* client_request, AdmissionResult const& result);
   ProxiedRequest& open(evhttp_request* client_request, AdmissionResult&& result, Seconds now);
   ProxyContext& context_;
--- a/packages/proxy/include/proxy/shutdown_sequence.hpp
+++ b/packages/proxy/include/proxy/shutdown_sequence.hpp
@@ -10,8 +10,8 @@
 namespace dockbend {
 
 /// After a SIGTERM the proxy first reports itself as draining while it still takes connections, so that the directories
-/// can send clients elsewhere; then it stops accepting; and it ends once nothing is in flight or the grace period is
-/// over.
+/// can send clients elsewhere; then it stops accepting; and it ends once nothing has been open for a while, no answer
+/// waits to be sent, or the grace period is over (ShutdownSchedule).
 class ShutdownSequence {
  public:
   ShutdownSequence(ProxyContext& context, FrontListener& front, LoadReporter& load, UsageMetering& usage)
@@ -29,7 +29,8 @@
   FrontListener& front_;
   LoadReporter& load_;
   UsageMetering& usage_;
-  Seconds stopped_accepting_at_ = 0;
+  Seconds busy_at_ = 0;         // when something was open last
+  Seconds last_report_at_ = 0;  // when the last usage report was sent; 0: not yet
   log4cplus::Logger logger_ = log4cplus::Logger::getInstance("proxy");
 };
 
--- a/packages/proxy/request_intake.cpp
+++ b/packages/proxy/request_intake.cpp
@@ -10,6 +10,8 @@
 namespace {
 /// What the packets round a request come to, about.
 double constexpr kRequestOverheadBytes = 150;
+/// Another proxy can take the request at once.
+Seconds constexpr kRetryAfterShuttingDown = 0.01;
 
 std::size_t body_bytes_of(evhttp_request* request) {
   return evbuffer_get_length(evhttp_request_get_input_buffer(request));
@@ -26,6 +28,11 @@
   AdmissionResult result =
       admit(incoming, context_.has_configuration ? &context_.configuration : nullptr, context_.configuration.limits(),
             context_.drain.is_draining_for_maintenance(), random01());
+  if (result.request && outlasts_shutdown(*result.request, now)) {
+    result.request.reset();
+    result.refusal = make_local_reply(503, kRetryAfterShuttingDown, true);
+    result.reason = "shutting down";
+  }
   if (result.reason != nullptr) ++context_.given_up[result.reason];
   if (!result.request) return refuse(client_request, result);
   ProxiedRequest& request = open(client_request, std::move(result), now);
@@ -35,6 +42,10 @@
   quota_.admit(request, now);
 }
 
+bool RequestIntake::outlasts_shutdown(AdmittedRequest const& request, Seconds now) const {
+  return context_.drain.is_shutting_down() && request.time_left > context_.shutdown_schedule().longest_request(now);
+}
+
 void RequestIntake::refuse(evhttp_request* client_request, AdmissionResult const& result) {
   if (result.refusal.status == 400) ++rejected_input().calls;
   writer_.write_local_reply(client_request, result.refusal, result.attempt_id);
--- a/packages/proxy/shutdown_sequence.cpp
+++ b/packages/proxy/shutdown_sequence.cpp
@@ -5,12 +5,8 @@
 
 namespace dockbend {
 namespace {
-/// Part of the grace period in which connections are still accepted.
-double constexpr kAcceptingPart = 0.45;
-/// Accepted connections may still hand in a request for so long.
-Seconds constexpr kQuietBeforeEnd = 0.3;
-/// The process ends so long before the grace period does.
-Seconds constexpr kEndMargin = 0.4;
+/// What is sent last gets out meanwhile.
+Seconds constexpr kLastReportFlush = 0.05;
 }  // namespace
 
 void ShutdownSequence::begin() {
@@ -30,16 +26,16 @@
 
 void ShutdownSequence::tick(Seconds now) {
   if (!context_.drain.is_shutting_down()) return;
-  Seconds const grace_period = context_.settings.bounds.gracePeriodS;
-  Seconds const elapsed = now - context_.drain.shutdown_started_at();
-  if (front_.is_accepting() && elapsed > grace_period * kAcceptingPart) {
-    front_.stop_accepting();
-    stopped_accepting_at_ = now;
+  ShutdownSchedule const schedule = context_.shutdown_schedule();
+  if (front_.is_accepting() && !schedule.accepts_connections(now)) front_.stop_accepting();
+  if (front_.is_accepting() || context_.requests.size() > 0 || context_.response_flushes.unflushed() > 0)
+    busy_at_ = now;
+  if (now - busy_at_ <= ShutdownSchedule::kQuietBeforeEnd && now <= schedule.must_end_at()) return;
+  if (last_report_at_ == 0) {
+    last_report_at_ = now;
+    return usage_.report_immediately(now);
   }
-  bool const is_idle =
-      !front_.is_accepting() && context_.requests.size() == 0 && now - stopped_accepting_at_ > kQuietBeforeEnd;
-  if (!is_idle && elapsed <= grace_period - kEndMargin) return;
-  usage_.report_immediately(now);
+  if (now - last_report_at_ <= kLastReportFlush) return;
   log_end(now);
   event_base_loopbreak(context_.loop);
 }
