--- a/packages/idempotency/claim_disks.cpp
+++ b/packages/idempotency/claim_disks.cpp
@@ -22,7 +22,8 @@
 }
 
 Member const* ClaimDisks::member(std::string const& ip) const {
-  auto const found = std::find_if(members_.begin(), members_.end(), [&](Member const& m) { return m.ip == ip; });
+  auto const found =
+      std::find_if(members_.begin(), members_.end(), [&](Member const& other) { return other.ip == ip; });
   return found == members_.end() ? nullptr : &*found;
 }
 
--- a/packages/quorum_contact/controller_selection.cpp
+++ b/packages/quorum_contact/controller_selection.cpp
@@ -16,9 +16,9 @@
 }
 
 int ReportedContact::rank(Seconds now, bool serves_us) const {
-  if (report_ == Report::none) return kUncertain;
-  if (report_ == Report::out) return kOutOfContact;
-  return serves_us || now - in_since_ >= steady_after_ ? kInContact : kUncertain;
+  if (report_ == Report::none) return uncertain;
+  if (report_ == Report::out) return out_of_contact;
+  return serves_us || now - in_since_ >= steady_after_ ? in_contact : uncertain;
 }
 
 std::vector<std::string> select_controllers(std::vector<ControllerCandidate> candidates, std::size_t count) {
--- a/packages/quorum_contact/include/quorum_contact/controller_selection.hpp
+++ b/packages/quorum_contact/include/quorum_contact/controller_selection.hpp
@@ -22,7 +22,7 @@
   bool is_out() const { return report_ == Report::out; }
 
   /// Lower is better.
-  enum Rank { kInContact = 0, kUncertain = 1, kOutOfContact = 2 };
+  enum Rank { in_contact = 0, uncertain = 1, out_of_contact = 2 };
   /// serves_us: whether it sends us updates now.
   int rank(Seconds now, bool serves_us) const;
 
@@ -36,7 +36,7 @@
 /// A controller that is connected.
 struct ControllerCandidate {
   std::string ip;
-  int contact_rank = ReportedContact::kUncertain;
+  int contact_rank = ReportedContact::uncertain;
   int distance = 3;   ///< 0: in our zone, 1: in our region, 2: farther, 3: not known
   u64 tie_break = 0;  ///< differs between agents, so that not all choose the same among equals
 };
--- a/packages/quorum_contact/quorum_contact.cpp
+++ b/packages/quorum_contact/quorum_contact.cpp
@@ -39,7 +39,8 @@
   if (found == peers_.end()) return false;
   Peer& peer = found->second;
   auto& open = peer.open_questions;
-  auto const question = std::find_if(open.begin(), open.end(), [&](Question const& q) { return q.number == number; });
+  auto const question =
+      std::find_if(open.begin(), open.end(), [&](Question const& asked) { return asked.number == number; });
   if (question == open.end()) return false;
   Seconds const asked_at = question->asked_at;
   open.erase(open.begin(), question + 1);  // answers to older questions would say less
--- a/packages/request/admission.cpp
+++ b/packages/request/admission.cpp
@@ -160,10 +160,10 @@
 }  // namespace
 
 std::size_t size_of(Headers const& headers) {
-  std::size_t constexpr separators = 4;  // ": " and the line's end
+  std::size_t constexpr kSeparators = 4;  // ": " and the line's end
   std::size_t bytes = 0;
   for (auto const& [name, value] : headers)
-    bytes += name.size() + value.size() + separators;
+    bytes += name.size() + value.size() + kSeparators;
   return bytes;
 }
 
--- a/packages/request/headers.cpp
+++ b/packages/request/headers.cpp
@@ -51,8 +51,8 @@
 }  // namespace
 
 bool equal_ignoring_case(std::string_view a, std::string_view b) {
-  return std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
-    return std::tolower(static_cast<unsigned char>(x)) == std::tolower(static_cast<unsigned char>(y));
+  return std::equal(a.begin(), a.end(), b.begin(), [](char left, char right) {
+    return std::tolower(static_cast<unsigned char>(left)) == std::tolower(static_cast<unsigned char>(right));
   });
 }
 
--- a/tests/quorum_contact/quorum_contact_test.cpp
+++ b/tests/quorum_contact/quorum_contact_test.cpp
@@ -291,15 +291,15 @@
 
 Test(controller_selection, controller_that_was_out_is_preferred_only_once_it_is_steady) {
   ReportedContact contact(1.2);
-  cr_assert_eq(contact.rank(0, false), ReportedContact::kUncertain);
+  cr_assert_eq(contact.rank(0, false), ReportedContact::uncertain);
   contact.update(true, 0);
-  cr_assert_eq(contact.rank(0, false), ReportedContact::kInContact, "it was never out: believed at once");
+  cr_assert_eq(contact.rank(0, false), ReportedContact::in_contact, "it was never out: believed at once");
   contact.update(false, 1);
-  cr_assert_eq(contact.rank(1, true), ReportedContact::kOutOfContact);
+  cr_assert_eq(contact.rank(1, true), ReportedContact::out_of_contact);
   contact.update(true, 2);
-  cr_assert_eq(contact.rank(2, false), ReportedContact::kUncertain);
-  cr_assert_eq(contact.rank(2, true), ReportedContact::kInContact);
-  cr_assert_eq(contact.rank(3.3, false), ReportedContact::kInContact);
+  cr_assert_eq(contact.rank(2, false), ReportedContact::uncertain);
+  cr_assert_eq(contact.rank(2, true), ReportedContact::in_contact);
+  cr_assert_eq(contact.rank(3.3, false), ReportedContact::in_contact);
 }
 
 // Long days of random partitions and freezes: a controller that says it is in contact can't have been cut off for
