--- a/packages/proxy/include/proxy/request_driver.hpp
+++ b/packages/proxy/include/proxy/request_driver.hpp
@@ -1,5 +1,7 @@
 /// Leads each request from phase to phase, as its state machine decides.
 #pragma once
+#include <log4cplus/logger.h>
+
 #include "proxy/attempt_runner.hpp"
 #include "proxy/idempotency_client.hpp"
 #include "proxy/key_outcome_reporter.hpp"
@@ -29,6 +31,9 @@
   UsageMetering& usage() { return usage_; }
 
  private:
+  /// Logs an answer of ours that stands in place of a server's, if a SIGTERM has arrived.
+  void log_own_failure(ProxiedRequest const& request, RequestAction const& action) const;
+
   ProxyContext& context_;
   ResponseWriter writer_;
   KeyOutcomeReporter key_outcomes_;
@@ -37,6 +42,7 @@
   IdempotencyClient idempotency_;
   AttemptRunner attempts_;
   ResponseReceiver receiver_;
+  log4cplus::Logger logger_ = log4cplus::Logger::getInstance("proxy");
 };
 
 }  // namespace dockbend
--- a/packages/proxy/request_driver.cpp
+++ b/packages/proxy/request_driver.cpp
@@ -1,6 +1,12 @@
 #include "proxy/request_driver.hpp"
 
+#include <log4cplus/loggingmacros.h>
+
 namespace dockbend {
+namespace {
+/// Answers of ours from here on, but for the promise that nothing ran, stand in place of a server's.
+int constexpr kFirstFailureStatus = 500;
+}  // namespace
 
 RequestDriver::RequestDriver(ProxyContext& context, std::string front)
     : context_(context),
@@ -26,6 +32,7 @@
     case RequestAction::Step::choose_server: return attempts_.start(request);
     case RequestAction::Step::resume_hedged: return attempts_.resume_hedged(request);
     case RequestAction::Step::send_local_reply:
+      log_own_failure(request, action);
       writer_.write_local_reply(request.client_request, action.reply, request.machine.attempt_id());
       return finish(request);
     case RequestAction::Step::wait:
@@ -34,6 +41,20 @@
   }
 }
 
+void RequestDriver::log_own_failure(ProxiedRequest const& request, RequestAction const& action) const {
+  if (!context_.drain.is_terminating() || action.reply.status < kFirstFailureStatus ||
+      promises_not_run(action.reply.status))
+    return;
+  Seconds const now = steady_now();
+  RetryState const& state = request.retry_state();
+  LOG4CPLUS_INFO(logger_, "While shutting down, "
+                              << request.machine.attempt_id() << " was answered with " << action.reply.status << " ("
+                              << (action.reason != nullptr ? action.reason : "no reason") << "), "
+                              << now - request.arrived_at << " s after it came, with " << state.deadline() - now
+                              << " s left: " << state.attempts() << " attempts, " << state.arrivals()
+                              << " arrived, the newest begun " << now - state.attempt_started_at() << " s ago.");
+}
+
 void RequestDriver::finish(ProxiedRequest& request) {
   if (request.route->kind == schema::RouteKind::keyed) context_.drain.maintenance().on_keyed_answer(steady_now());
   request.cancel_timer();
