--- /dev/null
+++ b/tests/proxy/attempt_at_work_test.cpp
@@ -0,0 +1,66 @@
+// An attempt at work is not broken off for what does not end it: an answer to another request, a server that reads
+// late, or a failure of its retry.
+#include <criterion/criterion.h>
+
+#include "support/proxy_fixture.hpp"
+
+using namespace dockbend;
+using namespace dockbend::test;
+
+// The server is at work on the second request when the answer to the first one comes once more. It was broken off then,
+// and the client got 502, for an upload may not be sent again.
+Test(attempt_at_work, stray_answer_is_discarded_and_the_next_one_is_waited_for) {
+  ProxyFixture fixture;
+  ScriptedServer server(fixture.loop);
+  fixture.add_server("i-1", server.port);
+  fixture.ask(EVHTTP_REQ_POST, "/u/x", "body", "a1");
+  fixture.until([&] { return server.received() > 0; });
+  server.forget_received();
+  server.answer("a1", kBody);
+  fixture.expect_answer();
+
+  fixture.ask(EVHTTP_REQ_POST, "/u/x", "body", "a2");
+  fixture.until([&] { return server.received() > 0; });
+  for (int strays = 0; strays < 3; ++strays) {
+    server.answer("a1", "a stray answer");
+    fixture.run_for(0.02);
+    cr_assert_not(fixture.is_answered);
+    cr_assert_not(server.is_closed);
+  }
+  server.answer("a2", kBody);
+  fixture.expect_answer();
+  cr_assert_eq(server.accepted.size(), 1u);
+  cr_assert_eq(fixture.context.requests.filter().discarded(ResponseRejection::other_id), 3u);
+  Endpoint const& endpoint = fixture.context.load_balancer.endpoint(ServerIndex{0});
+  cr_assert_eq(endpoint.idle_connections, 0, "a connection with stray answers is not kept");
+  cr_assert_eq(endpoint.in_flight, 0);
+}
+
+// The server's window is closed for longer than a machine may leave our bytes unacknowledged (0.25 s here). The kernel
+// ended the connection then, though the server had acknowledged what it had room for.
+Test(attempt_at_work, server_that_reads_late_is_waited_for) {
+  ProxyFixture fixture;
+  ScriptedServer server(fixture.loop, 4096);
+  server.is_reading = false;
+  fixture.add_server("i-1", server.port);
+  std::string const body(45000, 'b');
+  fixture.ask(EVHTTP_REQ_POST, "/p/x", body, "a1");
+  fixture.run_for(2.5);
+  cr_assert_not(fixture.is_answered, "%d", fixture.status);
+  server.read_on();
+  fixture.until([&] { return server.received() > body.size(); });
+  server.answer("a1", kBody);
+  fixture.expect_answer();
+}
+
+// The retry's server fails at once, while the first one is at work, which may still succeed.
+Test(attempt_at_work, failure_of_the_retry_does_not_end_the_late_attempt) {
+  ProxyFixture fixture;
+  fixture.hedge(fixture.second.port);
+  fixture.until([&] { return fixture.second.requests.size() == 1; });
+  fixture.second.answer(500);
+  fixture.until([&] { return fixture.is_answered || fixture.request()->hedged_attempts.empty(); });
+  cr_assert_not(fixture.is_answered);
+  fixture.first.answer();
+  fixture.expect_answer();
+}
--- /dev/null
+++ b/tests/soak/ledger.py
@@ -0,0 +1,125 @@
+"""What clients sent and got, what servers ran, and when proxies were stopped: the facts that the judge reads.
+
+Clients, servers and the operator of a run share one process and so one clock (seconds, monotonic).
+"""
+
+import dataclasses
+import enum
+
+
+class Kind(enum.Enum):
+    """What a request's route allows."""
+
+    IDEMPOTENT = "idempotent"
+    KEYED = "keyed"
+    UPLOAD = "inflow"
+
+    @property
+    def is_repeatable(self) -> bool:
+        return self is Kind.IDEMPOTENT
+
+
+class RunEnd(enum.Enum):
+    """How a server's run of a request ended."""
+
+    AT_WORK = "still at work"
+    FINISHED = "finished, and the answer was written"
+    CUT_BY_PROXY = "the proxy closed the connection"
+    BROKE_OFF = "the server broke off"
+
+
+@dataclasses.dataclass
+class Run:
+    """One run of a request at a server."""
+
+    server: str
+    started_at: float
+    ended_at: float = 0.0
+    end: RunEnd = RunEnd.AT_WORK
+    seal: str = ""
+    body: bytes = b""
+
+
+class ClientEnd(enum.Enum):
+    """How a request ended for its client."""
+
+    OPEN = "open"
+    ANSWERED = "answered"
+    CLOSED = "the connection ended without a complete answer"
+    NOT_SENT = "the connection ended before the request was sent whole"
+    TIMED_OUT = "no answer in the time that the client had"
+
+
+@dataclasses.dataclass
+class Request:
+    """One try of a client. `proxy`: index of the proxy that it was sent to."""
+
+    attempt_id: str
+    kind: Kind
+    proxy: int
+    begun_at: float
+    time_left_s: float
+    is_on_kept_connection: bool = False
+    operation_key: str = ""
+    sent_at: float = 0.0  # its last byte was handed to the system
+    ended_at: float = 0.0
+    end: ClientEnd = ClientEnd.OPEN
+    status: int = 0
+    seal: str = ""
+    body: bytes = b""
+    runs: list[Run] = dataclasses.field(default_factory=list)
+
+    @property
+    def deadline(self) -> float:
+        return self.begun_at + self.time_left_s
+
+
+class Signal(enum.Enum):
+    """What the operator did to the processes of a proxy's machine."""
+
+    TERM = "SIGTERM"
+    HUP = "SIGHUP"
+    KILL = "SIGKILL"
+    ENDED = "ended"
+    STARTED = "started"
+
+
+@dataclasses.dataclass
+class ProcessEvent:
+    at: float
+    proxy: int
+    signal: Signal
+
+
+@dataclasses.dataclass
+class Ledger:
+    """All facts of a run. A request's runs are kept with it, found by the attempt id that servers were sent."""
+
+    grace_period_s: float
+    route_deadlines_s: tuple[float, ...] = ()  # that any configuration names
+    requests: dict[str, Request] = dataclasses.field(default_factory=dict)
+    unknown_runs: list[str] = dataclasses.field(default_factory=list)  # attempt ids that no client sent
+    process_events: list[ProcessEvent] = dataclasses.field(default_factory=list)
+    overdue_processes: list[str] = dataclasses.field(default_factory=list)  # still there after the grace period
+    crashed_processes: list[str] = dataclasses.field(default_factory=list)  # ended by themselves
+    refused_changes: list[str] = dataclasses.field(default_factory=list)  # proper changes that got a 4xx
+    changes_acknowledged: int = 0
+
+    def open_request(self, request: Request) -> None:
+        self.requests[request.attempt_id] = request
+
+    def open_run(self, attempt_id: str, run: Run) -> None:
+        request = self.requests.get(attempt_id)
+        if request is None:
+            self.unknown_runs.append(attempt_id)
+        else:
+            request.runs.append(run)
+
+    def note(self, at: float, proxy: int, signal: Signal) -> None:
+        self.process_events.append(ProcessEvent(at, proxy, signal))
+
+    def last_before(self, proxy: int, signal: Signal, moment: float) -> float | None:
+        """When the proxy last got this signal at or before the moment; None: never."""
+        times = [event.at for event in self.process_events
+                 if event.proxy == proxy and event.signal is signal and event.at <= moment]
+        return max(times, default=None)
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,269 @@
+#!/usr/bin/env python3
+"""Soak of a whole system of real processes on loopback: clients use open connections until the proxy's process is gone,
+while machines are stopped, told and started again, the configuration changes, and servers come and go. Every answer that is
+lost is counted by its cause (see judge.py). A seed draws what happens and when; the machine's own timing is not drawn, so
+a seed need not repeat its run to the letter.
+
+    tests/soak/soak.py BUILD [--seed N] [--seeds COUNT] [--for SECONDS] [--proxies N] [--servers N] [--rate N] [--keep DIR]
+
+Ends with 1 if a rule was broken. Ends its own processes by itself.
+"""
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import pathlib
+import random
+import resource
+import sys
+import tempfile
+import time
+
+import judge
+from clients import Call, ClientGroup
+from http_messages import Message
+from ledger import Kind, Ledger
+from schedule import Action, Event, draw_schedule
+from stand_in_server import StandInServer, Work
+from system import System
+
+HOST = "soak.example"
+SERVICES = ("desk", "archive")
+GRACE_PERIOD_S = 6.0
+DRAIN_BOUND_S = 2.5
+CRASH_CHECK_PERIOD_S = 0.5
+# A deadline well beyond the longest work, and one that some requests reach.
+DEADLINES_S = (5.0, 8.0, 2.5)
+DESCRIPTORS = 8192
+
+
+@dataclasses.dataclass
+class Route:
+    name: str
+    kind: Kind
+    prefix: str
+    wanted_s: float
+    share: float  # of the requests
+
+
+ROUTES = (
+    Route("read", Kind.IDEMPOTENT, "/read/", 0.3, 0.5),
+    Route("pay", Kind.KEYED, "/pay/", 0.4, 0.3),
+    Route("upload", Kind.UPLOAD, "/upload/", 0.6, 0.2),
+)
+
+
+def configuration(generation: int, rng: random.Random) -> dict:
+    """All routes, to services, deadlines and limits that this generation draws."""
+    version = f"{generation:08x}"
+    policy = [{"name": route.name, "kind": route.kind.value, "setpointS": route.wanted_s, "rank": 1,
+               "generation": version, "selector": {"pathPrefix": route.prefix},
+               "actuation": {"split": [{"service": service, "gain": rng.choice((10, 50, 90))} for service in SERVICES],
+                             "deadlineS": rng.choice(DEADLINES_S), "maxTries": rng.choice((1, 2, 3)),
+                             "homeRegions": []}} for route in ROUTES]
+    limits = {"headerBytes": 16384, "bodyBytes": 67108864, "headerDeadlineS": 3,
+              "idleTimeoutS": rng.choice((2, 5, 15)), "generation": version}
+    pools = [{"name": service, "healthPath": "/health", "connLimit": 1000, "selfDedupes": False, "coldS": 0,
+              "coldRateS": 1000, "generation": version} for service in SERVICES]
+    return {"upsert": {"limits": limits, "sockets": [{"host": HOST, "policy": policy}], "pools": pools},
+            "remove": {"routes": []}}
+
+
+def draw_work(rng: random.Random) -> Work:
+    """Most work is short, some takes seconds; a few answers are large, and a few connections end after theirs."""
+    seconds = rng.choices((rng.uniform(0.005, 0.06), rng.uniform(0.1, 0.6), rng.uniform(1.0, 3.2)), (70, 22, 8))[0]
+    body_bytes = rng.choices((20, 5_000, 400_000), (80, 15, 5))[0]
+    return Work(seconds, body_bytes, breaks_off=rng.random() < 0.005, closes_after=rng.random() < 0.05)
+
+
+class Traffic:
+    """Requests in an open loop: each is sent when it is due, whatever became of those before it."""
+
+    def __init__(self, clients: ClientGroup, proxies: int, rate: float, rng: random.Random):
+        self._clients, self._proxies, self._rate, self._rng = clients, proxies, rate, rng
+        self._open: set[asyncio.Task] = set()
+        self._keys: collections.deque[str] = collections.deque(maxlen=50)
+
+    async def run(self, until: float) -> None:
+        while time.monotonic() < until:
+            await asyncio.sleep(self._rng.expovariate(self._rate))
+            task = asyncio.create_task(self._clients.send(self._draw_call(), self._rng.randrange(self._proxies)))
+            self._open.add(task)
+            task.add_done_callback(self._open.discard)
+
+    async def finish(self) -> None:
+        await asyncio.gather(*self._open)
+
+    def _draw_call(self) -> Call:
+        route = self._rng.choices(ROUTES, [route.share for route in ROUTES])[0]
+        call = Call(route.kind, f"{route.prefix}{self._rng.randrange(1000)}", self._rng.choice((4.0, 6.0, 1.5)))
+        if route.kind is Kind.KEYED:
+            call.operation_key, call.body = self._draw_key(), b"pay"
+        elif route.kind is Kind.UPLOAD:
+            call.body = b"u" * self._rng.choice((500, 20_000, 300_000))
+            call.sends_within_s = self._rng.choice((0.0, 0.0, 0.4))
+        return call
+
+    def _draw_key(self) -> str:
+        """Some operations are tried again."""
+        if self._keys and self._rng.random() < 0.1:
+            return self._rng.choice(self._keys)
+        self._keys.append(f"key-{self._rng.getrandbits(48):x}")
+        return self._keys[-1]
+
+
+class Run:
+    """One seed: a system, its servers and clients, and what is done to them."""
+
+    def __init__(self, options: argparse.Namespace, seed: int, work: pathlib.Path):
+        self._options, self._rng = options, random.Random(seed)
+        self.ledger = Ledger(GRACE_PERIOD_S, DEADLINES_S)
+        self._system = System(self.ledger, options.build.resolve(), work, options.slot, controllers=3,
+                              proxies=options.proxies)
+        self._clients = ClientGroup(self.ledger, self._system.fronts, HOST, random.Random(seed + 1))
+        self._servers: list[StandInServer] = []
+        self._servers_begun = 0
+        self._generation = 1
+        self._work_rng = random.Random(seed + 2)
+        self.actions: collections.Counter = collections.Counter()
+        self._background: set[asyncio.Task] = set()
+
+    async def play(self) -> None:
+        schedule = draw_schedule(self._rng, self._options.length_s, self._options.proxies)
+        try:
+            await self._start()
+            began_at = time.monotonic()
+            traffic = Traffic(self._clients, self._options.proxies, self._options.rate, random.Random(self._rng.random()))
+            load = asyncio.create_task(traffic.run(began_at + self._options.length_s + GRACE_PERIOD_S))
+            crashes = asyncio.create_task(self._watch_for_crashes())
+            for event in schedule:
+                await asyncio.sleep(max(0.0, began_at + event.at - time.monotonic()))
+                self._begin(event)
+            await load
+            await traffic.finish()
+            await asyncio.gather(*self._background)
+            crashes.cancel()
+        finally:
+            self._clients.close()
+            for server in self._servers:
+                await server.stop()
+            await self._system.stop()
+
+    async def _start(self) -> None:
+        await self._system.start()
+        for _ in range(self._options.servers):
+            await self._add_server()
+        if await self._system.amend(configuration(self._generation, self._rng)) != 200:
+            raise RuntimeError("the first configuration was not taken")
+        self._system.first_start_is_over()
+        await self._system.wait_until_ready()
+
+    async def _add_server(self) -> None:
+        number = self._servers_begun
+        self._servers_begun += 1
+        server = StandInServer(self.ledger, SERVICES[number % 3 == 2], self._system.zone_of(number // 3),
+                               self._system.server_address(number), lambda _: draw_work(self._work_rng))
+        self._servers.append(server)
+        await server.start(self._system.controllers)
+
+    async def _watch_for_crashes(self) -> None:
+        while True:
+            await asyncio.sleep(CRASH_CHECK_PERIOD_S)
+            if not self.ledger.crashed_processes:
+                self._system.note_crashes()
+
+    def _begin(self, event: Event) -> None:
+        self.actions[event.action] += 1
+        task = asyncio.create_task(self._carry_out(event))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _carry_out(self, event: Event) -> None:
+        machine = self._system.proxy_machines[event.target % self._options.proxies]
+        controller = self._system.controller_machines[event.target % len(self._system.controller_machines)]
+        match event.action:
+            case Action.RESTART_MACHINE: await machine.restart(event.extra_signals)
+            case Action.RESTART_AGENT: await machine.restart_agent()
+            case Action.KILL_MACHINE: await machine.kill()
+            case Action.RESTART_CONTROLLER: await controller.restart()
+            case Action.KILL_CONTROLLER: await controller.kill()
+            case Action.HANG_UP: machine.hang_up()
+            case Action.CHANGE_ROUTES: await self._change_routes()
+            case Action.RELEASE_SERVER: await self._release_server()
+            case Action.EVACUATE: await self._evacuate(event.target)
+
+    async def _change_routes(self) -> None:
+        self._generation += 1
+        generation = self._generation
+        status = await self._system.amend(configuration(generation, self._rng))
+        if 400 <= status < 500:
+            self.ledger.refused_changes.append(f"generation {generation}: {status}")
+        self.ledger.changes_acknowledged += status == 200
+
+    async def _release_server(self) -> None:
+        leaving = [server for server in self._servers if not server.is_draining]
+        await self._add_server()
+        await self._rng.choice(leaving).leave(self._system.controllers, DRAIN_BOUND_S + 0.5)
+
+    async def _evacuate(self, number: int) -> None:
+        zone = self._system.zone_of(number)
+        await self._system.order(f"/-/Evacuation.Begin/{zone}")
+        await asyncio.sleep(1.5)
+        await self._system.order(f"/-/Evacuation.Finish/{zone}")
+
+
+def print_report(seed: int, run: Run, verdict: judge.Verdict) -> None:
+    ledger = run.ledger
+    actions = ", ".join(f"{action.name.lower()} {count}" for action, count in run.actions.items())
+    excused = ", ".join(f"{count} {excuse.value}" for excuse, count in verdict.excused.most_common())
+    print(f"seed {seed}: {len(ledger.requests)} requests, {verdict.successes} succeeded, {verdict.hedged} ran more than "
+          f"once; {ledger.changes_acknowledged} changes acknowledged; {actions}\n    excused: {excused or 'none'}")
+    for cause, count in verdict.by_cause().items():
+        print(f"    BROKEN {count} x {cause.value}")
+    for finding in verdict.findings[:12]:
+        print(f"        {finding.attempt_id} {finding.cause.name.lower()}: {finding.detail}")
+    sys.stdout.flush()
+
+
+async def soak(options: argparse.Namespace, seed: int, work: pathlib.Path) -> bool:
+    """True: no rule was broken."""
+    work.mkdir(parents=True)
+    run = Run(options, seed, work)
+    await run.play()
+    verdict = judge.judge(run.ledger)
+    print_report(seed, run, verdict)
+    if verdict.successes == 0:
+        print("    nothing was served")
+    return not verdict.findings and verdict.successes > 0
+
+
+def read_options() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("build", type=pathlib.Path)
+    parser.add_argument("--seed", type=int, default=1, help="the first one")
+    parser.add_argument("--seeds", type=int, default=1, help="how many, one after the other")
+    parser.add_argument("--for", type=float, default=20, dest="length_s", help="seconds of changes, each seed")
+    parser.add_argument("--proxies", type=int, default=5)
+    parser.add_argument("--servers", type=int, default=12)
+    parser.add_argument("--rate", type=float, default=150, help="requests a second")
+    parser.add_argument("--slot", type=int, default=20, help="addresses; another one for each soak that runs beside it")
+    parser.add_argument("--keep", type=pathlib.Path, help="a new folder for settings and logs")
+    return parser.parse_args()
+
+
+def main() -> int:
+    options = read_options()
+    hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(DESCRIPTORS, hard_limit), hard_limit))
+    are_clean = []
+    with tempfile.TemporaryDirectory() as folder:
+        work = options.keep or pathlib.Path(folder)
+        for seed in range(options.seed, options.seed + options.seeds):
+            are_clean.append(asyncio.run(soak(options, seed, work / f"{seed}")))
+    print(f"soak: {sum(are_clean)} seeds kept every rule, {len(are_clean) - sum(are_clean)} did not")
+    return 0 if all(are_clean) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/system.py
@@ -0,0 +1,260 @@
+"""A dockbend system of real processes on loopback: controllers, and machines of an agent and a proxy each."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import time
+
+import http_messages
+from http_messages import BrokenMessage
+from ledger import Ledger, Signal
+
+RESTART_DELAY_S = 0.2
+CONTROL_PORT, DIRECTORY_PORT, FRONT_PORT, READY_PORT = 8146, 8143, 8144, 8140
+# A proxy and its agent meet on 127.0.0.1: each machine of each system has a port there, below the ephemeral ones.
+FIRST_AGENT_PORT, AGENT_PORTS_PER_SYSTEM = 11000, 400
+FIRST_SUBNET = 40
+
+ZONES = {"oak": "east", "elm": "east", "ash": "west"}
+
+
+class Process:
+    """One program that is started again whenever it has ended, until the system stops."""
+
+    def __init__(self, program: pathlib.Path, arguments: list[str], settings: pathlib.Path, log: pathlib.Path):
+        self.name = f"{settings.stem} {program.name}"
+        self._command = [str(program), *arguments]
+        self._settings, self._log = settings, log
+        self._child: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        with open(self._log, "ab") as log:
+            self._child = await asyncio.create_subprocess_exec(
+                *self._command, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+                env={**os.environ, "DOCKBEND_SETTINGS": str(self._settings)})
+
+    def is_running(self) -> bool:
+        return self._child is not None and self._child.returncode is None
+
+    def send(self, number: signal.Signals) -> None:
+        if self.is_running():
+            self._child.send_signal(number)
+
+    async def wait(self, limit_s: float) -> bool:
+        """False: it is still there."""
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._child.wait()
+            return True
+        except TimeoutError:
+            return False
+
+    @property
+    def exit_code(self) -> int | None:
+        return None if self._child is None else self._child.returncode
+
+
+class Machine:
+    """Processes that are signalled together. `proxy`: its index among the proxies; < 0: a controller's machine."""
+
+    def __init__(self, ledger: Ledger, proxy: int, settings: pathlib.Path, processes: list[Process]):
+        self._ledger, self._processes = ledger, processes
+        self.proxy, self.settings = proxy, settings
+        self._is_stopping = False
+
+    async def start(self) -> None:
+        for process in self._processes:
+            await process.start()
+        self._note(Signal.STARTED)
+
+    def hang_up(self) -> None:
+        """SIGHUP: the settings file may have changed."""
+        self._note(Signal.HUP)
+        for process in self._processes:
+            process.send(signal.SIGHUP)
+
+    async def restart(self, extra_signals: list[tuple[float, signal.Signals]] = ()) -> None:
+        """SIGTERM, the wait for its end, and a new start. extra_signals: more of them, seconds after the SIGTERM."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        self._note(Signal.TERM)
+        for process in self._processes:
+            process.send(signal.SIGTERM)
+        extra = asyncio.create_task(self._send_later(extra_signals))
+        await asyncio.gather(*(self._end(process) for process in self._processes))
+        extra.cancel()
+        self._note(Signal.ENDED)
+        await asyncio.sleep(RESTART_DELAY_S)
+        await self.start()
+        self._is_stopping = False
+
+    async def kill(self) -> None:
+        """SIGKILL for all its processes, and a new start."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        self._note(Signal.KILL)
+        for process in self._processes:
+            process.send(signal.SIGKILL)
+        for process in self._processes:
+            await process.wait(5)
+        await asyncio.sleep(RESTART_DELAY_S)
+        await self.start()
+        self._is_stopping = False
+
+    async def restart_agent(self) -> None:
+        """SIGTERM for the agent alone, and a new start; the proxy beside it goes on."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        agent = self._processes[0]
+        agent.send(signal.SIGTERM)
+        await self._end(agent)
+        await asyncio.sleep(RESTART_DELAY_S)
+        await agent.start()
+        self._is_stopping = False
+
+    def note_crashes(self) -> None:
+        """Writes down processes that ended by themselves."""
+        if self._is_stopping:
+            return
+        for process in self._processes:
+            if not process.is_running():
+                self._ledger.crashed_processes.append(f"{process.name}, exit code {process.exit_code}")
+
+    async def stop(self) -> None:
+        for process in self._processes:
+            process.send(signal.SIGKILL)
+        for process in self._processes:
+            await process.wait(5)
+
+    async def _end(self, process: Process) -> None:
+        if await process.wait(self._ledger.grace_period_s):
+            return
+        self._ledger.overdue_processes.append(process.name)
+        process.send(signal.SIGKILL)
+        await process.wait(5)
+
+    async def _send_later(self, signals: list[tuple[float, signal.Signals]]) -> None:
+        started_at = time.monotonic()
+        for after_s, number in signals:
+            await asyncio.sleep(max(0.0, started_at + after_s - time.monotonic()))
+            for process in self._processes:
+                process.send(number)
+
+    def _note(self, what: Signal) -> None:
+        if self.proxy >= 0:
+            self._ledger.note(time.monotonic(), self.proxy, what)
+
+
+class System:
+    """All machines of one run. `slot`: 0 and up, so that runs beside each other have addresses of their own."""
+
+    def __init__(self, ledger: Ledger, build: pathlib.Path, work: pathlib.Path, slot: int, controllers: int,
+                 proxies: int):
+        self._ledger, self._build, self._work = ledger, build, work
+        self._subnet = f"127.{FIRST_SUBNET + slot}"
+        self._first_agent_port = FIRST_AGENT_PORT + slot * AGENT_PORTS_PER_SYSTEM
+        self.controllers = [f"{self._subnet}.1.{n + 1}:{CONTROL_PORT}" for n in range(controllers)]
+        self.fronts = [f"{self._subnet}.2.{n + 1}:{FRONT_PORT}" for n in range(proxies)]
+        self._zones = list(ZONES)
+        self.controller_machines = [self._controller_machine(n) for n in range(controllers)]
+        self.proxy_machines = [self._proxy_machine(n) for n in range(proxies)]
+
+    def server_address(self, number: int) -> str:
+        return f"{self._subnet}.3.{number % 250 + 1}:{9001 + number // 250}"
+
+    def zone_of(self, number: int) -> str:
+        return self._zones[number % len(self._zones)]
+
+    async def start(self) -> None:
+        for machine in self.controller_machines + self.proxy_machines:
+            await machine.start()
+
+    async def stop(self) -> None:
+        await asyncio.gather(*(machine.stop() for machine in self.controller_machines + self.proxy_machines))
+
+    def note_crashes(self) -> None:
+        for machine in self.controller_machines + self.proxy_machines:
+            machine.note_crashes()
+
+    def first_start_is_over(self) -> None:
+        """Controllers that start again find their disks in use."""
+        for machine in self.controller_machines:
+            text = machine.settings.read_text().replace("bootstrap=true", "bootstrap=false")
+            machine.settings.write_text(text)
+
+    async def wait_until_ready(self, limit_s: float = 30) -> None:
+        give_up_at = time.monotonic() + limit_s
+        for n in range(len(self.fronts)):
+            while not await self._is_ready(n):
+                if time.monotonic() > give_up_at:
+                    raise TimeoutError(f"proxy {n} is not ready, see {self._work}")
+                await asyncio.sleep(0.1)
+
+    async def amend(self, change: dict, limit_s: float = 30) -> int:
+        """Sends a change to the controllers until one gives a clear answer; its status."""
+        give_up_at = time.monotonic() + limit_s
+        body = json.dumps(change).encode()
+        for attempt in range(10000):
+            controller = self.controllers[attempt % len(self.controllers)]
+            try:
+                status = (await http_messages.call(controller, "POST", "/-/Config.Amend", body)).status
+                if status < 300 or status in (400, 409, 412, 413, 422):
+                    return status
+            except BrokenMessage:
+                pass
+            if time.monotonic() > give_up_at:
+                return 0
+            await asyncio.sleep(0.1)
+        return 0
+
+    async def order(self, target: str) -> None:
+        """Sends an order without a body once to each controller until one takes it."""
+        for controller in self.controllers:
+            try:
+                if (await http_messages.call(controller, "POST", target)).status < 300:
+                    return
+            except BrokenMessage:
+                continue
+
+    async def _is_ready(self, proxy: int) -> bool:
+        address = f"{self._subnet}.2.{proxy + 1}:{READY_PORT}"
+        try:
+            return (await http_messages.call(address, "GET", "/-/readiness", timeout_s=1)).status == 200
+        except BrokenMessage:
+            return False
+
+    def _common_settings(self, name: str, ip: str, number: int) -> list[str]:
+        zone = self.zone_of(number)
+        seeds = ",".join(self.controllers[:3])
+        return [f"nodeName={name}", f"ip={ip}", f"zone={zone}", f"region={ZONES[zone]}", f"seedAddrs={seeds}",
+                "innerPorts=7660,7675", f"bounds.gracePeriodS={self._ledger.grace_period_s}", "bounds.retrySlack=100",
+                *(f"zones.{name}={region}" for name, region in ZONES.items())]
+
+    def _controller_machine(self, n: int) -> Machine:
+        name, ip = f"core-{n + 1}", f"{self._subnet}.1.{n + 1}"
+        lines = self._common_settings(name, ip, n) + [
+            f"bind.control={ip}:{CONTROL_PORT}", f"bind.directory={ip}:{DIRECTORY_PORT}",
+            f"dataDir={self._work / name}", "bootstrap=true"]
+        settings = self._write_settings(name, lines)
+        controller = Process(self._build / "dockbend-controller", [], settings, self._work / f"{name}.log")
+        return Machine(self._ledger, -1, settings, [controller])
+
+    def _proxy_machine(self, n: int) -> Machine:
+        name, ip = f"edge-{n + 1}", f"{self._subnet}.2.{n + 1}"
+        lines = self._common_settings(name, ip, n) + [
+            f"bind.front={ip}:{FRONT_PORT}", f"bind.ready={ip}:{READY_PORT}",
+            f"agentPort={self._first_agent_port + n}", "bootstrap=true"]
+        settings = self._write_settings(name, lines)
+        processes = [Process(self._build / f"dockbend-{program}", [], settings, self._work / f"{name}-{program}.log")
+                     for program in ("agent", "proxy")]
+        return Machine(self._ledger, n, settings, processes)
+
+    def _write_settings(self, name: str, lines: list[str]) -> pathlib.Path:
+        path = self._work / f"{name}.conf"
+        path.write_text("\n".join(lines) + "\n")
+        return path
