An answer to another request no longer ends the attempt at work: it is discarded, and the next one is waited for

Cause: libevent ends an exchange with the first response on its connection, whoever it is for. A surplus answer where the next one was due broke off the server at work, and what may not be repeated got 502 in its place. Change: ConnectionPool::await_next_response reads on behind a request that is never written. Such a connection is not kept.

--- a/packages/proxy/response_receiver.cpp
+++ b/packages/proxy/response_receiver.cpp
@@ -44,13 +44,16 @@
       context_.requests.find_attempt(RequestsInFlight::Handle::from_pointer(connection.owner), &connection);
   if (request == nullptr) return context_.connections.retire(connection);
   Seconds const now = steady_now();
-  std::optional<Attempt> const hedged = request->take_hedged_attempt(&connection);
   if (upstream_request == nullptr || evhttp_request_get_response_code(upstream_request) == 0)
-    return on_no_response(*request, connection, hedged, now);
+    return on_no_response(*request, connection, request->take_hedged_attempt(&connection), now);
   UpstreamResponse const response = read_response(*request, upstream_request);
   count_bytes(response, connection.server);
   ResponseCheck const check = request->machine.check_response(response);
   if (check.rejection) context_.requests.filter().count_discard(*check.rejection);
+  if (check.rejection == ResponseRejection::other_id &&
+      context_.connections.await_next_response(connection, request->method))
+    return;
+  std::optional<Attempt> const hedged = request->take_hedged_attempt(&connection);
   bool const has_surplus = has_unread_bytes(connection);
   if (has_surplus) context_.requests.filter().count_discard(ResponseRejection::surplus);
   learn_warm_up(response, connection.server, now);
@@ -109,7 +112,8 @@
 
 void ResponseReceiver::release_connection(UpstreamConnection& connection, UpstreamResponse const& response,
                                           bool has_surplus, Seconds now) {
-  bool const may_be_kept = !has_surplus && !says_close(response) && !context_.drain.is_shutting_down();
+  bool const may_be_kept =
+      !has_surplus && !connection.had_stray_response && !says_close(response) && !context_.drain.is_shutting_down();
   if (may_be_kept)
     context_.connections.release_idle(connection, idle_limit_of(response), now);
   else
--- a/packages/upstream/connection_pool.cpp
+++ b/packages/upstream/connection_pool.cpp
@@ -77,6 +77,7 @@
   UpstreamConnection& connection = idle != nullptr ? *idle : open(server);
   connection.is_busy = true;
   connection.has_sent = false;
+  connection.had_stray_response = false;
   connection.failure = ExchangeFailure::none;
   connection.owner = owner;
   return connection;
@@ -113,6 +114,21 @@
   return true;
 }
 
+// libevent reads a response only behind a request. So it is given one, whose bytes are taken out of the buffer before
+// any of them is written.
+bool ConnectionPool::await_next_response(UpstreamConnection& connection, evhttp_cmd_type method) {
+  evhttp_connection* const http = connection.http.get();
+  bufferevent* const socket = evhttp_connection_get_bufferevent(http);
+  if (bufferevent_getfd(socket) < 0) return false;
+  if (evhttp_make_request(http, new_request(connection), method, "/") != 0) return false;
+  evbuffer* const output = bufferevent_get_output(socket);
+  evbuffer_unfreeze(output, 1);
+  evbuffer_drain(output, evbuffer_get_length(output));
+  evbuffer_freeze(output, 1);
+  connection.had_stray_response = true;
+  return true;
+}
+
 UpstreamConnection& ConnectionPool::open(ServerIndex server) {
   Endpoint& endpoint = load_balancer_.endpoint(server);
   auto owner = std::make_unique<UpstreamConnection>();
--- a/packages/upstream/include/upstream/connection_pool.hpp
+++ b/packages/upstream/include/upstream/connection_pool.hpp
@@ -34,6 +34,10 @@
   /// False: it could not be sent, and on_return is not called.
   bool send(UpstreamConnection& connection, evhttp_request* request, evhttp_cmd_type method, char const* target,
             int acknowledgement_timeout_ms);
+  /// For on_return's receiver, where the response answers another request than the one that was sent: the server is
+  /// still at work on that one. Discards the response and waits on; nothing is written, and on_return is called again.
+  /// method: of the request that was sent. False: the connection has ended.
+  bool await_next_response(UpstreamConnection& connection, evhttp_cmd_type method);
   /// Keeps a connection whose exchange is complete for another request. idle_limit: seconds.
   void release_idle(UpstreamConnection& connection, Seconds idle_limit, Seconds now);
   /// Closes the connection. From this moment on nothing more is written to it, not even if its connect came up in this
--- a/packages/upstream/include/upstream/upstream_connection.hpp
+++ b/packages/upstream/include/upstream/upstream_connection.hpp
@@ -26,6 +26,7 @@
   bool is_busy = false;
   bool is_retired = false;
   bool has_sent = false;
+  bool had_stray_response = false;                  ///< in the newest exchange: such a connection is not kept
   ExchangeFailure failure = ExchangeFailure::none;  ///< of the newest exchange
   Seconds idle_since = 0;                           ///< time point
   Seconds idle_limit = 4;                           ///< how long it may be idle
--- a/tests/proxy/attempt_at_work_test.cpp
+++ b/tests/proxy/attempt_at_work_test.cpp
@@ -36,6 +36,34 @@
   cr_assert_eq(endpoint.in_flight, 0);
 }
 
+// Stray answer and answer arrive together.
+Test(attempt_at_work, answer_right_behind_a_stray_one_is_taken) {
+  ProxyFixture fixture;
+  ScriptedServer server(fixture.loop);
+  fixture.add_server("i-1", server.port);
+  fixture.ask(EVHTTP_REQ_POST, "/u/x", "body", "a2");
+  fixture.until([&] { return server.received() > 0; });
+  server.answer("a1", "a stray answer");
+  server.answer("a2", kBody);
+  fixture.expect_answer();
+}
+
+// A stray answer without the answer that is due: the server closes, and the request is not taken for answered.
+Test(attempt_at_work, close_behind_a_stray_answer_ends_the_attempt) {
+  ProxyFixture fixture;
+  ScriptedServer server(fixture.loop);
+  fixture.add_server("i-1", server.port);
+  fixture.ask(EVHTTP_REQ_POST, "/u/x", "body", "a2");
+  fixture.until([&] { return server.received() > 0; });
+  server.answer("a1", "a stray answer");
+  fixture.run_for(0.02);
+  bufferevent_free(server.accepted.back());
+  server.accepted.pop_back();
+  fixture.until([&] { return fixture.is_answered; });
+  cr_assert_eq(fixture.status, 502);
+  cr_assert_eq(fixture.context.requests.size(), 0u);
+}
+
 // The server's window is closed for longer than a machine may leave our bytes unacknowledged (0.25 s here). The kernel
 // ended the connection then, though the server had acknowledged what it had room for.
 Test(attempt_at_work, server_that_reads_late_is_waited_for) {
@@ -59,7 +87,7 @@
   fixture.hedge(fixture.second.port);
   fixture.until([&] { return fixture.second.requests.size() == 1; });
   fixture.second.answer(500);
-  fixture.until([&] { return fixture.is_answered || fixture.request()->hedged_attempts.empty(); });
+  fixture.until([&] { return fixture.hedged_attempts() == 0; });
   cr_assert_not(fixture.is_answered);
   fixture.first.answer();
   fixture.expect_answer();
--- a/tests/support/proxy_fixture.hpp
+++ b/tests/support/proxy_fixture.hpp
@@ -213,6 +213,8 @@
     context.requests.for_each([&](ProxiedRequest const& open) { found = &open; });
     return found;
   }
+  /// Of the open request; 0: there is none.
+  std::size_t hedged_attempts() const { return request() == nullptr ? 0 : request()->hedged_attempts.size(); }
   void expect_answer() {
     until([this] { return is_answered; });
     cr_assert_eq(status, 200, "%d", status);
