A server's failure is not the request's answer while another attempt is at work

Cause: a late attempt and its retry are both at work; the first complete answer was taken, and a 500 is one. Change: AttemptResult::failed sets a failure aside as long as another attempt is at work. The failure of the last one is forwarded.

--- a/packages/proxy/attempt_runner.cpp
+++ b/packages/proxy/attempt_runner.cpp
@@ -94,6 +94,7 @@
       balancer.eject(server, now - attempt_started_at > kLongAttempt ? kEjection : kShortEjection, now);
       break;
     case AttemptResult::silent: balancer.eject(server, kShortEjection, now); break;
+    case AttemptResult::failed: balancer.report_failure(server, now); break;
     case AttemptResult::complete: break;
   }
 }
--- a/packages/proxy/include/proxy/proxied_request.hpp
+++ b/packages/proxy/include/proxy/proxied_request.hpp
@@ -61,6 +61,7 @@
 
   /// Is one of its attempts at work on this connection?
   bool has_attempt_on(UpstreamConnection const* upstream) const;
+  bool has_attempt_at_work() const { return connection != nullptr || !hedged_attempts.empty(); }
   /// The attempt that is waited for.
   Attempt awaited_attempt() const { return {connection, server, retry_state().attempt_started_at()}; }
   /// Takes the hedged attempt on this connection out; none: it carries none.
--- a/packages/proxy/response_receiver.cpp
+++ b/packages/proxy/response_receiver.cpp
@@ -15,6 +15,8 @@
 Seconds constexpr kIdleResetWithin = 0.3;
 /// How long a connection is kept idle: by default, and how much less than a server's own limit, and at most.
 Seconds constexpr kIdleLimit = 4, kIdleMargin = 1.5, kIdleLimitMost = 3600;
+/// Statuses from here on say that the server failed.
+int constexpr kFirstServerFailure = 500;
 /// Warm-up times from here on are taken for garbage.
 Seconds constexpr kWarmUpBound = 1e9;
 
@@ -33,6 +35,12 @@
   return value != nullptr && same_header_name(*value, "close");
 }
 
+/// A server's own failure is not the request's answer while another attempt may still bring a better one.
+AttemptResult result_of(ResponseCheck const& check, UpstreamResponse const& response, ProxiedRequest const& request) {
+  bool const is_failure = check.result == AttemptResult::complete && response.status >= kFirstServerFailure;
+  return is_failure && request.has_attempt_at_work() ? AttemptResult::failed : check.result;
+}
+
 bool has_unread_bytes(UpstreamConnection const& connection) {
   bufferevent* const socket = evhttp_connection_get_bufferevent(connection.http.get());
   return evbuffer_get_length(bufferevent_get_input(socket)) > 0;
@@ -62,10 +70,12 @@
   bool const was_kept = connection.idle_before >= 0;
   if (!hedged) request->connection = nullptr;
   release_connection(connection, response, has_surplus, now);
-  if (check.result == AttemptResult::complete)
+  AttemptResult const result = result_of(check, response, *request);
+  if (result == AttemptResult::complete)
     return forward(*request, attempt, hedged.has_value(), upstream_request, response, now);
-  if (hedged) return attempts_.on_hedged_failed(*request, attempt, check.result, was_kept);
-  attempts_.on_failed(*request, check.result);
+  if (result == AttemptResult::failed) attempts_.record_failure(*request, "failure of its server");
+  if (hedged) return attempts_.on_hedged_failed(*request, attempt, result, was_kept);
+  attempts_.on_failed(*request, result);
 }
 
 void ResponseReceiver::on_no_response(ProxiedRequest& request, UpstreamConnection& connection,
@@ -123,7 +133,7 @@
 void ResponseReceiver::forward(ProxiedRequest& request, Attempt const& attempt, bool is_hedged,
                                evhttp_request* upstream_request, UpstreamResponse const& response, Seconds now) {
   context_.load_balancer.attempt_succeeded(attempt.server, now - attempt.started_at, now);
-  if (response.status >= 500) context_.load_balancer.report_failure(attempt.server, now);
+  if (response.status >= kFirstServerFailure) context_.load_balancer.report_failure(attempt.server, now);
   if (!is_hedged) usage_.count(request);  // a hedged one was counted when it was hedged
   RequestAction const action =
       is_hedged ? request.machine.on_hedged_ended(AttemptResult::complete)
--- a/packages/request/include/request/headers.hpp
+++ b/packages/request/include/request/headers.hpp
@@ -44,6 +44,7 @@
   unsent,       ///< no byte of it has left: it has not run
   broken,       ///< sent, then a reset, a close or garbage: may have run
   silent,       ///< sent, no response in time: may have run
+  failed,       ///< the server's own failure, set aside because another attempt is at work: it has run
 };
 /// Is it certain that the request has not run?
 bool proves_not_run(AttemptResult result);
--- a/packages/request/include/request/request_machine.hpp
+++ b/packages/request/include/request/request_machine.hpp
@@ -20,8 +20,8 @@
 ///     on_deadline: from every state to over. on_hedged_ended, complete: over.
 ///
 /// A late attempt may be hedged: one more attempt goes to another server, the late one stays at work, and the first
-/// complete answer of either is the request's. So no attempt at work is broken off before there is an answer for the
-/// client, or its deadline has come.
+/// complete answer of either that is no failure is the request's, or the failure of the last one. So no attempt at work
+/// is broken off before there is an answer for the client, or its deadline has come.
 ///
 /// Who calls: QuotaGate on_quota_*, IdempotencyClient on_key_*, on_stored_answer and on_agent_lost, AttemptRunner
 /// on_no_server, on_attempt_ended, hedge_attempt, on_hedged_ended and on_deadline, UpstreamSender attempt_started,
@@ -133,15 +133,17 @@
   ResponseCheck check_response(UpstreamResponse const& response) const {
     return Rules::check_response(response, attempt_id_);
   }
-  /// The attempt that is waited for, the newest, has ended.
-  /// spend_budget: takes a token of the retry budget, true if there was one; called at most once, if one is due.
+  /// The attempt that is waited for, the newest, has ended. failed: only if a hedged one is at work, which is waited
+  /// for then. spend_budget: takes a token of the retry budget, true if there was one; called at most once, if one is
+  /// due.
   template <class SpendBudget>
   RequestAction on_attempt_ended(AttemptResult attempt, Seconds now, Seconds retry_after, SpendBudget spend_budget) {
     if (phase_ != Phase::attempt) return {};
     count_attempt(attempt);
     if (attempt == AttemptResult::complete) return forward();
     phase_ = Phase::server_choice;
-    if (!Rules::may_retry(retry_state_, now)) return give_up(now, retry_after, kAttemptsUsedUp);
+    if (attempt == AttemptResult::failed || !Rules::may_retry(retry_state_, now))
+      return give_up(now, retry_after, kAttemptsUsedUp);
     if (retry_state_.costs_budget()) {
       if (!spend_budget()) return give_up(now, retry_after, kAttemptsUsedUp);
       retry_state_.budget_paid();
--- a/tests/proxy/attempt_at_work_test.cpp
+++ b/tests/proxy/attempt_at_work_test.cpp
@@ -92,3 +92,28 @@
   fixture.first.answer();
   fixture.expect_answer();
 }
+
+// The late attempt fails first.
+Test(attempt_at_work, failure_of_the_late_attempt_does_not_end_the_retry) {
+  ProxyFixture fixture;
+  fixture.hedge(fixture.second.port);
+  fixture.until([&] { return fixture.second.requests.size() == 1; });
+  fixture.first.answer(500);
+  fixture.until([&] { return fixture.hedged_attempts() == 0; });
+  cr_assert_not(fixture.is_answered);
+  fixture.second.answer();
+  fixture.expect_answer();
+}
+
+// With nothing else at work a failure is the answer, as its server gave it.
+Test(attempt_at_work, failure_of_the_last_attempt_is_forwarded) {
+  ProxyFixture fixture;
+  fixture.hedge(fixture.second.port);
+  fixture.until([&] { return fixture.second.requests.size() == 1; });
+  fixture.second.answer(500);
+  fixture.until([&] { return fixture.hedged_attempts() == 0; });
+  fixture.first.answer(500);
+  fixture.until([&] { return fixture.is_answered; });
+  cr_assert_eq(fixture.status, 500);
+  cr_assert_str_eq(fixture.body.c_str(), kBody);
+}
