A resumed attempt keeps its own beginning: what is learned and logged of it is its own

Cause: server and connection of the awaited attempt stood in the request, its beginning in the retry state, which holds that of the newest attempt. An attempt resumed after its retry failed was timed from its retry's beginning, and a hedged one that ended was logged with the server and number of the awaited one; hedged ones ended by the deadline were not logged. Change: ProxiedRequest::awaited is a whole Attempt, with its number; each is logged as itself.

--- a/packages/proxy/attempt_runner.cpp
+++ b/packages/proxy/attempt_runner.cpp
@@ -14,6 +14,9 @@
 /// A late attempt is hedged only while this part of the service's mean latency is left.
 double constexpr kLatencyPartLeftForHedge = 0.3;
 
+/// Why an attempt ended, as it is logged.
+char constexpr kDeadline[] = "deadline";
+
 /// When a client that is refused should come back.
 Seconds retry_after(ProxiedRequest const& request) {
   return 0.05 + 0.25 * request.route->latency_target * (0.5 + random01());
@@ -59,8 +62,8 @@
 }
 
 void AttemptRunner::retire_connection(ProxiedRequest& request) {
-  if (request.connection == nullptr) return;
-  retire(*std::exchange(request.connection, nullptr));
+  if (request.awaited.connection == nullptr) return;
+  retire(*std::exchange(request.awaited.connection, nullptr));
 }
 
 void AttemptRunner::retire(UpstreamConnection& connection) {
@@ -70,12 +73,12 @@
 
 void AttemptRunner::on_failed(ProxiedRequest& request, AttemptResult result) {
   Seconds const now = steady_now();
-  ServerIndex const server = request.server;
-  bool const was_kept = request.connection != nullptr && request.connection->idle_before >= 0;
+  ServerIndex const server = request.awaited.server;
+  bool const was_kept = request.awaited.connection != nullptr && request.awaited.connection->idle_before >= 0;
   retire_connection(request);
   context_.load_balancer.attempt_abandoned(server);
   if (!proves_not_run(result)) usage_.count(request);
-  report_failure(server, result, was_kept, request.retry_state().attempt_started_at(), now);
+  report_failure(server, result, was_kept, request.awaited.started_at, now);
   flow_.carry_out(request, request.machine.on_attempt_ended(result, now, retry_after(request),
                                                             [&] { return spend_retry_budget(request, now); }));
 }
@@ -99,19 +102,19 @@
   }
 }
 
-void AttemptRunner::record_failure(ProxiedRequest const& request, char const* cause) {
+void AttemptRunner::record_failure(ProxiedRequest const& request, Attempt const& attempt, char const* cause) {
   ++context_.failed_attempts[cause];
   if (!context_.drain.is_terminating()) return;
   LOG4CPLUS_INFO(logger_, "While shutting down, attempt "
-                              << request.retry_state().attempts() << " of " << request.machine.attempt_id() << " at "
-                              << context_.load_balancer.endpoint(request.server).address << " ended after "
-                              << steady_now() - request.retry_state().attempt_started_at() << " s: " << cause << ".");
+                              << attempt.number << " of " << request.machine.attempt_id() << " at "
+                              << context_.load_balancer.endpoint(attempt.server).address << " ended after "
+                              << steady_now() - attempt.started_at << " s: " << cause << ".");
 }
 
 void AttemptRunner::on_timer(ProxiedRequest& request) {
   Seconds const now = steady_now();
-  bool const has_connection = request.connection != nullptr;
-  bool const is_sent = has_connection && request.connection->has_sent;
+  bool const has_connection = request.awaited.connection != nullptr;
+  bool const is_sent = has_connection && request.awaited.connection->has_sent;
   switch (request.retry_state().timer_meaning(now, has_connection, is_sent, context_.drain.is_terminating())) {
     case RetryState::TimerMeaning::expired: return expire(request, now);
     case RetryState::TimerMeaning::unsent: return on_failed(request, AttemptResult::unsent);
@@ -142,9 +145,8 @@
   if (!request.machine.hedge_attempt(now, context_.drain.is_terminating(), choose_server, spend_budget)) return false;
   ++context_.hedged_attempts;
   usage_.count(request);
-  balancer.eject(request.server, kShortEjection, now);
-  request.hedged_attempts.push_back(request.awaited_attempt());
-  request.connection = nullptr;
+  balancer.eject(request.awaited.server, kShortEjection, now);
+  request.hedged_attempts.push_back(std::exchange(request.awaited, {}));
   send(request, *choice.server, now);
   return true;
 }
@@ -159,17 +161,16 @@
 void AttemptRunner::resume_hedged(ProxiedRequest& request) {
   Attempt const attempt = request.hedged_attempts.back();
   request.hedged_attempts.pop_back();
-  request.connection = attempt.connection;
-  request.server = attempt.server;
+  request.awaited = attempt;
   request.counted_attempts = request.retry_state().attempts();  // it was counted when it was hedged
   request.set_timer(request.retry_state().next_timer(steady_now(), true, attempt.connection->has_sent));
 }
 
 void AttemptRunner::abandon_all(ProxiedRequest& request) {
-  if (request.connection != nullptr) {
-    if (request.connection->has_sent) usage_.count(request);
+  if (request.awaited.connection != nullptr) {
+    if (request.awaited.connection->has_sent) usage_.count(request);
     retire_connection(request);
-    context_.load_balancer.attempt_abandoned(request.server);
+    context_.load_balancer.attempt_abandoned(request.awaited.server);
   }
   for (Attempt const& hedged : request.hedged_attempts) {
     retire(*hedged.connection);
@@ -179,9 +180,11 @@
 }
 
 void AttemptRunner::expire(ProxiedRequest& request, Seconds now) {
-  bool const is_sent = request.connection != nullptr && request.connection->has_sent;
-  if (is_sent) record_failure(request, "deadline");
-  if (request.connection != nullptr) context_.load_balancer.eject(request.server, kShortEjection, now);
+  bool const is_sent = request.awaited.connection != nullptr && request.awaited.connection->has_sent;
+  if (is_sent) record_failure(request, request.awaited, kDeadline);
+  for (Attempt const& hedged : request.hedged_attempts)
+    record_failure(request, hedged, kDeadline);
+  if (request.awaited.connection != nullptr) context_.load_balancer.eject(request.awaited.server, kShortEjection, now);
   abandon_all(request);
   flow_.carry_out(request, request.machine.on_deadline(is_sent));
 }
--- a/packages/proxy/include/proxy/attempt_runner.hpp
+++ b/packages/proxy/include/proxy/attempt_runner.hpp
@@ -31,7 +31,7 @@
   void on_timer(ProxiedRequest& request);
   /// Counts an attempt that had been sent and is over without an answer; after a SIGTERM also logs it by itself.
   /// cause: a literal.
-  void record_failure(ProxiedRequest const& request, char const* cause);
+  void record_failure(ProxiedRequest const& request, Attempt const& attempt, char const* cause);
 
  private:
   EndpointQuery query_of(ProxiedRequest const& request) const;
--- a/packages/proxy/include/proxy/proxied_request.hpp
+++ b/packages/proxy/include/proxy/proxied_request.hpp
@@ -21,16 +21,17 @@
 struct ProxiedRequest;
 using RequestsInFlight = RequestTable<ProxiedRequest>;
 
-/// One attempt at work: where, and since when.
+/// One attempt at a server. At work while it has a connection.
 struct Attempt {
   UpstreamConnection* connection = nullptr;  ///< owned by the connection pool
   ServerIndex server;
   Seconds started_at = 0;
+  u32 number = 0;  ///< 1 for the request's first one
 };
 
 /// Invariants: client_request is answered exactly once, and the request is removed from the table right after that;
-/// connection is set exactly while the state machine is in an attempt; each hedged attempt has sent its request, and is
-/// ended before the request is removed.
+/// awaited has a connection exactly while the state machine is in an attempt; each hedged attempt has sent its request,
+/// and is ended before the request is removed.
 struct ProxiedRequest : AdmittedRequest {
   /// Creates the timer, unarmed. flow is called when it fires and must outlive the request.
   ProxiedRequest(event_base* loop, RequestFlow& flow);
@@ -48,10 +49,9 @@
 
   RequestMachine machine;
 
-  UpstreamConnection* connection = nullptr;  ///< of the attempt that is waited for; owned by the connection pool
-  ServerIndex server;                        ///< of that attempt
-  std::vector<Attempt> hedged_attempts;      ///< late ones at work besides it, oldest first
-  u32 counted_attempts = 0;                  ///< attempts that usage metering has counted or skipped
+  Attempt awaited;  ///< the newest attempt, or the one that was resumed: the one that is waited for
+  std::vector<Attempt> hedged_attempts;  ///< late ones at work besides it, oldest first
+  u32 counted_attempts = 0;              ///< attempts that usage metering has counted or skipped
 
   u64 key_holder = 0;       ///< names this request as the holder of its idempotency key
   u32 key_request_tag = 0;  ///< of the open request for the key; 0: none is open
@@ -61,9 +61,7 @@
 
   /// Is one of its attempts at work on this connection?
   bool has_attempt_on(UpstreamConnection const* upstream) const;
-  bool has_attempt_at_work() const { return connection != nullptr || !hedged_attempts.empty(); }
-  /// The attempt that is waited for.
-  Attempt awaited_attempt() const { return {connection, server, retry_state().attempt_started_at()}; }
+  bool has_attempt_at_work() const { return awaited.connection != nullptr || !hedged_attempts.empty(); }
   /// Takes the hedged attempt on this connection out; none: it carries none.
   std::optional<Attempt> take_hedged_attempt(UpstreamConnection const* upstream);
 
--- a/packages/proxy/include/proxy/upstream_sender.hpp
+++ b/packages/proxy/include/proxy/upstream_sender.hpp
@@ -20,7 +20,7 @@
   void add_headers(evhttp_request* upstream_request, ProxiedRequest const& request, std::string const& server_id,
                    Seconds now) const;
   int acknowledgement_timeout_ms(ProxiedRequest const& request, bool is_remote) const;
-  Seconds connect_limit(ProxiedRequest const& request) const;
+  Seconds connect_limit(ServerIndex server, ProxiedRequest const& request) const;
   ProxyContext& context_;
 };
 
--- a/packages/proxy/proxied_request.cpp
+++ b/packages/proxy/proxied_request.cpp
@@ -14,8 +14,9 @@
     : flow_(flow), timer_(event_new(loop, -1, 0, timer_fired, this)) {}
 
 bool ProxiedRequest::has_attempt_on(UpstreamConnection const* upstream) const {
-  return upstream == connection || std::any_of(hedged_attempts.begin(), hedged_attempts.end(),
-                                               [&](Attempt const& hedged) { return hedged.connection == upstream; });
+  return upstream == awaited.connection ||
+         std::any_of(hedged_attempts.begin(), hedged_attempts.end(),
+                     [&](Attempt const& hedged) { return hedged.connection == upstream; });
 }
 
 std::optional<Attempt> ProxiedRequest::take_hedged_attempt(UpstreamConnection const* upstream) {
--- a/packages/proxy/response_receiver.cpp
+++ b/packages/proxy/response_receiver.cpp
@@ -66,25 +66,25 @@
   if (has_surplus) context_.requests.filter().count_discard(ResponseRejection::surplus);
   learn_warm_up(response, connection.server, now);
   if (check.result == AttemptResult::broken) return on_failed(*request, connection, hedged, check.result);
-  Attempt const attempt = hedged ? *hedged : request->awaited_attempt();
+  Attempt const attempt = hedged ? *hedged : request->awaited;
   bool const was_kept = connection.idle_before >= 0;
-  if (!hedged) request->connection = nullptr;
+  if (!hedged) request->awaited.connection = nullptr;
   release_connection(connection, response, has_surplus, now);
   AttemptResult const result = result_of(check, response, *request);
   if (result == AttemptResult::complete)
     return forward(*request, attempt, hedged.has_value(), upstream_request, response, now);
-  if (result == AttemptResult::failed) attempts_.record_failure(*request, "failure of its server");
+  if (result == AttemptResult::failed) attempts_.record_failure(*request, attempt, "failure of its server");
   if (hedged) return attempts_.on_hedged_failed(*request, attempt, result, was_kept);
   attempts_.on_failed(*request, result);
 }
 
 void ResponseReceiver::on_no_response(ProxiedRequest& request, UpstreamConnection& connection,
                                       std::optional<Attempt> const& hedged, Seconds now) {
-  Seconds const started_at = hedged ? hedged->started_at : request.retry_state().attempt_started_at();
+  Attempt const attempt = hedged ? *hedged : request.awaited;
   // An idle connection that the server had closed or forgotten: no byte came back.
-  if (connection.idle_before > 0 && now - started_at < kIdleResetWithin)
+  if (connection.idle_before > 0 && now - attempt.started_at < kIdleResetWithin)
     context_.load_balancer.report_idle_reset(connection.server, connection.idle_before, now);
-  if (connection.has_sent) attempts_.record_failure(request, exchange_failure_name(connection.failure));
+  if (connection.has_sent) attempts_.record_failure(request, attempt, exchange_failure_name(connection.failure));
   on_failed(request, connection, hedged, connection.has_sent ? AttemptResult::broken : AttemptResult::unsent);
 }
 
--- a/packages/proxy/shutdown_sequence.cpp
+++ b/packages/proxy/shutdown_sequence.cpp
@@ -45,7 +45,7 @@
                                              << context_.requests.size() << " requests in flight, "
                                              << context_.response_flushes.unflushed() << " answers not sent wholly.");
   context_.requests.for_each([&](ProxiedRequest const& request) {
-    Seconds const at_work = request.connection != nullptr ? now - request.retry_state().attempt_started_at() : 0;
+    Seconds const at_work = request.awaited.connection != nullptr ? now - request.awaited.started_at : 0;
     LOG4CPLUS_WARN(logger_, "Cut at the end of the grace period: "
                                 << request.machine.attempt_id() << ", taken "
                                 << request.arrived_at - context_.drain.shutdown_started_at()
--- a/packages/proxy/survey_responder.cpp
+++ b/packages/proxy/survey_responder.cpp
@@ -27,8 +27,8 @@
   for (std::string const& id : servers)
     work_by_server[id].id = id;
   context_.requests.for_each([&](ProxiedRequest const& request) {
-    if (request.connection == nullptr) return;
-    std::string const& id = context_.load_balancer.endpoint(request.server).id;
+    if (request.awaited.connection == nullptr) return;
+    std::string const& id = context_.load_balancer.endpoint(request.awaited.server).id;
     auto it = work_by_server.find(id);
     if (it == work_by_server.end() && servers.empty()) {
       it = work_by_server.try_emplace(id).first;
--- a/packages/proxy/upstream_sender.cpp
+++ b/packages/proxy/upstream_sender.cpp
@@ -35,11 +35,10 @@
   UpstreamConnection& connection =
       context_.connections.acquire(server, safe_idle_time, now, request.handle.to_pointer());
   balancer.attempt_started(server, now);
-  request.connection = &connection;
-  request.server = server;
   Seconds const patience = std::max(kPatienceInMeanLatencies * balancer.mean_latency(request.service_index),
                                     request.route->latency_target * kPatiencePartOfTarget);
-  request.machine.attempt_started(now, patience, connect_limit(request));
+  request.machine.attempt_started(now, patience, connect_limit(server, request));
+  request.awaited = {&connection, server, now, request.retry_state().attempts()};
   request.attempted.push_back(server);
   context_.traffic_observer.on_attempt(request.route->name, balancer.zone_name(endpoint.zone), now);
 
@@ -53,7 +52,7 @@
   if (!context_.connections.send(connection, upstream_request, request.method, request.target.c_str(),
                                  acknowledgement_timeout_ms(request, is_remote)))
     return Outcome::failed;
-  if (context_.requests.find(handle) == nullptr || request.connection != &connection) return Outcome::over;
+  if (context_.requests.find(handle) == nullptr || request.awaited.connection != &connection) return Outcome::over;
   double const bytes = static_cast<double>(request.body_bytes) + kRequestOverheadBytes;
   context_.traffic.bytes_out += bytes;
   if (is_remote) {
@@ -88,8 +87,8 @@
   return is_remote ? kRemoteAcknowledgementTimeoutMs : kAcknowledgementTimeoutMs;
 }
 
-Seconds UpstreamSender::connect_limit(ProxiedRequest const& request) const {
-  if (!context_.is_remote(request.server)) return kConnectLimit;
+Seconds UpstreamSender::connect_limit(ServerIndex server, ProxiedRequest const& request) const {
+  if (!context_.is_remote(server)) return kConnectLimit;
   return std::max(kConnectLimit, std::min(kRemoteConnectLimitMost, request.route->latency_target));
 }
 
