A server that is there but reads late is waited for: its silence ends no exchange before the deadline

Cause: TCP_USER_TIMEOUT (0.25 to 2 s here), which is to find machines that are gone, also ends a connection whose peer acknowledges everything but has no room: Linux counts a closed window as unacknowledged. An upload to a server that read nothing for 3.5 s got 502 after 2.5 s, with 12 s left, and could not be sent again. Change: for a request that may not fit a receive buffer, once the server's machine has acknowledged a byte of it, the limit moves behind the deadline (ConnectionPool::check_acknowledged, SIOCOUTQ). A machine that acknowledges nothing is found as before.

--- a/packages/proxy/attempt_runner.cpp
+++ b/packages/proxy/attempt_runner.cpp
@@ -2,6 +2,7 @@
 
 #include <log4cplus/loggingmacros.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace dockbend {
@@ -14,6 +15,14 @@
 /// A late attempt is hedged only while this part of the service's mean latency is left.
 double constexpr kLatencyPartLeftForHedge = 0.3;
 
+/// A server's socket has room for a smaller request, whether its server reads or not (the least receive buffer of
+/// Linux).
+std::size_t constexpr kBodyThatMayWait = 2048;
+/// How often a larger one is looked after until its server's machine has acknowledged a byte of it.
+Seconds constexpr kAcknowledgementCheckInterval = 0.1;
+/// The system's limit on unacknowledged bytes comes so long after the deadline, which ends the attempt itself.
+Seconds constexpr kLimitBehindDeadline = 1;
+
 /// Why an attempt ended, as it is logged.
 char constexpr kDeadline[] = "deadline";
 
@@ -53,7 +62,7 @@
     case UpstreamSender::Outcome::sent: break;
   }
   usage_.attempt_sent(request, now);
-  request.set_timer(request.retry_state().next_timer(now, true, false));
+  set_timer(request, now);
 }
 
 void AttemptRunner::give_up(ProxiedRequest& request, char const* reason) {
@@ -115,6 +124,9 @@
   Seconds const now = steady_now();
   bool const has_connection = request.awaited.connection != nullptr;
   bool const is_sent = has_connection && request.awaited.connection->has_sent;
+  if (awaits_acknowledgement(request))
+    context_.connections.check_acknowledged(*request.awaited.connection,
+                                            request.deadline() - now + kLimitBehindDeadline);
   switch (request.retry_state().timer_meaning(now, has_connection, is_sent, context_.drain.is_terminating())) {
     case RetryState::TimerMeaning::expired: return expire(request, now);
     case RetryState::TimerMeaning::unsent: return on_failed(request, AttemptResult::unsent);
@@ -126,7 +138,19 @@
       break;
     case RetryState::TimerMeaning::wait: break;
   }
-  request.set_timer(request.retry_state().next_timer(now, has_connection, is_sent));
+  set_timer(request, now);
+}
+
+void AttemptRunner::set_timer(ProxiedRequest& request, Seconds now) {
+  UpstreamConnection const* const connection = request.awaited.connection;
+  Seconds const next =
+      request.retry_state().next_timer(now, connection != nullptr, connection != nullptr && connection->has_sent);
+  request.set_timer(awaits_acknowledgement(request) ? std::min(next, now + kAcknowledgementCheckInterval) : next);
+}
+
+bool AttemptRunner::awaits_acknowledgement(ProxiedRequest const& request) const {
+  UpstreamConnection const* const connection = request.awaited.connection;
+  return request.body_bytes >= kBodyThatMayWait && connection != nullptr && !connection->is_acknowledged;
 }
 
 bool AttemptRunner::spend_retry_budget(ProxiedRequest const& request, Seconds now) {
@@ -163,7 +187,7 @@
   request.hedged_attempts.pop_back();
   request.awaited = attempt;
   request.counted_attempts = request.retry_state().attempts();  // it was counted when it was hedged
-  request.set_timer(request.retry_state().next_timer(steady_now(), true, attempt.connection->has_sent));
+  set_timer(request, steady_now());
 }
 
 void AttemptRunner::abandon_all(ProxiedRequest& request) {
--- a/packages/proxy/include/proxy/attempt_runner.hpp
+++ b/packages/proxy/include/proxy/attempt_runner.hpp
@@ -44,6 +44,10 @@
   /// Takes a token for a retry, if the service's retry budget has one.
   bool spend_retry_budget(ProxiedRequest const& request, Seconds now);
   void expire(ProxiedRequest& request, Seconds now);
+  /// Arms the timer for what comes next of the attempt that is waited for.
+  void set_timer(ProxiedRequest& request, Seconds now);
+  /// Has no byte of it been acknowledged yet, and might its server be slow to read it?
+  bool awaits_acknowledgement(ProxiedRequest const& request) const;
   void retire_connection(ProxiedRequest& request);
   void retire(UpstreamConnection& connection);
   /// Tells the load balancer how an attempt ended. was_kept: its connection had served another request before.
--- a/packages/upstream/connection_pool.cpp
+++ b/packages/upstream/connection_pool.cpp
@@ -2,6 +2,8 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -15,6 +17,7 @@
 // libevent's own limits on silence. A request is ended by its deadline alone, so its limit is longer than any deadline
 // that a configuration may name.
 int constexpr kIdleTimeoutSeconds = 60, kRequestTimeoutSeconds = 2000000000;
+double constexpr kMillisecondsPerSecond = 1000;
 /// Else a head without an end would be kept until the deadline.
 ev_ssize_t constexpr kMostHeadBytes = 256 << 10;
 /// Nobody listens there; stands for an address that can't be read.
@@ -30,7 +33,9 @@
 void on_output(evbuffer*, evbuffer_cb_info const* info, void* argument) {
   auto* const connection = static_cast<UpstreamConnection*>(argument);
   if (info->n_deleted == 0) return;
-  if (bufferevent_getfd(evhttp_connection_get_bufferevent(connection->http.get())) >= 0) connection->has_sent = true;
+  if (bufferevent_getfd(evhttp_connection_get_bufferevent(connection->http.get())) < 0) return;
+  connection->has_sent = true;
+  connection->written_bytes += info->n_deleted;
 }
 
 void on_done(evhttp_request* request, void* argument) {
@@ -77,6 +82,8 @@
   UpstreamConnection& connection = idle != nullptr ? *idle : open(server);
   connection.is_busy = true;
   connection.has_sent = false;
+  connection.is_acknowledged = false;
+  connection.written_bytes = 0;
   connection.had_stray_response = false;
   connection.failure = ExchangeFailure::none;
   connection.owner = owner;
@@ -114,6 +121,18 @@
   return true;
 }
 
+bool ConnectionPool::check_acknowledged(UpstreamConnection& connection, Seconds work_limit) {
+  if (connection.is_acknowledged) return true;
+  evutil_socket_t const socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection.http.get()));
+  int unacknowledged_bytes = 0;
+  if (socket < 0) return false;
+  bool const is_known = ioctl(socket, SIOCOUTQ, &unacknowledged_bytes) == 0;
+  connection.is_acknowledged = !is_known || static_cast<u64>(unacknowledged_bytes) < connection.written_bytes;
+  if (is_known && connection.is_acknowledged)
+    tune_socket(socket, static_cast<int>(work_limit * kMillisecondsPerSecond));
+  return connection.is_acknowledged;
+}
+
 // libevent reads a response only behind a request. So it is given one, whose bytes are taken out of the buffer before
 // any of them is written.
 bool ConnectionPool::await_next_response(UpstreamConnection& connection, evhttp_cmd_type method) {
--- a/packages/upstream/include/upstream/connection_pool.hpp
+++ b/packages/upstream/include/upstream/connection_pool.hpp
@@ -31,9 +31,14 @@
   /// A request to be filled and given to send().
   evhttp_request* new_request(UpstreamConnection& connection);
   /// Takes the request over. acknowledgement_timeout_ms: until a machine that acknowledges nothing counts as absent.
-  /// False: it could not be sent, and on_return is not called.
+  /// The system's limit also ends connections whose server acknowledges all but reads no more for so long: a request
+  /// that may not fit into a server's receive buffer wants check_acknowledged() besides. False: it could not be sent,
+  /// and on_return is not called.
   bool send(UpstreamConnection& connection, evhttp_request* request, evhttp_cmd_type method, char const* target,
             int acknowledgement_timeout_ms);
+  /// Has the server's machine acknowledged a byte of the newest exchange? Once it has, it is there, and its silence no
+  /// longer ends the exchange before work_limit, in seconds. Where the system can't tell: true, and the limit stays.
+  bool check_acknowledged(UpstreamConnection& connection, Seconds work_limit);
   /// For on_return's receiver, where the response answers another request than the one that was sent: the server is
   /// still at work on that one. Discards the response and waits on; nothing is written, and on_return is called again.
   /// method: of the request that was sent. False: the connection has ended.
--- a/packages/upstream/include/upstream/upstream_connection.hpp
+++ b/packages/upstream/include/upstream/upstream_connection.hpp
@@ -26,6 +26,8 @@
   bool is_busy = false;
   bool is_retired = false;
   bool has_sent = false;
+  bool is_acknowledged = false;                     ///< see ConnectionPool::check_acknowledged()
+  u64 written_bytes = 0;                            ///< of the newest exchange, to the socket
   bool had_stray_response = false;                  ///< in the newest exchange: such a connection is not kept
   ExchangeFailure failure = ExchangeFailure::none;  ///< of the newest exchange
   Seconds idle_since = 0;                           ///< time point
