A client's time runs from its request's first byte: servers are no longer handed more time than is left

Cause: X-Time-Left was counted from the moment at which the whole request was read. An upload sent over 1.8 s was held, and its server given, 1.8 s more than the client would wait; answers came after the client had gone. Found by the soak. Change: BodyReadTracker times the reading; admission takes it off the client's time, not off the route's deadline.

--- a/packages/proxy/front_listener.cpp
+++ b/packages/proxy/front_listener.cpp
@@ -28,8 +28,8 @@
 
 void FrontListener::on_request(evhttp_request* client_request, void* listener) {
   auto* const self = static_cast<FrontListener*>(listener);
-  self->body_reads_.request_completed(client_request);
-  self->intake_.on_request(client_request);
+  Seconds const reading_time = self->body_reads_.request_completed(client_request);
+  self->intake_.on_request(client_request, reading_time);
 }
 
 void FrontListener::set_limits(LimitsConfig const& limits) {
--- a/packages/proxy/include/proxy/request_intake.hpp
+++ b/packages/proxy/include/proxy/request_intake.hpp
@@ -14,8 +14,8 @@
                 ResponseWriter const& writer)
       : context_(context), flow_(flow), routing_(routing), quota_(quota), writer_(writer) {}
 
-  /// The request is complete, body included.
-  void on_request(evhttp_request* client_request);
+  /// The request is complete, body included. reading_time: how long ago its first byte came, in seconds.
+  void on_request(evhttp_request* client_request, Seconds reading_time);
 
  private:
   /// May the request still be at work when this process, which got a SIGTERM, must end?
--- a/packages/proxy/request_intake.cpp
+++ b/packages/proxy/request_intake.cpp
@@ -18,13 +18,13 @@
 }
 }  // namespace
 
-void RequestIntake::on_request(evhttp_request* client_request) {
+void RequestIntake::on_request(evhttp_request* client_request, Seconds reading_time) {
   Seconds const now = steady_now();
   Headers const headers = headers_of(evhttp_request_get_input_headers(client_request));
   std::size_t const body_bytes = body_bytes_of(client_request);
   context_.traffic.bytes_in += static_cast<double>(body_bytes + size_of(headers)) + kRequestOverheadBytes;
   IncomingRequest const incoming{headers, evhttp_request_get_uri(client_request), body_bytes,
-                                 method_has_body(evhttp_request_get_command(client_request))};
+                                 method_has_body(evhttp_request_get_command(client_request)), reading_time};
   AdmissionResult result =
       admit(incoming, context_.has_configuration ? &context_.configuration : nullptr, context_.configuration.limits(),
             context_.drain.is_draining_for_maintenance(), random01());
--- a/packages/request/admission.cpp
+++ b/packages/request/admission.cpp
@@ -125,10 +125,11 @@
   return std::nullopt;
 }
 
-Seconds time_left_of(Route const& route, KnownHeaders const& known) {
+/// The client's time runs from its request's first byte, the route's from its last one.
+Seconds time_left_of(Route const& route, KnownHeaders const& known, Seconds reading_time) {
   if (known.time_left != nullptr)
     if (double const milliseconds = std::strtod(known.time_left->c_str(), nullptr); milliseconds > 0)
-      return std::min(route.deadline, milliseconds / 1000.0);
+      return std::clamp(milliseconds / 1000.0 - reading_time, 0.0, route.deadline);
   return route.deadline;
 }
 
@@ -142,7 +143,7 @@
     return Refusal{make_local_reply(503, kRetryAfterDraining, true), "draining"};
   if (std::optional<Refusal> refusal = find_tenant(request, known, configuration)) return refusal;
   request.rank = request.tenant && request.tenant->rank ? *request.tenant->rank : route.rank;
-  request.time_left = time_left_of(route, known);
+  request.time_left = time_left_of(route, known, incoming.reading_time);
   request.service = pick_service(route, draw);
   ServiceConfig const* const service = configuration.pool(*request.service);
   request.is_repeatable = route.kind == RouteKind::idempotent || (is_keyed && service != nullptr && service->dedupes);
--- a/packages/request/include/request/admission.hpp
+++ b/packages/request/include/request/admission.hpp
@@ -17,6 +17,7 @@
   std::string_view target;
   std::size_t body_bytes = 0;
   bool may_be_chunked = false;  ///< its method may come with a body in chunks
+  Seconds reading_time = 0;     ///< from its first byte until now; the client's time has run since
 };
 
 /// What is known of a request that was taken on.
--- a/packages/upstream/body_read_tracker.cpp
+++ b/packages/upstream/body_read_tracker.cpp
@@ -1,14 +1,17 @@
 #include "upstream/body_read_tracker.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dockbend {
 
-void BodyReadTracker::request_completed(evhttp_request* request) {
+Seconds BodyReadTracker::request_completed(evhttp_request* request) {
   evhttp_connection* const connection = evhttp_request_get_connection(request);
-  if (connection == nullptr) return;
+  if (connection == nullptr) return 0;
   auto const it = connections_.find(evhttp_connection_get_bufferevent(connection));
-  if (it != connections_.end()) it->second->bytes = 0;
+  if (it == connections_.end()) return 0;
+  // No bytes: they came together with the request before, and nobody knows when.
+  return std::exchange(it->second->bytes, 0) > 0 ? steady_now() - it->second->first_byte_at : 0;
 }
 
 u32 BodyReadTracker::open_reads(u64 idle_ticks) const {
@@ -31,6 +34,7 @@
 void BodyReadTracker::on_input(evbuffer*, evbuffer_cb_info const* info, void* connection) {
   auto& self = *static_cast<TrackedConnection*>(connection);
   if (info->n_added == 0) return;
+  if (self.bytes == 0) self.first_byte_at = steady_now();
   self.bytes += info->n_added;
   self.last_read_tick = self.tracker->ticks_;
 }
--- a/packages/upstream/include/upstream/body_read_tracker.hpp
+++ b/packages/upstream/include/upstream/body_read_tracker.hpp
@@ -1,5 +1,5 @@
-/// Counts the requests whose bytes have begun to arrive and that are not complete yet. evhttp reports a request only
-/// once it is complete, so the bytes are counted underneath.
+/// Counts the requests whose bytes have begun to arrive and that are not complete yet, and times how long they take.
+/// evhttp reports a request only once it is complete, so the bytes are counted underneath.
 #pragma once
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -19,8 +19,8 @@
   /// Tracks all connections of the server, which the tracker must outlive.
   void watch(evhttp* server) { evhttp_set_bevcb(server, create_socket, this); }
   void tick() { ++ticks_; }
-  /// The request that was being read is complete.
-  void request_completed(evhttp_request* request);
+  /// The request that was being read is complete. How long ago its first byte came, in seconds; 0: unknown.
+  Seconds request_completed(evhttp_request* request);
   /// Connections with an incomplete request that were not silent for more than idle_ticks.
   u32 open_reads(u64 idle_ticks) const;
 
@@ -28,6 +28,7 @@
   struct TrackedConnection {
     BodyReadTracker* tracker = nullptr;
     std::size_t bytes = 0;
+    Seconds first_byte_at = 0;
     u64 last_read_tick = 0;
   };
   static bufferevent* create_socket(event_base* loop, void* tracker);
--- /dev/null
+++ b/tests/soak/judge_test.py
@@ -0,0 +1,136 @@
+#!/usr/bin/env python3
+"""The judge finds each broken rule in facts that show it, and excuses what the rules excuse. Runs nothing."""
+
+import unittest
+
+from judge import Cause, Excuse, judge
+from ledger import ClientEnd, Kind, Ledger, Request, Run, RunEnd, Signal
+
+GRACE_PERIOD_S = 6.0
+ROUTE_DEADLINE_S = 3.0
+SEAL, BODY = "i-1.1", b"whole"
+
+
+def a_run(end: RunEnd, started_at: float = 0.1, ended_at: float = 1.0) -> Run:
+    run = Run("i-1", started_at, ended_at, end)
+    if end is RunEnd.FINISHED:
+        run.seal, run.body = SEAL, BODY
+    return run
+
+
+def a_request(*runs: Run, status: int = 0, kind: Kind = Kind.UPLOAD, ended_at: float = 1.0, key: str = "",
+              attempt_id: str = "a1", begun_at: float = 0.0, end: ClientEnd | None = None, seal: str = "",
+              body: bytes = b"", sent_at: float = 0.0) -> Request:
+    request = Request(attempt_id, kind, 0, begun_at, 5.0, operation_key=key, sent_at=sent_at, ended_at=ended_at)
+    request.end = end or (ClientEnd.ANSWERED if status else ClientEnd.CLOSED)
+    request.status, request.seal, request.body, request.runs = status, seal, body, list(runs)
+    return request
+
+
+def a_success(*runs: Run, **fields) -> Request:
+    return a_request(*runs, status=200, seal=SEAL, body=BODY, **fields)
+
+
+def ledger_of(*requests: Request, term_at: float | None = None, kill_at: float | None = None) -> Ledger:
+    ledger = Ledger(GRACE_PERIOD_S, (ROUTE_DEADLINE_S,))
+    for request in requests:
+        ledger.open_request(request)
+    for signal, at in ((Signal.TERM, term_at), (Signal.KILL, kill_at)):
+        if at is not None:
+            ledger.note(at, 0, signal)
+    return ledger
+
+
+class JudgeTest(unittest.TestCase):
+    def expect_cause(self, cause: Cause, ledger: Ledger) -> None:
+        self.assertEqual(dict(judge(ledger).by_cause()), {cause: 1})
+
+    def expect_excuse(self, excuse: Excuse, ledger: Ledger) -> None:
+        verdict = judge(ledger)
+        self.assertEqual((verdict.findings, dict(verdict.excused)), ([], {excuse: 1}))
+
+    def test_success_is_one(self):
+        verdict = judge(ledger_of(a_success(a_run(RunEnd.FINISHED))))
+        self.assertEqual((verdict.successes, verdict.findings), (1, []))
+
+    def test_success_that_lost_its_hedge_is_one(self):
+        request = a_success(a_run(RunEnd.CUT_BY_PROXY), a_run(RunEnd.FINISHED), kind=Kind.IDEMPOTENT)
+        verdict = judge(ledger_of(request))
+        self.assertEqual((verdict.successes, verdict.hedged, verdict.findings), (1, 1, []))
+
+    def test_lost(self):
+        cut, finished, broken = a_run(RunEnd.CUT_BY_PROXY), a_run(RunEnd.FINISHED), a_run(RunEnd.BROKE_OFF)
+        self.expect_cause(Cause.CUT_AT_WORK, ledger_of(a_request(cut)))
+        self.expect_cause(Cause.CUT_AT_WORK, ledger_of(a_request(a_run(RunEnd.AT_WORK))))
+        self.expect_cause(Cause.ANSWER_NOT_DELIVERED, ledger_of(a_request(finished)))
+        self.expect_cause(Cause.DROPPED_AFTER_READING, ledger_of(a_request(broken)))
+        self.expect_cause(Cause.DROPPED_AFTER_READING, ledger_of(a_request()))
+        self.expect_cause(Cause.REPLACED_BY_OWN_ANSWER, ledger_of(a_request(cut, status=502)))
+        self.expect_cause(Cause.REPLACED_BY_OWN_ANSWER, ledger_of(a_request(cut, broken, status=502, kind=Kind.IDEMPOTENT)))
+        self.expect_cause(Cause.REPLACED_BY_OWN_ANSWER, ledger_of(a_request(cut, status=503, kind=Kind.IDEMPOTENT)))
+        self.expect_cause(Cause.WORK_THROWN_AWAY, ledger_of(a_request(finished, status=502)))
+        failure = a_request(cut, finished, status=500, kind=Kind.IDEMPOTENT, seal=SEAL, body=BODY)
+        self.expect_cause(Cause.REPLACED_BY_FAILURE, ledger_of(failure))
+
+    def test_no_answer_in_time(self):
+        late = a_request(a_run(RunEnd.AT_WORK), end=ClientEnd.TIMED_OUT, ended_at=5.5)
+        self.expect_cause(Cause.NO_ANSWER_AT_DEADLINE, ledger_of(late))
+
+    def test_repeats_and_promises(self):
+        finished = a_run(RunEnd.FINISHED)
+        self.expect_cause(Cause.RAN_TWICE, ledger_of(a_success(finished, a_run(RunEnd.BROKE_OFF))))
+        self.expect_cause(Cause.RAN_TWICE, ledger_of(a_success(finished, kind=Kind.KEYED, key="k"),
+                                                     a_success(finished, kind=Kind.KEYED, key="k", attempt_id="a2")))
+        self.expect_cause(Cause.RAN_THOUGH_REFUSED, ledger_of(a_request(finished, status=503)))
+        self.expect_cause(Cause.MIXED, ledger_of(a_request(finished, status=200, seal=SEAL, body=b"who")))
+        self.expect_cause(Cause.MIXED, ledger_of(a_request(finished, status=200, body=BODY)))
+        self.expect_cause(Cause.DENIED, ledger_of(a_request(status=404)))
+
+    def test_runs_that_nobody_asked_for(self):
+        ledger = ledger_of(a_success(a_run(RunEnd.FINISHED)))
+        ledger.open_run("a9", a_run(RunEnd.FINISHED))
+        self.expect_cause(Cause.UNASKED, ledger)
+
+    def test_processes_and_changes(self):
+        for cause, field in ((Cause.OVERDUE_PROCESS, "overdue_processes"), (Cause.CRASHED_PROCESS, "crashed_processes"),
+                             (Cause.REFUSED_CHANGE, "refused_changes")):
+            ledger = ledger_of()
+            getattr(ledger, field).append("one")
+            self.expect_cause(cause, ledger)
+
+    def test_repeats_denied(self):
+        def with_denied(keys: int) -> Ledger:
+            requests = []
+            for number in range(keys):
+                key = f"k{number}"
+                requests.append(a_success(a_run(RunEnd.FINISHED), kind=Kind.KEYED, key=key, attempt_id=f"a{number}"))
+                requests.append(a_request(status=409, kind=Kind.KEYED, key=key, attempt_id=f"b{number}", begun_at=2.1,
+                                          sent_at=2.1, ended_at=2.2))
+            return ledger_of(*requests)
+
+        self.assertEqual(judge(with_denied(3)).findings, [])
+        self.expect_cause(Cause.REPEAT_DENIED, with_denied(4))
+
+    def test_excused(self):
+        cut = a_run(RunEnd.CUT_BY_PROXY)
+        self.expect_excuse(Excuse.SERVER_BROKE_OFF, ledger_of(a_request(a_run(RunEnd.BROKE_OFF), status=502)))
+        self.expect_excuse(Excuse.DEADLINE, ledger_of(a_request(cut, status=504, ended_at=5.0)))
+        self.expect_excuse(Excuse.DEADLINE, ledger_of(a_request(cut, status=504, ended_at=ROUTE_DEADLINE_S)))
+        self.expect_excuse(Excuse.REFUSED, ledger_of(a_request(status=503)))
+        self.expect_excuse(Excuse.CROSSED_CLOSE, ledger_of(a_request(ended_at=0.1)))
+        self.expect_excuse(Excuse.NOT_SENT, ledger_of(a_request(end=ClientEnd.NOT_SENT)))
+        self.expect_excuse(Excuse.KEY_AT_WORK, ledger_of(a_request(status=409, kind=Kind.KEYED, key="k")))
+        self.expect_excuse(Excuse.KILLED, ledger_of(a_request(cut), kill_at=0.9))
+
+    def test_end_of_grace_period(self):
+        def cut_at(end_of_run: float, sent_at: float) -> Request:
+            return a_request(a_run(RunEnd.CUT_BY_PROXY, sent_at, end_of_run), ended_at=end_of_run, sent_at=sent_at)
+
+        # The last sixth begins 5 s after the SIGTERM.
+        self.expect_excuse(Excuse.END_OF_GRACE, ledger_of(cut_at(4.6, 0.2), term_at=-1.0))
+        self.expect_cause(Cause.CUT_AT_WORK, ledger_of(cut_at(4.6, 2.5), term_at=0.0))
+        self.expect_cause(Cause.CUT_AT_WORK, ledger_of(cut_at(4.6, 3.5), term_at=-1.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -3,8 +3,13 @@
 Clients, servers and the operator of a run share one process and so one clock (seconds, monotonic).
 """
 
+import asyncio
 import dataclasses
 import enum
+import time
+
+# How often a run looks how late its own loop is, and from where on that counts.
+LAG_CHECK_PERIOD_S, LEAST_LAG_S = 0.02, 0.01
 
 
 class Kind(enum.Enum):
@@ -104,6 +109,7 @@
     crashed_processes: list[str] = dataclasses.field(default_factory=list)  # ended by themselves
     refused_changes: list[str] = dataclasses.field(default_factory=list)  # proper changes that got a 4xx
     changes_acknowledged: int = 0
+    observer_lags: list[tuple[float, float]] = dataclasses.field(default_factory=list)  # when, how late in seconds
 
     def open_request(self, request: Request) -> None:
         self.requests[request.attempt_id] = request
@@ -115,6 +121,10 @@
         else:
             request.runs.append(run)
 
+    def observer_lag(self, begin: float, end: float) -> float:
+        """How late clients and servers themselves were at most in this time: so much is not the system's."""
+        return max((lag for at, lag in self.observer_lags if begin <= at <= end + lag), default=0.0)
+
     def note(self, at: float, proxy: int, signal: Signal) -> None:
         self.process_events.append(ProcessEvent(at, proxy, signal))
 
@@ -123,3 +133,13 @@
         times = [event.at for event in self.process_events
                  if event.proxy == proxy and event.signal is signal and event.at <= moment]
         return max(times, default=None)
+
+
+async def watch_lag(ledger: Ledger) -> None:
+    """Writes down how late this process itself is, until it is cancelled."""
+    while True:
+        due_at = time.monotonic() + LAG_CHECK_PERIOD_S
+        await asyncio.sleep(LAG_CHECK_PERIOD_S)
+        lag = time.monotonic() - due_at
+        if lag > LEAST_LAG_S:
+            ledger.observer_lags.append((time.monotonic(), lag))
