Shutdown waits for requests that are being read

Cause: a proxy that shuts down ended once nothing was open for 0.3 s; a request whose body was still arriving did not count, and was cut off in its midst, 1.5 s before it would have been read whole. Change: ShutdownSequence::is_busy counts requests that are being read, until nothing has come of them for a second; the end of the grace period and ShutdownSchedule's rule on late requests hold as before.

--- a/packages/proxy/include/proxy/shutdown_sequence.hpp
+++ b/packages/proxy/include/proxy/shutdown_sequence.hpp
@@ -10,8 +10,8 @@
 namespace dockbend {
 
 /// After a SIGTERM the proxy first reports itself as draining while it still takes connections, so that the directories
-/// can send clients elsewhere; then it stops accepting; and it ends once nothing has been open for a while, no answer
-/// waits to be sent, or the grace period is over (ShutdownSchedule).
+/// can send clients elsewhere; then it stops accepting; and it ends once nothing has been open for a while, no request
+/// is being read and no answer waits to be sent, or the grace period is over (ShutdownSchedule).
 class ShutdownSequence {
  public:
   ShutdownSequence(ProxyContext& context, FrontListener& front, LoadReporter& load, UsageMetering& usage)
@@ -23,6 +23,8 @@
   void tick(Seconds now);
 
  private:
+  /// Would the end of the process cut something off, or may something begin?
+  bool is_busy() const;
   /// What the end of the process cuts off.
   void log_end(Seconds now) const;
   ProxyContext& context_;
--- a/packages/proxy/shutdown_sequence.cpp
+++ b/packages/proxy/shutdown_sequence.cpp
@@ -7,6 +7,8 @@
 namespace {
 /// What is sent last gets out meanwhile.
 Seconds constexpr kLastReportFlush = 0.05;
+/// A request that is being read is waited for until nothing has come of it for so many ticks of the listener.
+u64 constexpr kReadIdleTicks = 10;
 }  // namespace
 
 void ShutdownSequence::begin() {
@@ -28,8 +30,7 @@
   if (!context_.drain.is_shutting_down()) return;
   ShutdownSchedule const schedule = context_.shutdown_schedule();
   if (front_.is_accepting() && !schedule.accepts_connections(now)) front_.stop_accepting();
-  if (front_.is_accepting() || context_.requests.size() > 0 || context_.response_flushes.unflushed() > 0)
-    busy_at_ = now;
+  if (is_busy()) busy_at_ = now;
   if (now - busy_at_ <= ShutdownSchedule::kQuietBeforeEnd && now <= schedule.must_end_at()) return;
   if (last_report_at_ == 0) {
     last_report_at_ = now;
@@ -40,6 +41,11 @@
   event_base_loopbreak(context_.loop);
 }
 
+bool ShutdownSequence::is_busy() const {
+  return front_.is_accepting() || context_.requests.size() > 0 || context_.response_flushes.unflushed() > 0 ||
+         front_.open_body_reads(kReadIdleTicks) > 0;
+}
+
 void ShutdownSequence::log_end(Seconds now) const {
   LOG4CPLUS_INFO(logger_, "Shut down after " << now - context_.drain.shutdown_started_at() << " s. "
                                              << context_.requests.size() << " requests in flight, "
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -66,6 +66,7 @@
     time_left_s: float
     is_on_kept_connection: bool = False
     operation_key: str = ""
+    reads_after_s: float = 0.0  # the client looks for its answer so long after it has sent
     sent_at: float = 0.0  # its last byte was handed to the system
     ended_at: float = 0.0
     end: ClientEnd = ClientEnd.OPEN
