--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -19,6 +19,8 @@
     CHANGE_ROUTES = "change of routes and limits"
     RELEASE_SERVER = "a server leaves and another one comes"
     EVACUATE = "a zone is evacuated, and taken back"
+    DRAIN_PROXY = "an operator's drain of a proxy, ended after a while"
+    DRAIN_SERVERS = "an operator's rotation of a zone's servers, ended after a while"
 
 
 @dataclasses.dataclass
@@ -49,6 +51,8 @@
     Series(Action.RESTART_CONTROLLER, 0.5, 9.0),
     Series(Action.RESTART_AGENT, 0.4, 4.0),
     Series(Action.EVACUATE, 0.3, 8.0),
+    Series(Action.DRAIN_PROXY, 0.3, 4.0),
+    Series(Action.DRAIN_SERVERS, 0.2, 6.0),
     Series(Action.KILL_CONTROLLER, 0.2, 12.0),
     Series(Action.KILL_MACHINE, 0.2, 8.0),
 )
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -33,6 +33,7 @@
 SERVICES = ("desk", "archive")
 GRACE_PERIOD_S = 6.0
 DRAIN_BOUND_S = 2.5
+DRAIN_FOR_S = 2.5  # an operator's drain
 CRASH_CHECK_PERIOD_S = 0.5
 # A deadline well beyond the longest work, and one that some requests reach.
 DEADLINES_S = (5.0, 8.0, 2.5)
@@ -129,12 +130,13 @@
         self._options, self._rng = options, random.Random(seed)
         self.ledger = Ledger(GRACE_PERIOD_S, DEADLINES_S)
         self._system = System(self.ledger, options.build.resolve(), work, options.slot, controllers=3,
-                              proxies=options.proxies)
+                              proxies=options.proxies, is_staged=self._rng.random() < 0.5)
         self._clients = ClientGroup(self.ledger, self._system.fronts, HOST, random.Random(seed + 1))
         self._servers: list[StandInServer] = []
         self._servers_begun = 0
         self._generation = 1
         self._work_rng = random.Random(seed + 2)
+        self.drains_started = 0
         self.actions: collections.Counter = collections.Counter()
         self._background: set[asyncio.Task] = set()
 
@@ -204,6 +206,8 @@
             case Action.CHANGE_ROUTES: await self._change_routes()
             case Action.RELEASE_SERVER: await self._release_server()
             case Action.EVACUATE: await self._evacuate(event.target)
+            case Action.DRAIN_PROXY: await self._drain("drain", f"edge-{event.target % self._options.proxies + 1}")
+            case Action.DRAIN_SERVERS: await self._drain("rotation", self._system.zone_of(event.target))
 
     async def _change_routes(self) -> None:
         self._generation += 1
@@ -224,13 +228,20 @@
         await asyncio.sleep(1.5)
         await self._system.order(f"/-/Evacuation.Finish/{zone}")
 
+    async def _drain(self, kind: str, name: str) -> None:
+        started = await self._system.command(kind, "start", name)
+        await asyncio.sleep(DRAIN_FOR_S)
+        if "id" in started:
+            await self._system.command(kind, "abort", started["id"])
+            self.drains_started += 1
+
 
 def print_report(seed: int, run: Run, verdict: judge.Verdict) -> None:
     ledger = run.ledger
     actions = ", ".join(f"{action.name.lower()} {count}" for action, count in run.actions.items())
     excused = ", ".join(f"{count} {excuse.value}" for excuse, count in verdict.excused.most_common())
     print(f"seed {seed}: {len(ledger.requests)} requests, {verdict.successes} succeeded, {verdict.hedged} ran more than "
-          f"once; {ledger.changes_acknowledged} changes acknowledged; {actions}\n    excused: {excused or 'none'}")
+          f"once; {ledger.changes_acknowledged} changes acknowledged, {run.drains_started} drains; {actions}\n    excused: {excused or 'none'}")
     for description in verdict.forgotten_answers:
         print(f"    forgotten: {description}")
     for cause, count in verdict.by_cause().items():
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -159,7 +159,8 @@
     """All machines of one run. `slot`: 0 and up, so that runs beside each other have addresses of their own."""
 
     def __init__(self, ledger: Ledger, build: pathlib.Path, work: pathlib.Path, slot: int, controllers: int,
-                 proxies: int):
+                 proxies: int, is_staged: bool = False):
+        self._controller_arguments = ["--staged"] if is_staged else []
         self._ledger, self._build, self._work = ledger, build, work
         self._subnet = f"127.{FIRST_SUBNET + slot}"
         self._first_agent_port = FIRST_AGENT_PORT + slot * AGENT_PORTS_PER_SYSTEM
@@ -226,6 +227,14 @@
             except BrokenMessage:
                 continue
 
+    async def command(self, *words: str) -> dict:
+        """Runs the operator's command line; what it prints as JSON, empty if the command failed."""
+        process = await asyncio.create_subprocess_exec(
+            str(self._build / "dockbend"), "--at", self.controllers[0], "--json", *words,
+            stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL)
+        output, _ = await process.communicate()
+        return json.loads(output) if process.returncode == 0 and output.strip() else {}
+
     async def _is_ready(self, proxy: int) -> bool:
         address = f"{self._subnet}.2.{proxy + 1}:{READY_PORT}"
         try:
@@ -246,7 +255,7 @@
             f"bind.control={ip}:{CONTROL_PORT}", f"bind.directory={ip}:{DIRECTORY_PORT}",
             f"dataDir={self._work / name}", "bootstrap=true"]
         settings = self._write_settings(name, lines)
-        controller = Process(self._build / "dockbend-controller", [], settings, self._work / f"{name}.log")
+        controller = Process(self._build / "dockbend-controller", self._controller_arguments, settings, self._work / f"{name}.log")
         return Machine(self._ledger, -1, settings, [controller])
 
     def _proxy_machine(self, n: int) -> Machine:
