A keyed answer that is too long to be stored is reported as lost, not left as in progress

Cause: controllers don't store answers of over 64 KiB, and said nothing of it: repeats found the key granted and no answer, and got 409 for as long as the first run might have lasted, though it had been answered. Change: notice_of_answer reports such an answer as lost, so that repeats get 502, and sends no body. One constant for both sides.

The soak also changes settings files, with and without a signal.

--- a/packages/controller/idempotency_service.cpp
+++ b/packages/controller/idempotency_service.cpp
@@ -92,7 +92,7 @@
 
 void IdempotencyService::store(std::string_view body, bool relay) {
   StoredAnswer const r = codec::unpack<StoredAnswer>(body);
-  if (r.body.size() > 64 * 1024) return;
+  if (r.body.size() > kMostStoredBodyBytes) return;
   context_.disk->submit_lazily({StoreOperation::put_answer(r.key, std::string(body))});
   Seconds const now = steady_now();
   ret_order_.push_back({r.key, now, body.size()});
--- a/packages/idempotency/include/idempotency/claim_messages.hpp
+++ b/packages/idempotency/include/idempotency/claim_messages.hpp
@@ -39,6 +39,9 @@
   DB_RECORD(ReleaseRequest, (std::string, key), (u64, holder));
 };
 
+/// A longer body is not stored; repeats of its key are told that the answer is lost.
+std::size_t constexpr kMostStoredBodyBytes = 64 * 1024;
+
 /// The first answer to a keyed request, which repeats of the key get. It is stored in the key's home regions
 /// only. `lost`: the request may have run and its answer is not known.
 struct StoredAnswer {
--- a/packages/idempotency/include/idempotency/proxy_messages.hpp
+++ b/packages/idempotency/include/idempotency/proxy_messages.hpp
@@ -44,6 +44,9 @@
             (std::vector<std::string>, homes), (std::string, stored_answer, ret));
 };
 
+/// The notice for a request that has this answer: `returned`, or `lost` if it is too long to be stored.
+KeyOutcomeNotice notice_of_answer(StoredAnswer const& answer);
+
 /// A proxy's regular report to its agent. `front`: the address that it serves clients on.
 struct ProxyLoadReport {
   DB_RECORD(ProxyLoadReport, (bool, ready), (double, load), (bool, draining), (std::string, front),
--- /dev/null
+++ b/packages/idempotency/proxy_messages.cpp
@@ -0,0 +1,18 @@
+#include "idempotency/proxy_messages.hpp"
+
+#include "wire/codec.hpp"
+
+namespace dockbend {
+
+KeyOutcomeNotice notice_of_answer(StoredAnswer const& answer) {
+  KeyOutcomeNotice notice;
+  notice.key = answer.key;
+  notice.holder = answer.holder;
+  notice.homes = answer.homes;
+  bool const is_stored = answer.body.size() <= kMostStoredBodyBytes;
+  notice.outcome = is_stored ? KeyOutcome::returned : KeyOutcome::lost;
+  if (is_stored) notice.stored_answer = codec::pack(answer);
+  return notice;
+}
+
+}  // namespace dockbend
--- a/packages/proxy/include/proxy/key_outcome_reporter.hpp
+++ b/packages/proxy/include/proxy/key_outcome_reporter.hpp
@@ -13,13 +13,16 @@
 class KeyOutcomeReporter {
  public:
   explicit KeyOutcomeReporter(PeerLink& agent) : agent_(agent) {}
-  /// stored_answer: the packed StoredAnswer, with KeyOutcome::returned only. While the agent is away the report is
-  /// kept for the next one: a key that nobody releases stays taken for long.
-  void report(ProxiedRequest const& request, KeyOutcome outcome, std::string stored_answer = "");
+  /// Of a request without an answer of its server. While the agent is away the report is kept for the next one: a key
+  /// that nobody releases stays taken for long.
+  void report(ProxiedRequest const& request, KeyOutcome outcome);
+  /// Of a request with this answer, which is to be stored.
+  void report_answer(StoredAnswer const& answer) { send(notice_of_answer(answer)); }
   /// Sends what was held back, to an agent that has just sent its state and so knows whom to notify.
   void send_held_back();
 
  private:
+  void send(KeyOutcomeNotice const& notice);
   static std::size_t constexpr kHeldBackBytes = 4 << 20;
   PeerLink& agent_;
   std::deque<std::string> held_back_;  // packed notices, oldest first
--- a/packages/proxy/key_outcome_reporter.cpp
+++ b/packages/proxy/key_outcome_reporter.cpp
@@ -2,13 +2,16 @@
 
 namespace dockbend {
 
-void KeyOutcomeReporter::report(ProxiedRequest const& request, KeyOutcome outcome, std::string stored_answer) {
+void KeyOutcomeReporter::report(ProxiedRequest const& request, KeyOutcome outcome) {
   KeyOutcomeNotice notice;
   notice.key = request.key;
   notice.holder = request.key_holder;
   notice.homes = request.homes;
   notice.outcome = outcome;
-  notice.stored_answer = std::move(stored_answer);
+  send(notice);
+}
+
+void KeyOutcomeReporter::send(KeyOutcomeNotice const& notice) {
   if (agent_.up()) return agent_.send(MessageType::key_outcome, 0, notice);
   held_back_.push_back(codec::pack(notice));
   held_back_bytes_ += held_back_.back().size();
--- a/packages/proxy/response_receiver.cpp
+++ b/packages/proxy/response_receiver.cpp
@@ -142,8 +142,7 @@
   flow_.carry_out(request, action);
   evbuffer* const body = evhttp_request_get_input_buffer(upstream_request);
   if (action.claim == ClaimDisposition::returned)
-    key_outcomes_.report(request, KeyOutcome::returned,
-                         codec::pack(make_stored_answer(request, upstream_request, response, body)));
+    key_outcomes_.report_answer(make_stored_answer(request, upstream_request, response, body));
   writer_.forward(request, upstream_request, response, body);
   flow_.finish(request);
 }
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -15,7 +15,8 @@
     KILL_MACHINE = "SIGKILL for a proxy's machine"
     RESTART_CONTROLLER = "SIGTERM for a controller"
     KILL_CONTROLLER = "SIGKILL for a controller"
-    HANG_UP = "SIGHUP for a proxy's machine"
+    HANG_UP = "SIGHUP for a proxy's machine, its settings changed or not"
+    CHANGE_SETTINGS = "changed settings without a signal"
     CHANGE_ROUTES = "change of routes and limits"
     RELEASE_SERVER = "a server leaves and another one comes"
     EVACUATE = "a zone is evacuated, and taken back"
@@ -46,6 +47,7 @@
 SERIES = (
     Series(Action.RESTART_MACHINE, 1.0, 1.6, grows_with_size=True),
     Series(Action.HANG_UP, 0.8, 0.8, grows_with_size=True),
+    Series(Action.CHANGE_SETTINGS, 0.4, 2.0, grows_with_size=True),
     Series(Action.CHANGE_ROUTES, 0.9, 0.5),
     Series(Action.RELEASE_SERVER, 0.7, 2.0, grows_with_size=True),
     Series(Action.RESTART_CONTROLLER, 0.5, 9.0),
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,7 +27,7 @@
 from schedule import Action, Event, draw_schedule
 from special_servers import BreakingServer, FailingServer, FullServer, RefusingServer, SlowReadingServer, StrayAnswerServer
 from stand_in_server import StandInServer, Work
-from system import System
+from system import Machine, System
 
 HOST = "soak.example"
 SERVICES = ("desk", "archive")
@@ -202,13 +202,21 @@
             case Action.KILL_MACHINE: await machine.kill()
             case Action.RESTART_CONTROLLER: await controller.restart()
             case Action.KILL_CONTROLLER: await controller.kill()
-            case Action.HANG_UP: machine.hang_up()
+            case Action.HANG_UP:
+                if event.target % 2 == 0:
+                    self._change_settings(machine)
+                machine.hang_up()
+            case Action.CHANGE_SETTINGS: self._change_settings(machine)
             case Action.CHANGE_ROUTES: await self._change_routes()
             case Action.RELEASE_SERVER: await self._release_server()
             case Action.EVACUATE: await self._evacuate(event.target)
             case Action.DRAIN_PROXY: await self._drain("drain", f"edge-{event.target % self._options.proxies + 1}")
             case Action.DRAIN_SERVERS: await self._drain("rotation", self._system.zone_of(event.target))
 
+    def _change_settings(self, machine: Machine) -> None:
+        controllers = self._system.controllers
+        machine.change_settings(self._rng.sample(controllers, self._rng.randint(1, len(controllers))))
+
     async def _change_routes(self) -> None:
         self._generation += 1
         generation = self._generation
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -74,6 +74,14 @@
             await process.start()
         self._note(Signal.STARTED)
 
+    def change_settings(self, seeds: list[str]) -> None:
+        """Other seeds, in a file that takes the place of the one before at once."""
+        lines = [f"seedAddrs={','.join(seeds)}" if line.startswith("seedAddrs=") else line
+                 for line in self.settings.read_text().splitlines()]
+        changed = self.settings.with_suffix(".changed")
+        changed.write_text("\n".join(lines) + "\n")
+        changed.rename(self.settings)
+
     def hang_up(self) -> None:
         """SIGHUP: the settings file may have changed."""
         self._note(Signal.HUP)
