--- a/packages/upstream/connection_pool.cpp
+++ b/packages/upstream/connection_pool.cpp
@@ -17,7 +17,7 @@
 // libevent's own limits on silence. A request is ended by its deadline alone, so its limit is longer than any deadline
 // that a configuration may name.
 int constexpr kIdleTimeoutSeconds = 60, kRequestTimeoutSeconds = 2000000000;
-double constexpr kMillisecondsPerSecond = 1000;
+double constexpr kMillisecondsPerSecond = 1000, kMostMilliseconds = 2e9;
 /// Else a head without an end would be kept until the deadline.
 ev_ssize_t constexpr kMostHeadBytes = 256 << 10;
 /// Nobody listens there; stands for an address that can't be read.
@@ -129,7 +129,7 @@
   bool const is_known = ioctl(socket, SIOCOUTQ, &unacknowledged_bytes) == 0;
   connection.is_acknowledged = !is_known || static_cast<u64>(unacknowledged_bytes) < connection.written_bytes;
   if (is_known && connection.is_acknowledged)
-    tune_socket(socket, static_cast<int>(work_limit * kMillisecondsPerSecond));
+    tune_socket(socket, static_cast<int>(std::min(work_limit * kMillisecondsPerSecond, kMostMilliseconds)));
   return connection.is_acknowledged;
 }
 
