--- a/packages/idempotency/include/idempotency/claim_messages.hpp
+++ b/packages/idempotency/include/idempotency/claim_messages.hpp
@@ -40,7 +40,7 @@
 };
 
 /// A longer body is not stored; repeats of its key are told that the answer is lost.
-std::size_t constexpr kMostStoredBodyBytes = 64 * 1024;
+std::size_t constexpr kMostStoredBodyBytes = 65536;
 
 /// The first answer to a keyed request, which repeats of the key get. It is stored in the key's home regions
 /// only. `lost`: the request may have run and its answer is not known.
