Soak and tests: replacing a machine's processes, and hedging with a failing server, stand once each

restart, kill and restart_agent shared their frame in three copies; three tests their first four lines; a count of refused connects was kept and never read. No assertion, bound or check is changed.

--- a/tests/proxy/attempt_at_work_test.cpp
+++ b/tests/proxy/attempt_at_work_test.cpp
@@ -7,6 +7,16 @@
 using namespace dockbend;
 using namespace dockbend::test;
 
+namespace {
+/// A late attempt and its retry are at work, one at each server; this one's fails, and one attempt is left.
+void hedge_and_fail(ProxyFixture& fixture, KeepingServer& failing) {
+  fixture.hedge(fixture.second.port);
+  fixture.until([&] { return fixture.second.requests.size() == 1; });
+  failing.answer(500);
+  fixture.until([&] { return fixture.hedged_attempts() == 0; });
+}
+}  // namespace
+
 // The server is at work on the second request when the answer to the first one comes once more. It was broken off then,
 // and the client got 502, for an upload may not be sent again.
 Test(attempt_at_work, stray_answer_is_discarded_and_the_next_one_is_waited_for) {
@@ -84,10 +94,7 @@
 // The retry's server fails at once, while the first one is at work, which may still succeed.
 Test(attempt_at_work, failure_of_the_retry_does_not_end_the_late_attempt) {
   ProxyFixture fixture;
-  fixture.hedge(fixture.second.port);
-  fixture.until([&] { return fixture.second.requests.size() == 1; });
-  fixture.second.answer(500);
-  fixture.until([&] { return fixture.hedged_attempts() == 0; });
+  hedge_and_fail(fixture, fixture.second);
   cr_assert_not(fixture.is_answered);
   fixture.first.answer();
   fixture.expect_answer();
@@ -96,10 +103,7 @@
 // The late attempt fails first.
 Test(attempt_at_work, failure_of_the_late_attempt_does_not_end_the_retry) {
   ProxyFixture fixture;
-  fixture.hedge(fixture.second.port);
-  fixture.until([&] { return fixture.second.requests.size() == 1; });
-  fixture.first.answer(500);
-  fixture.until([&] { return fixture.hedged_attempts() == 0; });
+  hedge_and_fail(fixture, fixture.first);
   cr_assert_not(fixture.is_answered);
   fixture.second.answer();
   fixture.expect_answer();
@@ -108,10 +112,7 @@
 // With nothing else at work a failure is the answer, as its server gave it.
 Test(attempt_at_work, failure_of_the_last_attempt_is_forwarded) {
   ProxyFixture fixture;
-  fixture.hedge(fixture.second.port);
-  fixture.until([&] { return fixture.second.requests.size() == 1; });
-  fixture.second.answer(500);
-  fixture.until([&] { return fixture.hedged_attempts() == 0; });
+  hedge_and_fail(fixture, fixture.second);
   fixture.first.answer(500);
   fixture.until([&] { return fixture.is_answered; });
   cr_assert_eq(fixture.status, 500);
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -105,13 +105,11 @@
     def __init__(self, ledger: Ledger, fronts: list[str], host: str, rng: random.Random):
         self._ledger, self._fronts, self._host, self._rng = ledger, fronts, host, rng
         self._idle: list[list[Connection]] = [[] for _ in fronts]
-        self.connects_refused = 0
 
     async def send(self, call: Call, proxy: int) -> Request | None:
         """None: the proxy let nobody in."""
         connection = self._take_idle(proxy) or await open_connection(self._fronts[proxy])
         if connection is None:
-            self.connects_refused += 1
             return None
         request = Request(f"{self._rng.getrandbits(64):016x}", call.kind, proxy, time.monotonic(), call.time_left_s,
                           operation_key=call.operation_key, reads_after_s=call.reads_after_s)
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -6,6 +6,7 @@
 import pathlib
 import signal
 import time
+from collections.abc import Awaitable, Callable
 
 import http_messages
 from http_messages import BrokenMessage
@@ -90,44 +91,43 @@
 
     async def restart(self, extra_signals: list[tuple[float, signal.Signals]] = ()) -> None:
         """SIGTERM, the wait for its end, and a new start. extra_signals: more of them, seconds after the SIGTERM."""
-        if self._is_stopping:
-            return
-        self._is_stopping = True
-        self._note(Signal.TERM)
-        for process in self._processes:
-            process.send(signal.SIGTERM)
-        extra = asyncio.create_task(self._send_later(extra_signals))
-        await asyncio.gather(*(self._end(process) for process in self._processes))
-        extra.cancel()
-        self._note(Signal.ENDED)
-        await asyncio.sleep(RESTART_DELAY_S)
-        await self.start()
-        self._is_stopping = False
+        async def stop() -> None:
+            self._note(Signal.TERM)
+            for process in self._processes:
+                process.send(signal.SIGTERM)
+            extra = asyncio.create_task(self._send_later(extra_signals))
+            await asyncio.gather(*(self._end(process) for process in self._processes))
+            extra.cancel()
+            self._note(Signal.ENDED)
+
+        await self._replace(stop, self.start)
 
     async def kill(self) -> None:
         """SIGKILL for all its processes, and a new start."""
-        if self._is_stopping:
-            return
-        self._is_stopping = True
-        self._note(Signal.KILL)
-        for process in self._processes:
-            process.send(signal.SIGKILL)
-        for process in self._processes:
-            await process.wait(5)
-        await asyncio.sleep(RESTART_DELAY_S)
-        await self.start()
-        self._is_stopping = False
+        async def stop() -> None:
+            self._note(Signal.KILL)
+            await self.stop()
+
+        await self._replace(stop, self.start)
 
     async def restart_agent(self) -> None:
         """SIGTERM for the agent alone, and a new start; the proxy beside it goes on."""
+        agent = self._processes[0]
+
+        async def stop() -> None:
+            agent.send(signal.SIGTERM)
+            await self._end(agent)
+
+        await self._replace(stop, agent.start)
+
+    async def _replace(self, stop: Callable[[], Awaitable[None]], start: Callable[[], Awaitable[None]]) -> None:
+        """Does nothing to a machine that is being replaced already."""
         if self._is_stopping:
             return
         self._is_stopping = True
-        agent = self._processes[0]
-        agent.send(signal.SIGTERM)
-        await self._end(agent)
+        await stop()
         await asyncio.sleep(RESTART_DELAY_S)
-        await agent.start()
+        await start()
         self._is_stopping = False
 
     def note_crashes(self) -> None:
