--- a/packages/proxy/activity_log.cpp
+++ b/packages/proxy/activity_log.cpp
@@ -25,6 +25,7 @@
   log_rejections(now);
   log_given_up(now);
   log_failed_attempts(now);
+  log_departures(now);
 }
 
 void ActivityLog::log_remote_traffic(Seconds now) {
@@ -68,4 +69,11 @@
   context_.hedged_attempts = 0;
 }
 
+void ActivityLog::log_departures(Seconds now) {
+  if (now - departures_logged_at_ <= kLogInterval || context_.answers_without_client == 0) return;
+  departures_logged_at_ = now;
+  LOG4CPLUS_INFO(logger_, "Answers to clients that had left: " << context_.answers_without_client << ".");
+  context_.answers_without_client = 0;
+}
+
 }  // namespace dockbend
--- a/packages/proxy/include/proxy/activity_log.hpp
+++ b/packages/proxy/include/proxy/activity_log.hpp
@@ -6,7 +6,8 @@
 
 namespace dockbend {
 
-/// Traffic to other regions, discarded answers, rejected input, failed attempts, and requests that were given up.
+/// Traffic to other regions, discarded answers, rejected input, failed attempts, requests that were given up, and
+/// clients that left.
 class ActivityLog {
  public:
   explicit ActivityLog(ProxyContext& context) : context_(context) {}
@@ -18,9 +19,10 @@
   void log_rejections(Seconds now);
   void log_given_up(Seconds now);
   void log_failed_attempts(Seconds now);
+  void log_departures(Seconds now);
   ProxyContext& context_;
   Seconds remote_logged_at_ = 0, discards_logged_at_ = 0, rejections_logged_at_ = 0, given_up_logged_at_ = 0,
-          failed_attempts_logged_at_ = 0;
+          failed_attempts_logged_at_ = 0, departures_logged_at_ = 0;
   log4cplus::Logger logger_ = log4cplus::Logger::getInstance("proxy");
 };
 
--- a/packages/proxy/request_driver.cpp
+++ b/packages/proxy/request_driver.cpp
@@ -10,7 +10,7 @@
 
 RequestDriver::RequestDriver(ProxyContext& context, std::string front)
     : context_(context),
-      writer_(context.drain, context.response_flushes),
+      writer_(context.drain, context.response_flushes, context.answers_without_client),
       key_outcomes_(context.agent),
       usage_(context),
       quota_(context, *this, std::move(front)),
--- a/packages/transport/include/transport/socket_options.hpp
+++ b/packages/transport/include/transport/socket_options.hpp
@@ -17,4 +17,7 @@
 /// @param unacknowledged_ms for how long, in milliseconds
 void tune_socket(evutil_socket_t socket, int unacknowledged_ms);
 
+/// Has the peer closed, half-closed or reset the connection, whatever of it is still unread? False for no socket.
+bool has_peer_left(evutil_socket_t socket);
+
 }  // namespace dockbend
--- a/packages/transport/socket_options.cpp
+++ b/packages/transport/socket_options.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace dockbend {
@@ -29,4 +30,9 @@
   setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
 }
 
+bool has_peer_left(evutil_socket_t socket) {
+  pollfd entry{socket, POLLRDHUP, 0};
+  return socket >= 0 && poll(&entry, 1, 0) > 0 && (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 }  // namespace dockbend
