Reproduction: clients that leave, in each place and each way, alone and in a herd; one test, failing

tests/soak/client_departures.py plays 14 small systems of real processes; stage.py and scenarios.py hold what it shares with incident_course.py.

--- /dev/null
+++ b/tests/soak/client_departures.py
@@ -0,0 +1,250 @@
+#!/usr/bin/env python3
+"""Clients that leave, in each place where a request can be and in each way, alone and in herds. What may be repeated ends
+with them, what may not goes on, and nothing is begun for a client that has left. Each place is played by a small system
+of its own, of real processes on loopback, all beside each other.
+
+    tests/soak/client_departures.py BUILD [--only NAME]... [--keep DIR]
+
+Prints what became of the requests, and ends with 1 unless it is what the rules say (see judge.py).
+"""
+
+import asyncio
+import itertools
+import sys
+import time
+
+import judge
+from ledger import ClientEnd, Departure, Kind, Request, RunEnd
+from scenarios import Scenario, run
+from special_servers import FullServer, LateRefusingServer
+from stage import FAR, GRACE_PERIOD_S, LATE_AFTER_S, TENANTS, Stage
+from stand_in_server import StandInServer
+
+LEAVES_AFTER_S = 0.4
+WORK = "seconds-2.0"
+# Longer than a shutdown in which nothing is open, which lasts as long as connections are accepted.
+LONG_WORK = "seconds-8.0"
+IDLE_SHUTDOWN_S = 0.45 * GRACE_PERIOD_S
+# Hundreds leave, and some stay. The servers have slots for both.
+HERD, STAYING = 300, 40
+SERVERS_FOR_HERD = 50
+SOON_S = 0.5
+# A controller that has just started lends no tokens for so long.
+ALLOCATOR_START_S = 4.0
+
+
+def key_of(departure: Departure) -> str:
+    return f"key-{departure.name}"
+
+
+def send_leaving(stage: Stage, departure: Departure, kind: Kind, work: str = WORK, leaves_after_s: float = LEAVES_AFTER_S,
+                 **fields) -> asyncio.Task:
+    path = {Kind.IDEMPOTENT: "read", Kind.KEYED: "pay", Kind.UPLOAD: "upload"}[kind]
+    body = fields.pop("body", b"" if kind is Kind.IDEMPOTENT else b"body")
+    key = key_of(departure) if kind is Kind.KEYED else ""
+    return stage.send(kind, f"/{path}/{work}", body, key=key, leaves_after_s=leaves_after_s, departure=departure, **fields)
+
+
+async def send_all_ways(stage: Stage, kind: Kind, *, departures=tuple(Departure), **fields) -> None:
+    """One client for each way to leave, and the end of all that they asked for."""
+    await asyncio.gather(*(send_leaving(stage, departure, kind, **fields) for departure in departures))
+    await stage.until_runs_end()
+
+
+async def repeat_all_keys(stage: Stage) -> None:
+    """Each operation is tried once more by a client that stays."""
+    await asyncio.gather(*(stage.send(Kind.KEYED, f"/pay/{WORK}", b"body", key=key_of(departure))
+                           for departure in Departure))
+
+
+# ---- alone, place by place ----
+
+async def while_body_is_read(stage: Stage) -> None:
+    whole_body = [departure for departure in Departure if departure is not Departure.PIPELINED]
+    for kind in (Kind.UPLOAD, Kind.KEYED):
+        await send_all_ways(stage, kind, departures=whole_body, body=b"u" * 300_000, sends_within_s=1.6)
+    await asyncio.sleep(1.5)
+
+
+async def while_waiting_for_token(stage: Stage) -> None:
+    """A tenant's first request at a proxy waits for the allocator, which it hears through the agent."""
+    await asyncio.sleep(ALLOCATOR_START_S)
+    stage.proxy_machine.freeze_agent()
+    sent = [send_limited(stage, tenant, WORK, leaves_after_s=0.15, departure=departure)
+            for tenant, departure in zip(TENANTS, Departure)]
+    await asyncio.sleep(0.3)
+    stage.proxy_machine.thaw_agent()
+    await asyncio.gather(*sent)
+    await asyncio.sleep(1.5)
+    await stage.until_runs_end()
+    for tenant in TENANTS[:len(Departure)]:
+        await expect_tokens(stage, tenant)
+
+
+def send_limited(stage: Stage, tenant: str, work: str, **fields) -> asyncio.Task:
+    return stage.send(Kind.IDEMPOTENT, f"/limited/{work}", headers={"Authorization": f"Token key-{tenant}"}, **fields)
+
+
+async def expect_tokens(stage: Stage, tenant: str) -> None:
+    """None of the tenant's tokens were spent."""
+    quota = await stage.system.command("quota", "show", tenant)
+    if quota.get("spent") != 0:
+        stage.complaints.append(f"tenant {tenant}: {quota}")
+
+
+async def while_waiting_for_key(stage: Stage) -> None:
+    stage.proxy_machine.freeze_agent()
+    sent = [send_leaving(stage, departure, Kind.KEYED, leaves_after_s=0.15) for departure in Departure]
+    await asyncio.sleep(0.3)
+    stage.proxy_machine.thaw_agent()
+    await asyncio.gather(*sent)
+    await asyncio.sleep(1.5)
+    await stage.until_runs_end()
+    await repeat_all_keys(stage)
+
+
+def while_at_work(kind: Kind):
+    async def play(stage: Stage) -> None:
+        await send_all_ways(stage, kind)
+        if kind is Kind.KEYED:
+            await repeat_all_keys(stage)
+
+    return play
+
+
+async def on_kept_connection(stage: Stage) -> None:
+    await asyncio.gather(*(stage.send(Kind.IDEMPOTENT, "/read/quick") for _ in Departure))
+    await send_all_ways(stage, Kind.IDEMPOTENT)
+
+
+async def while_connecting(stage: Stage) -> None:
+    """The near server lets nobody in, which takes 0.25 s to notice; then a far one would be asked."""
+    await stage.add_server(StandInServer, FAR)
+    await asyncio.sleep(1.0)
+    for kind in Kind:
+        await send_all_ways(stage, kind, leaves_after_s=0.1)
+    await asyncio.sleep(1.5)
+
+
+async def between_attempts(stage: Stage) -> None:
+    """The near server turns everything away after 0.6 s; then a far one would be asked."""
+    await stage.add_server(StandInServer, FAR)
+    await asyncio.sleep(1.0)
+    for kind in Kind:
+        await send_all_ways(stage, kind)
+    await asyncio.sleep(1.5)
+    await stage.until_runs_end()
+
+
+async def before_hedging(stage: Stage) -> None:
+    await stage.add_server(StandInServer)
+    await send_all_ways(stage, Kind.IDEMPOTENT, work=LONG_WORK, leaves_after_s=LATE_AFTER_S - 0.3)
+
+
+async def with_hedged_attempt(stage: Stage) -> None:
+    await stage.add_server(StandInServer)
+    await send_all_ways(stage, Kind.IDEMPOTENT, work=LONG_WORK, leaves_after_s=LATE_AFTER_S + 0.5)
+
+
+async def while_answered(stage: Stage) -> None:
+    """The answer doesn't fit into the sockets, and its client doesn't read it."""
+    await send_all_ways(stage, Kind.IDEMPOTENT, work="quick/bytes-0", leaves_after_s=0.5)
+    await send_all_ways(stage, Kind.IDEMPOTENT, work="seconds-0.1/bytes-20000000", leaves_after_s=1.0, reads_after_s=8.0)
+    await stop_soon(stage)
+
+
+async def during_shutdown(stage: Stage) -> None:
+    """What its clients have left doesn't keep a process."""
+    sent = [send_leaving(stage, departure, Kind.IDEMPOTENT, work=LONG_WORK, leaves_after_s=0.8) for departure in Departure]
+    await stage.until_at_work()
+    await stop_soon(stage)
+    await asyncio.gather(*sent)
+
+
+async def stop_soon(stage: Stage) -> None:
+    began_at = time.monotonic()
+    await stage.proxy_machine.restart()
+    if time.monotonic() - began_at > IDLE_SHUTDOWN_S + 1.0:
+        stage.complaints.append(f"the proxy took {time.monotonic() - began_at:.1f} s to end")
+
+
+# ---- herds ----
+
+# Most of a herd may be repeated.
+HERD_CALLS = [(Kind.IDEMPOTENT, "read", b"")] * 8 + [(Kind.KEYED, "pay", b"body"), (Kind.UPLOAD, "upload", b"body")]
+
+
+async def send_herd(stage: Stage) -> list[asyncio.Task]:
+    """Until all of it are at work."""
+    herd = []
+    for number in range(HERD):
+        kind, path, body = HERD_CALLS[number % len(HERD_CALLS)]
+        herd.append(stage.send(kind, f"/{path}/{WORK}", body, key=f"key-{number}" if kind is Kind.KEYED else ""))
+    while sum(run.end is RunEnd.AT_WORK for run in stage.runs()) < HERD:
+        await asyncio.sleep(0.02)
+    return herd
+
+
+async def herd_leaves(stage: Stage) -> None:
+    """Hundreds leave in one moment while the proxy serves others; those that come then are served as before."""
+    for _ in range(SERVERS_FOR_HERD):
+        await stage.add_server(StandInServer)
+    await asyncio.sleep(1.0)
+    herd = await send_herd(stage)
+    ways = itertools.cycle(Departure)
+    stage.clients.leave_together(1.0, lambda: next(ways))
+    staying = [stage.send(Kind.IDEMPOTENT, "/read/seconds-0.3") for _ in range(STAYING)]
+    await asyncio.gather(*herd, *staying)
+    await stage.until_runs_end()
+
+
+SCENARIOS = [
+    Scenario("while its body is read", while_body_is_read),
+    Scenario("while it waits for a token", while_waiting_for_token),
+    Scenario("while it waits for its key", while_waiting_for_key),
+    Scenario("at work, repeatable", while_at_work(Kind.IDEMPOTENT)),
+    Scenario("at work, keyed", while_at_work(Kind.KEYED)),
+    Scenario("at work, upload", while_at_work(Kind.UPLOAD)),
+    Scenario("at work, on a kept connection", on_kept_connection),
+    Scenario("while it is being sent", while_connecting, FullServer),
+    Scenario("between attempts", between_attempts, LateRefusingServer),
+    Scenario("before it is hedged", before_hedging),
+    Scenario("with a hedged attempt", with_hedged_attempt),
+    Scenario("while it is answered", while_answered),
+    Scenario("during a shutdown", during_shutdown),
+    Scenario("hundreds leave at once", herd_leaves),
+]
+
+
+def outcome_of(request: Request) -> str:
+    """How a request ended for its client and at servers, in words that are equal for equal courses."""
+    how = f"left by {request.departure.value}" if request.left_at > 0 else str(request.status or request.end.value)
+    if request.left_at > 0 and request.status:
+        how += f", got {request.status}"
+    ends = [f"{run.end.value} {'soon' if run.ended_at < request.left_at + SOON_S else 'later'}" if request.left_at > 0
+            else run.end.value for run in request.runs]
+    return f"{request.kind.value}, {how}: {'; '.join(ends) if ends else 'not run'}"
+
+
+def check(scenario: Scenario, stage: Stage) -> bool:
+    verdict = judge.judge(stage.ledger)
+    print(scenario.name)
+    outcomes: dict[str, int] = {}
+    for request in stage.ledger.requests.values():
+        outcomes[outcome_of(request)] = outcomes.get(outcome_of(request), 0) + 1
+    for outcome, count in outcomes.items():
+        print(f"    {count} x {outcome}")
+    for cause, count in verdict.by_cause().items():
+        print(f"    BROKEN {count} x {cause.value}")
+    for complaint in stage.complaints:
+        print(f"    BROKEN {complaint}")
+    unserved = [request for request in stage.ledger.requests.values()
+                if request.left_at == 0 and not 200 <= request.status < 300]
+    if unserved:
+        print(f"    {len(unserved)} that stayed were not served")
+    have_left = any(request.end is ClientEnd.LEFT for request in stage.ledger.requests.values())
+    return have_left and not (verdict.findings or stage.complaints or unserved)
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(run("tests/soak/client_departures.py", __doc__, SCENARIOS, check)))
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -1,23 +1,29 @@
-"""Clients that keep their connections to a proxy and use them until they are closed, as long as its process lives."""
+"""Clients that keep their connections to a proxy and use them until they are closed, as long as its process lives. Some
+leave before they are answered."""
 
 import asyncio
 import dataclasses
 import random
+import socket
+import struct
 import time
+from collections.abc import Callable
 
 import http_messages
 from http_messages import BrokenMessage
-from ledger import ClientEnd, Kind, Ledger, Request
+from ledger import ClientEnd, Departure, Kind, Ledger, Request
 
 # A client waits this long beyond its deadline for an answer that comes late.
 GRACE_AFTER_DEADLINE_S = 0.5
 CONNECT_LIMIT_S = 1.0
+NO_LINGER = struct.pack("ii", 1, 0)  # a close resets the connection
+PIPELINED_TARGET = "/read/next"
 
 
 @dataclasses.dataclass
 class Call:
     """What a client asks for. `sends_within_s`: over how long its body is sent; `reads_after_s`: how long after
-    that it looks for its answer."""
+    that it looks for its answer; `leaves_after_s`: how long after it began to send it leaves, if it is not answered before."""
 
     kind: Kind
     target: str
@@ -26,6 +32,9 @@
     operation_key: str = ""
     sends_within_s: float = 0.0
     reads_after_s: float = 0.0
+    leaves_after_s: float | None = None
+    departure: Departure = Departure.CLOSE
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
 
     @property
     def method(self) -> str:
@@ -37,6 +46,7 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
         self._reader, self._writer = reader, writer
+        self._request: Request | None = None  # that is not answered yet
         self.requests = 0
         self.is_open = True
 
@@ -51,6 +61,7 @@
         """Fills in how the request ended."""
         request.is_on_kept_connection = self.requests > 0
         self.requests += 1
+        self._request = request
         try:
             async with asyncio.timeout(call.time_left_s + GRACE_AFTER_DEADLINE_S):
                 await self._write(request, call, host)
@@ -60,12 +71,31 @@
             self._end(request, ClientEnd.TIMED_OUT)
         except (BrokenMessage, OSError):
             self._end(request, ClientEnd.CLOSED if request.sent_at > 0 else ClientEnd.NOT_SENT)
+        self._request = None
+
+    def leave(self, departure: Departure, next_request: bytes = b"") -> bool:
+        """The client of the request that is not answered yet goes away. next_request: sent before a PIPELINED one.
+        False: there is none, or it left before."""
+        request = self._request
+        if request is None or request.left_at > 0 or not self.is_open:
+            return False
+        request.left_at, request.departure, request.end = time.monotonic(), departure, ClientEnd.LEFT
+        self.is_open = False
+        match departure:
+            case Departure.CLOSE:
+                self._writer.transport.abort()
+            case Departure.RESET:
+                self._writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+                self._writer.transport.abort()
+            case Departure.HALF_CLOSE:
+                self._writer.write_eof()
+            case Departure.PIPELINED:
+                self._writer.write(next_request)
+                self._writer.close()
+        return True
 
     async def _write(self, request: Request, call: Call, host: str) -> None:
-        headers = {"Host": host, "X-Attempt-Id": request.attempt_id, "X-Time-Left": str(int(call.time_left_s * 1000))}
-        if call.operation_key:
-            headers["X-Operation-Key"] = call.operation_key
-        message = http_messages.render_message(f"{call.method} {call.target} HTTP/1.1", headers, call.body)
+        message = render_call(call, request.attempt_id, host)
         pieces = 8 if call.sends_within_s > 0 else 1
         size = -(-len(message) // pieces)
         for position in range(0, len(message), size):
@@ -73,6 +103,8 @@
             await self._writer.drain()
             if position + size < len(message):
                 await asyncio.sleep(call.sends_within_s / pieces)
+            if request.left_at > 0:
+                raise BrokenMessage("left")
         request.sent_at = time.monotonic()
 
     async def _read_answer(self, request: Request) -> None:
@@ -81,14 +113,26 @@
             answer = await http_messages.read_message(self._reader)
         request.status, request.body = answer.status, answer.body
         request.seal = answer.headers.get("x-server-seal", "")
-        request.end, request.ended_at = ClientEnd.ANSWERED, time.monotonic()
-        if answer.closes():
+        self._note_end(request, ClientEnd.ANSWERED)
+        if answer.closes() or request.left_at > 0:
             self.close()
 
     def _end(self, request: Request, end: ClientEnd) -> None:
-        request.end, request.ended_at = end, time.monotonic()
+        self._note_end(request, end)
         self.close()
 
+    def _note_end(self, request: Request, end: ClientEnd) -> None:
+        request.ended_at = time.monotonic()
+        if request.left_at == 0:
+            request.end = end
+
+
+def render_call(call: Call, attempt_id: str, host: str) -> bytes:
+    headers = {"Host": host, "X-Attempt-Id": attempt_id, "X-Time-Left": str(int(call.time_left_s * 1000)), **call.headers}
+    if call.operation_key:
+        headers["X-Operation-Key"] = call.operation_key
+    return http_messages.render_message(f"{call.method} {call.target} HTTP/1.1", headers, call.body)
+
 
 async def open_connection(address: str) -> Connection | None:
     host, port = address.rsplit(":", 1)
@@ -105,20 +149,54 @@
     def __init__(self, ledger: Ledger, fronts: list[str], host: str, rng: random.Random):
         self._ledger, self._fronts, self._host, self._rng = ledger, fronts, host, rng
         self._idle: list[list[Connection]] = [[] for _ in fronts]
+        self._busy: dict[Connection, int] = {}  # to the proxy that it leads to
 
     async def send(self, call: Call, proxy: int) -> Request | None:
         """None: the proxy let nobody in."""
         connection = self._take_idle(proxy) or await open_connection(self._fronts[proxy])
         if connection is None:
             return None
-        request = Request(f"{self._rng.getrandbits(64):016x}", call.kind, proxy, time.monotonic(), call.time_left_s,
-                          operation_key=call.operation_key, reads_after_s=call.reads_after_s)
-        self._ledger.open_request(request)
+        request = self._open_request(call, proxy)
+        timer = None
+        if call.leaves_after_s is not None:
+            timer = asyncio.get_running_loop().call_later(
+                call.leaves_after_s, lambda: self._leave(connection, proxy, call.departure))
+        self._busy[connection] = proxy
         await connection.send(request, call, self._host)
+        del self._busy[connection]
+        if timer is not None:
+            timer.cancel()
         if connection.is_usable():
             self._idle[proxy].append(connection)
         return request
 
+    def leave_together(self, share: float, choose_departure: Callable[[], Departure]) -> int:
+        """This share of the clients that wait for an answer leave in one moment; how many."""
+        waiting = list(self._busy.items())
+        leaving = self._rng.sample(waiting, round(len(waiting) * share))
+        return sum(self._leave(connection, proxy, choose_departure()) for connection, proxy in leaving)
+
+    def _leave(self, connection: Connection, proxy: int, departure: Departure) -> bool:
+        if departure is not Departure.PIPELINED:
+            return connection.leave(departure)
+        call = Call(Kind.IDEMPOTENT, PIPELINED_TARGET, time_left_s=3.0)
+        attempt_id = self._new_attempt_id()
+        if not connection.leave(departure, render_call(call, attempt_id, self._host)):
+            return False
+        now = time.monotonic()
+        self._ledger.open_request(Request(attempt_id, call.kind, proxy, now, call.time_left_s, sent_at=now, ended_at=now,
+                                          left_at=now, departure=departure, end=ClientEnd.LEFT))
+        return True
+
+    def _open_request(self, call: Call, proxy: int) -> Request:
+        request = Request(self._new_attempt_id(), call.kind, proxy, time.monotonic(), call.time_left_s,
+                          operation_key=call.operation_key, reads_after_s=call.reads_after_s)
+        self._ledger.open_request(request)
+        return request
+
+    def _new_attempt_id(self) -> str:
+        return f"{self._rng.getrandbits(64):016x}"
+
     def _take_idle(self, proxy: int) -> Connection | None:
         idle = self._idle[proxy]
         while idle:
--- a/tests/soak/incident_course.py
+++ b/tests/soak/incident_course.py
@@ -8,116 +8,20 @@
 Prints how each request ended, and ends with 1 unless all got their server's answer.
 """
 
-import argparse
 import asyncio
-import dataclasses
-import pathlib
-import random
 import signal
 import sys
-import tempfile
-import time
-from collections.abc import Awaitable, Callable
 
 import judge
-from clients import Call, ClientGroup
-from http_messages import Message
-from ledger import Kind, Ledger, Request, RunEnd
+from ledger import Kind
+from scenarios import Scenario, run
 from special_servers import (BreakingServer, ClosedServer, FailingServer, FullServer, OtherIdServer, RefusingServer,
                              SlowReadingServer, StrayAnswerServer)
-from stand_in_server import StandInServer, Work
-from system import System
-
-HOST = "record.example"
-GRACE_PERIOD_S = 10.0
-# As in the record: a run is late after 2.6 s, and the SIGTERM comes 0.75 s after it was given up.
-WANTED_TIME_S = 3.06
-LATE_AFTER_S = 2.6
-SIGTERM_AFTER_LATE_S = 0.75
-WORK_S = 5.0
-DEADLINE_S = 15.336
-FIRST_SLOT = 0
-
-
-def route(name: str, kind: Kind, prefix: str, service: str = "estimator", generation: int = 1) -> dict:
-    return {"name": name, "kind": kind.value, "setpointS": WANTED_TIME_S, "rank": 1, "generation": f"{generation:08x}",
-            "selector": {"pathPrefix": prefix},
-            "actuation": {"service": service, "deadlineS": DEADLINE_S, "maxTries": 2, "homeRegions": []}}
-
-
-def limits(idle_timeout_s: float, generation: int = 1) -> dict:
-    return {"headerBytes": 16384, "bodyBytes": 67108864, "headerDeadlineS": 3, "idleTimeoutS": idle_timeout_s,
-            "generation": f"{generation:08x}"}
-
-
-def configuration(idle_timeout_s: float) -> dict:
-    pool = {"name": "estimator", "healthPath": "/health", "connLimit": 1700, "selfDedupes": False, "coldS": 0,
-            "coldRateS": 1000, "generation": "00000001"}
-    policy = [route("read", Kind.IDEMPOTENT, "/read/"), route("pay", Kind.KEYED, "/pay/"),
-              route("upload", Kind.UPLOAD, "/upload/")]
-    return {"upsert": {"limits": limits(idle_timeout_s), "sockets": [{"host": HOST, "policy": policy}],
-                       "pools": [pool]}, "remove": {"routes": []}}
-
-
-class Stage:
-    """A system of one controller and one proxy, with one server, which works for WORK_S."""
-
-    def __init__(self, build: pathlib.Path, work: pathlib.Path, slot: int, idle_timeout_s: float):
-        self.ledger = Ledger(GRACE_PERIOD_S)
-        work.mkdir(parents=True)
-        self.system = System(self.ledger, build, work, slot, controllers=1, proxies=1)
-        self.clients = ClientGroup(self.ledger, self.system.fronts, HOST, random.Random(slot))
-        self._idle_timeout_s = idle_timeout_s
-        self._servers: list[StandInServer] = []
-
-    async def start(self, first_server: type[StandInServer]) -> None:
-        await self.system.start()
-        await self.add_server(first_server)
-        if await self.system.amend(configuration(self._idle_timeout_s)) != 200:
-            raise RuntimeError("the configuration was not taken")
-        await self.system.wait_until_ready()
-
-    async def stop(self) -> None:
-        self.clients.close()
-        for server in self._servers:
-            await server.stop()
-        await self.system.stop()
+from stage import FAR, GRACE_PERIOD_S, LATE_AFTER_S, NEAR, Stage, limits
+from stand_in_server import StandInServer
 
-    async def add_server(self, kind: type[StandInServer], zone: str = "oak") -> StandInServer:
-        server = kind(self.ledger, "estimator", zone, self.system.server_address(len(self._servers)), work_of)
-        self._servers.append(server)
-        await server.start(self.system.controllers)
-        return server
-
-    async def remove_server(self, server: StandInServer) -> None:
-        """It is gone without a word."""
-        server._heartbeats.cancel()
-
-    def send(self, kind: Kind, target: str, body: bytes = b"", time_left_s: float = DEADLINE_S, key: str = "",
-             sends_within_s: float = 0.0) -> asyncio.Task:
-        call = Call(kind, target, time_left_s, body, key, sends_within_s)
-        return asyncio.create_task(self.clients.send(call, 0))
-
-    async def until_at_work(self) -> Request:
-        while True:
-            for request in self.ledger.requests.values():
-                if any(run.end is RunEnd.AT_WORK for run in request.runs):
-                    return request
-            await asyncio.sleep(0.01)
-
-    async def until_cut(self, request: Request, limit_s: float) -> None:
-        """Waits until its first run was cut, or for this long."""
-        give_up_at = time.monotonic() + limit_s
-        while request.runs[0].end is RunEnd.AT_WORK and time.monotonic() < give_up_at:
-            await asyncio.sleep(0.01)
-
-    @property
-    def proxy_machine(self):
-        return self.system.proxy_machines[0]
-
-
-def work_of(request: Message) -> Work:
-    return Work(0.05) if "quick" in request.target else Work(WORK_S)
+# As in the record: the SIGTERM comes 0.75 s after the run was given up.
+SIGTERM_AFTER_LATE_S = 0.75
 
 
 # ---- the course of the record ----
@@ -186,7 +90,7 @@
 async def server_forgotten_while_at_work(stage: Stage) -> None:
     sent = stage.send(Kind.IDEMPOTENT, "/read/x")
     await stage.until_at_work()
-    await stage.remove_server(stage._servers[0])
+    stage.servers[0].fall_silent()
     await sent
 
 
@@ -200,15 +104,6 @@
     await sent
 
 
-@dataclasses.dataclass
-class Scenario:
-    name: str
-    play: Callable[[Stage], Awaitable[None]]
-    first_server: type[StandInServer] = StandInServer
-    idle_timeout_s: float = 15
-
-
-NEAR, FAR = "oak", "ash"
 SCENARIOS = [
     Scenario("record, retries hang at connect", course_of_record(
         (FullServer, NEAR), (FullServer, NEAR), (FullServer, FAR))),
@@ -233,14 +128,8 @@
 ]
 
 
-async def play(scenario: Scenario, build: pathlib.Path, work: pathlib.Path, slot: int) -> bool:
+def check(scenario: Scenario, stage: Stage) -> bool:
     """Prints how its requests ended. True: all with success, for no server here gives one up for good."""
-    stage = Stage(build, work / f"{slot}", slot, scenario.idle_timeout_s)
-    try:
-        await stage.start(scenario.first_server)
-        await scenario.play(stage)
-    finally:
-        await stage.stop()
     verdict = judge.judge(stage.ledger)
     print(f"{scenario.name}: {verdict.successes} succeeded"
           + "".join(f", {count} excused ({excuse.value})" for excuse, count in verdict.excused.items()))
@@ -252,19 +141,5 @@
     return bool(stage.ledger.requests) and not verdict.findings and verdict.successes == len(stage.ledger.requests)
 
 
-async def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("build", type=pathlib.Path)
-    parser.add_argument("--only", action="append", default=[], metavar="NAME")
-    parser.add_argument("--keep", type=pathlib.Path, help="a new folder for settings and logs")
-    arguments = parser.parse_args()
-    scenarios = [scenario for scenario in SCENARIOS if not arguments.only or scenario.name in arguments.only]
-    with tempfile.TemporaryDirectory() as folder:
-        work = arguments.keep or pathlib.Path(folder)
-        results = await asyncio.gather(*(play(scenario, arguments.build.resolve(), work, FIRST_SLOT + slot)
-                                         for slot, scenario in enumerate(scenarios)))
-    return 0 if scenarios and all(results) else 1
-
-
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(asyncio.run(run("tests/soak/incident_course.py", __doc__, SCENARIOS, check)))
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -21,6 +21,9 @@
 # Trouble that is not planned (SIGKILL) excuses what ended so soon after it.
 KILL_SPAN_S = 1.0
 
+# RULES, GONE: how long a run may go on, and a request may be sent on, after its client has left.
+DEPARTURE_SLACK_S = 0.5
+
 # RULES, DENIED: repeats of so many keys may be denied; a repeat counts so long after the success of its key.
 MOST_REPEATS_DENIED = 3
 REPEAT_COUNTS_AFTER_S = 1.0
@@ -45,6 +48,9 @@
     UNASKED = "UNASKED: run with an id that no client sent"
     REPEAT_DENIED = "DENIED: repeats of more than three keys, over a second after their success, got 409"
     DENIED = "DENIED: a proper request got a 4xx of the proxy's own"
+    SENT_ON_AFTER_DEPARTURE = "GONE: sent to a server over half a second after its client had left"
+    AT_WORK_AFTER_DEPARTURE = "GONE: at work over half a second after its client had left"
+    CUT_FOR_DEPARTURE = "a run that can't be repeated was broken off for its client had left"
     OVERDUE_PROCESS = "a process was still there at the end of the grace period"
     CRASHED_PROCESS = "a process ended by itself"
     REFUSED_CHANGE = "CONFIG: a proper change was refused"
@@ -62,6 +68,7 @@
     NOT_SENT = "its connection ended before it was sent whole"
     END_OF_GRACE = "its server was still at work in the last sixth of the grace period"
     KILLED = "its proxy was killed"
+    CLIENT_LEFT = "its client left"
     NEVER_OFFERED = "502 or 504 without having reached a server"
     ANSWER_FORGOTTEN = "a repeat over a second after its key's success got 409 or 502"
     RUN_ENDED_UNKNOWN = "502 for an operation whose first run has no known end"
@@ -124,6 +131,8 @@
     """None: a success."""
     if request.end is ClientEnd.ANSWERED:
         return _result_of_answer(ledger, request)
+    if request.end is ClientEnd.LEFT:
+        return _result_of_departure(ledger, request)
     if request.end is ClientEnd.NOT_SENT and not request.runs:
         return Excuse.NOT_SENT
     if request.end in (ClientEnd.TIMED_OUT, ClientEnd.OPEN):
@@ -168,10 +177,14 @@
 
 def _ended_at_deadline(ledger: Ledger, request: Request) -> bool:
     """At the client's deadline or later, or at one that its route may have had, which runs from the request's last byte."""
-    if request.ended_at >= request.deadline - DEADLINE_SLACK_S:
+    return _is_at_deadline(ledger, request, request.ended_at)
+
+
+def _is_at_deadline(ledger: Ledger, request: Request, moment: float) -> bool:
+    if moment >= request.deadline - DEADLINE_SLACK_S:
         return True
-    held_s = request.ended_at - request.sent_at
-    late_s = LATE_END_S + ledger.observer_lag(request.begun_at, request.ended_at)
+    held_s = moment - request.sent_at
+    late_s = LATE_END_S + ledger.observer_lag(request.begun_at, moment)
     return any(limit_s - DEADLINE_SLACK_S <= held_s <= limit_s + late_s for limit_s in ledger.route_deadlines_s)
 
 
@@ -192,6 +205,31 @@
     return run.end in (RunEnd.CUT_BY_PROXY, RunEnd.AT_WORK)
 
 
+def _result_of_departure(ledger: Ledger, request: Request) -> Cause | Excuse:
+    """Nothing is begun for a client that has left, and what may be repeated is broken off; other runs go on."""
+    until = request.left_at + DEPARTURE_SLACK_S
+    if request.kind is not Kind.KEYED and any(run.started_at > until + ledger.observer_lag(request.left_at, run.started_at)
+                                              for run in request.runs):
+        return Cause.SENT_ON_AFTER_DEPARTURE
+    if request.kind.is_repeatable:
+        goes_on = any(run.end is RunEnd.AT_WORK or run.ended_at > until + ledger.observer_lag(request.left_at, run.ended_at)
+                      for run in request.runs)
+        return Cause.AT_WORK_AFTER_DEPARTURE if goes_on else Excuse.CLIENT_LEFT
+    was_cut = any(run.end is RunEnd.CUT_BY_PROXY and not _is_cut_excused(ledger, request, run) for run in request.runs)
+    return Cause.CUT_FOR_DEPARTURE if was_cut else Excuse.CLIENT_LEFT
+
+
+def _is_cut_excused(ledger: Ledger, request: Request, run: Run) -> bool:
+    """Did the proxy break this run off for another reason than its client's departure?"""
+    if _is_at_deadline(ledger, request, run.ended_at):
+        return True
+    killed_at = ledger.last_before(request.proxy, Signal.KILL, run.ended_at)
+    if killed_at is not None and killed_at >= run.started_at - KILL_SPAN_S:
+        return True
+    term_at = ledger.last_before(request.proxy, Signal.TERM, run.ended_at)
+    return term_at is not None and run.ended_at >= term_at + EXCUSED_WORK_PART * ledger.grace_period_s
+
+
 def _result_of_close(ledger: Ledger, request: Request) -> Cause | Excuse:
     if _ended_at_deadline(ledger, request):
         return Excuse.DEADLINE
@@ -248,8 +286,9 @@
     def since_begun(moment: float) -> str:
         return f"{moment - request.begun_at:+.3f}"
 
+    left = f", left {since_begun(request.left_at)} by {request.departure.value}" if request.left_at > 0 else ""
     parts = [f"{request.kind.value} at proxy {request.proxy}", f"sent {since_begun(request.sent_at)}",
-             f"ended {since_begun(request.ended_at)} with {request.status or request.end.value}",
+             f"ended {since_begun(request.ended_at)} with {request.status or request.end.value}{left}",
              f"time left {request.time_left_s:.2f}"]
     if request.is_on_kept_connection:
         parts.append("on a kept connection")
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -4,7 +4,7 @@
 import unittest
 
 from judge import Cause, Excuse, judge
-from ledger import ClientEnd, Kind, Ledger, Request, Run, RunEnd, Signal
+from ledger import ClientEnd, Departure, Kind, Ledger, Request, Run, RunEnd, Signal
 
 GRACE_PERIOD_S = 6.0
 ROUTE_DEADLINE_S = 3.0
@@ -31,6 +31,12 @@
     return a_request(*runs, status=200, seal=SEAL, body=BODY, **fields)
 
 
+def a_departure(*runs: Run, left_at: float = 0.5, **fields) -> Request:
+    request = a_request(*runs, end=ClientEnd.LEFT, **fields)
+    request.left_at, request.departure = left_at, Departure.CLOSE
+    return request
+
+
 def ledger_of(*requests: Request, term_at: float | None = None, kill_at: float | None = None) -> Ledger:
     ledger = Ledger(GRACE_PERIOD_S, (ROUTE_DEADLINE_S,))
     for request in requests:
@@ -131,6 +137,45 @@
         self.expect_cause(Cause.CUT_AT_WORK, ledger_of(cut_at(4.6, 2.5), term_at=0.0))
         self.expect_cause(Cause.CUT_AT_WORK, ledger_of(cut_at(4.6, 3.5), term_at=-1.0))
 
+    # ---- clients that leave ----
+
+    def test_run_that_may_be_repeated_ends_with_its_client(self):
+        run = a_run(RunEnd.CUT_BY_PROXY, ended_at=0.6)
+        self.expect_excuse(Excuse.CLIENT_LEFT, ledger_of(a_departure(run, kind=Kind.IDEMPOTENT)))
+
+    def test_run_that_goes_on_for_nobody_breaks_gone(self):
+        for run in (a_run(RunEnd.FINISHED, ended_at=1.2), a_run(RunEnd.AT_WORK, ended_at=0.0)):
+            self.expect_cause(Cause.AT_WORK_AFTER_DEPARTURE, ledger_of(a_departure(run, kind=Kind.IDEMPOTENT)))
+
+    def test_run_that_ends_just_after_its_client_left_is_excused(self):
+        run = a_run(RunEnd.FINISHED, ended_at=0.9)
+        self.expect_excuse(Excuse.CLIENT_LEFT, ledger_of(a_departure(run, kind=Kind.IDEMPOTENT)))
+
+    def test_request_that_is_sent_on_for_nobody_breaks_gone(self):
+        run = a_run(RunEnd.FINISHED, started_at=1.1, ended_at=1.2)
+        for kind in (Kind.IDEMPOTENT, Kind.UPLOAD):
+            self.expect_cause(Cause.SENT_ON_AFTER_DEPARTURE, ledger_of(a_departure(run, kind=kind)))
+
+    def test_lag_of_the_observer_is_no_departure_missed(self):
+        ledger = ledger_of(a_departure(a_run(RunEnd.CUT_BY_PROXY, ended_at=1.2), kind=Kind.IDEMPOTENT))
+        ledger.observer_lags.append((1.1, 0.4))
+        self.expect_excuse(Excuse.CLIENT_LEFT, ledger)
+
+    def test_run_that_may_not_be_repeated_goes_on(self):
+        for kind in (Kind.UPLOAD, Kind.KEYED):
+            run = a_run(RunEnd.FINISHED, ended_at=2.0)
+            self.expect_excuse(Excuse.CLIENT_LEFT, ledger_of(a_departure(run, kind=kind)))
+
+    def test_run_that_may_not_be_repeated_is_not_cut_for_a_departure(self):
+        run = a_run(RunEnd.CUT_BY_PROXY, ended_at=0.6)
+        self.expect_cause(Cause.CUT_FOR_DEPARTURE, ledger_of(a_departure(run)))
+
+    def test_run_of_a_client_that_left_may_be_cut_at_its_deadline_or_by_a_kill(self):
+        at_deadline = a_run(RunEnd.CUT_BY_PROXY, ended_at=5.0)
+        self.expect_excuse(Excuse.CLIENT_LEFT, ledger_of(a_departure(at_deadline)))
+        by_kill = a_run(RunEnd.CUT_BY_PROXY, ended_at=0.6)
+        self.expect_excuse(Excuse.CLIENT_LEFT, ledger_of(a_departure(by_kill, ended_at=0.6), kill_at=0.59))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -54,6 +54,16 @@
     CLOSED = "the connection ended without a complete answer"
     NOT_SENT = "the connection ended before the request was sent whole"
     TIMED_OUT = "no answer in the time that the client had"
+    LEFT = "the client left"
+
+
+class Departure(enum.Enum):
+    """How a client leaves."""
+
+    CLOSE = "FIN"
+    RESET = "RST"
+    HALF_CLOSE = "half-close"
+    PIPELINED = "FIN behind a next request"
 
 
 @dataclasses.dataclass
@@ -70,6 +80,8 @@
     reads_after_s: float = 0.0  # the client looks for its answer so long after it has sent
     sent_at: float = 0.0  # its last byte was handed to the system
     ended_at: float = 0.0
+    left_at: float = 0.0  # the client left; 0: it stayed
+    departure: Departure | None = None
     end: ClientEnd = ClientEnd.OPEN
     status: int = 0
     seal: str = ""
--- /dev/null
+++ b/tests/soak/scenarios.py
@@ -0,0 +1,52 @@
+"""Scenarios, each played on a small system of its own (see stage.py), all beside each other."""
+
+import argparse
+import asyncio
+import dataclasses
+import pathlib
+import tempfile
+from collections.abc import Awaitable, Callable
+
+import known_red
+from stage import IDLE_TIMEOUT_S, Stage
+from stand_in_server import StandInServer
+
+FIRST_SLOT = 0
+
+
+@dataclasses.dataclass
+class Scenario:
+    name: str
+    play: Callable[[Stage], Awaitable[None]]
+    first_server: type[StandInServer] = StandInServer
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+
+
+# Prints how the requests of a scenario ended. True: as they should.
+Check = Callable[[Scenario, Stage], bool]
+
+
+async def _play(scenario: Scenario, check: Check, build: pathlib.Path, work: pathlib.Path, slot: int) -> bool:
+    stage = Stage(build, work / f"{slot}", slot, scenario.idle_timeout_s)
+    try:
+        await stage.start(scenario.first_server)
+        await scenario.play(stage)
+    finally:
+        await stage.stop()
+    return check(scenario, stage)
+
+
+async def run(script: str, description: str, scenarios: list[Scenario], check: Check) -> int:
+    """Plays those that the command line names, or all; the exit code. script: how KNOWN-RED.txt names it."""
+    parser = argparse.ArgumentParser(description=description, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("build", type=pathlib.Path)
+    parser.add_argument("--only", action="append", default=[], metavar="NAME")
+    parser.add_argument("--keep", type=pathlib.Path, help="a new folder for settings and logs")
+    arguments = parser.parse_args()
+    chosen = [scenario for scenario in scenarios if not arguments.only or scenario.name in arguments.only]
+    with tempfile.TemporaryDirectory() as folder:
+        work = arguments.keep or pathlib.Path(folder)
+        results = await asyncio.gather(*(_play(scenario, check, arguments.build.resolve(), work, FIRST_SLOT + slot)
+                                         for slot, scenario in enumerate(chosen)))
+    passed = {scenario.name: result for scenario, result in zip(chosen, results)}
+    return 0 if chosen and known_red.verdict(script, passed) else 1
--- a/tests/soak/special_servers.py
+++ b/tests/soak/special_servers.py
@@ -49,6 +49,19 @@
         return super()._refusal_of(request) or AT_CAPACITY
 
 
+class LateRefusingServer(StandInServer):
+    """Turns every request away, not run, after it has waited in a queue."""
+
+    QUEUE_S = 0.6
+
+    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        request = await http_messages.read_message(reader)
+        await asyncio.sleep(self.QUEUE_S)
+        headers = {"X-Attempt-Id": request.headers.get("x-attempt-id", ""), "X-Not-Run": "1"}
+        writer.write(http_messages.render_message(f"HTTP/1.1 {AT_CAPACITY}", headers))
+        return True
+
+
 class BreakingServer(StandInServer):
     """Breaks off each run after a moment."""
 
--- a/tests/soak/stand_in_server.py
+++ b/tests/soak/stand_in_server.py
@@ -61,6 +61,10 @@
         for writer in list(self._connections):
             writer.transport.abort()
 
+    def fall_silent(self) -> None:
+        """Serves on, and sends no more heartbeats."""
+        self._heartbeats.cancel()
+
     async def leave(self, controllers: list[str], serve_on_s: float) -> None:
         """Says that it drains, serves on, says that it leaves, and ends once nothing is at work."""
         self.is_draining = True
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -120,6 +120,12 @@
 
         await self._replace(stop, agent.start)
 
+    def freeze_agent(self) -> None:
+        self._processes[0].send(signal.SIGSTOP)
+
+    def thaw_agent(self) -> None:
+        self._processes[0].send(signal.SIGCONT)
+
     async def _replace(self, stop: Callable[[], Awaitable[None]], start: Callable[[], Awaitable[None]]) -> None:
         """Does nothing to a machine that is being replaced already."""
         if self._is_stopping:
--- a/tests/support/proxy_fixture.hpp
+++ b/tests/support/proxy_fixture.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "proxy/request_driver.hpp"
@@ -156,7 +157,9 @@
     front.handle = [this](evhttp_request* request) { intake.on_request(request, 0); };
     client = evhttp_connection_base_new(loop, nullptr, "127.0.0.1", static_cast<ev_uint16_t>(front.port));
   }
-  ~ProxyFixture() { evhttp_connection_free(client); }
+  ~ProxyFixture() {
+    if (client != nullptr) evhttp_connection_free(client);
+  }
 
   void add_server(std::string const& id, u32 port) {
     LoadBalancer::ServerUpdate server;
@@ -178,6 +181,8 @@
     evbuffer_add(evhttp_request_get_output_buffer(request), sent_body.data(), sent_body.size());
     cr_assert_eq(evhttp_make_request(client, request, method, path), 0);
   }
+  /// The client closes its connection.
+  void leave() { evhttp_connection_free(std::exchange(client, nullptr)); }
   void on_answer(evhttp_request* answer) {
     status = answer == nullptr ? 0 : evhttp_request_get_response_code(answer);
     is_answered = true;
--- a/tests/unit_tests.sh
+++ b/tests/unit_tests.sh
@@ -3,13 +3,14 @@
 # and must fail; one that passes has to be taken off the list.
 #   tests/unit_tests.sh BUILD
 # A line of KNOWN-RED.txt: EXECUTABLE SUITE/TEST: CAUSE (issue N)
+# Lines that begin with tests/ are of scripts, which read them themselves (tests/soak/known_red.py).
 set -eu
 build=$1
 list=KNOWN-RED.txt
 most_lines=3
 
 red_lines() {
-  if [ -f "$list" ]; then grep -v -e '^#' -e '^$' "$list" || true; fi
+  if [ -f "$list" ]; then grep -v -e '^#' -e '^$' -e '^tests/' "$list" || true; fi
 }
 
 lines=$(red_lines | wc -l)
