A request ends with its client: departures are noticed while it waits and while it is at work

Cause: evhttp reads nothing from a client's connection between a request and its answer, and nothing else looked at it; no part of the request's way knew that a client can leave.

ClientWatch reads in evhttp's place and reports a close, half-close or reset, also behind a next request (64 KiB of it are read; beyond that the socket is asked ten times a second). RequestMachine::on_client_left decides: what waits, and what may be repeated, ends; an upload or keyed request of which a byte has left goes on, is not hedged, and only the keyed one is retried, for its answer is kept. A request that was read after its client had left is not begun. A cancelled attempt ejects no server and counts as no failure; if it lasted longer than its server usually takes, that is learned, or a server that answers nobody would look idle.

The storms of request_machine_test have a further event, clients that leave, and 250 seeds in place of 150, so that as many late attempts are hedged.

--- a/packages/load_balancing/include/load_balancing/load_balancer.hpp
+++ b/packages/load_balancing/include/load_balancing/load_balancer.hpp
@@ -57,6 +57,9 @@
   // ---- what became of attempts ----
   void attempt_started(ServerIndex server, Seconds now);
   void attempt_succeeded(ServerIndex server, Seconds latency, Seconds now);
+  /// It is broken off at work, after so long, for its client has left: no failure, but a response would have taken
+  /// longer. attempt_abandoned() is to follow.
+  void attempt_cancelled(ServerIndex server, Seconds elapsed, Seconds now);
   /// It ended and nothing is to be learned from it.
   void attempt_abandoned(ServerIndex server);
   /// Passive health check: the server gets nothing for a while, which doubles from `base` with each ejection in a row.
@@ -104,6 +107,7 @@
   u32 insert(ServerUpdate const& update, ServiceIndex service);
   void put(ServerUpdate const& update, Seconds now);
   void forget_retired();
+  void learn_endpoint_latency(Endpoint& endpoint, Seconds latency, Seconds now);
   void update_failure_share(Endpoint& endpoint, double failed, Seconds now);
 
   bool is_candidate(Endpoint const& endpoint, EndpointQuery const& query, Seconds now) const;
--- a/packages/load_balancing/load_balancer.cpp
+++ b/packages/load_balancing/load_balancer.cpp
@@ -339,18 +339,29 @@
 void LoadBalancer::attempt_succeeded(ServerIndex server, Seconds latency, Seconds now) {
   attempt_abandoned(server);
   Endpoint& target = endpoint(server);
-  double& mean = services_[target.service.v].mean_latency;
   target.ejections = 0;
   update_failure_share(target, 0, now);
+  learn_endpoint_latency(target, latency, now);
+  double& mean = services_[target.service.v].mean_latency;
+  mean = mean * (1 - kMeanSmoothing) + latency * kMeanSmoothing;
+}
+
+// A server that answers nobody in time must not look idle because its clients leave.
+void LoadBalancer::attempt_cancelled(ServerIndex server, Seconds elapsed, Seconds now) {
+  Endpoint& target = endpoint(server);
+  Seconds const expected = faded_latency(target, services_[target.service.v].mean_latency, now);
+  if (elapsed > expected) learn_endpoint_latency(target, elapsed, now);
+}
+
+void LoadBalancer::learn_endpoint_latency(Endpoint& target, Seconds latency, Seconds now) {
   if (target.latency > 0) {
     double const distance = std::abs(latency - target.latency);
     target.latency_deviation = target.latency_deviation * (1 - kEndpointSmoothing) + distance * kEndpointSmoothing;
     target.latency = target.latency * (1 - kEndpointSmoothing) + latency * kEndpointSmoothing;
   } else {
-    target.latency = 0.5 * mean + 0.5 * latency;
+    target.latency = 0.5 * services_[target.service.v].mean_latency + 0.5 * latency;
   }
   target.latency_at = now;
-  mean = mean * (1 - kMeanSmoothing) + latency * kMeanSmoothing;
 }
 
 void LoadBalancer::attempt_abandoned(ServerIndex server) {
--- a/packages/proxy/activity_log.cpp
+++ b/packages/proxy/activity_log.cpp
@@ -70,10 +70,10 @@
 }
 
 void ActivityLog::log_departures(Seconds now) {
-  if (now - departures_logged_at_ <= kLogInterval || context_.answers_without_client == 0) return;
+  if (now - departures_logged_at_ <= kLogInterval || context_.runs_without_client == 0) return;
   departures_logged_at_ = now;
-  LOG4CPLUS_INFO(logger_, "Answers to clients that had left: " << context_.answers_without_client << ".");
-  context_.answers_without_client = 0;
+  LOG4CPLUS_INFO(logger_, "Runs that went on after their clients had left: " << context_.runs_without_client << ".");
+  context_.runs_without_client = 0;
 }
 
 }  // namespace dockbend
--- a/packages/proxy/attempt_runner.cpp
+++ b/packages/proxy/attempt_runner.cpp
@@ -203,6 +203,26 @@
   request.hedged_attempts.clear();
 }
 
+void AttemptRunner::on_client_left(ProxiedRequest& request) {
+  bool const is_sent = request.awaited.connection != nullptr && request.awaited.connection->has_sent;
+  RequestAction const action = request.machine.on_client_left(is_sent);
+  if (action.step == RequestAction::Step::wait) {
+    ++context_.runs_without_client;
+    return;
+  }
+  report_cancelled(request, steady_now());
+  abandon_all(request);
+  flow_.carry_out(request, action);
+}
+
+void AttemptRunner::report_cancelled(ProxiedRequest const& request, Seconds now) {
+  LoadBalancer& balancer = context_.load_balancer;
+  if (request.awaited.connection != nullptr && request.awaited.connection->has_sent)
+    balancer.attempt_cancelled(request.awaited.server, now - request.awaited.started_at, now);
+  for (Attempt const& hedged : request.hedged_attempts)
+    balancer.attempt_cancelled(hedged.server, now - hedged.started_at, now);
+}
+
 void AttemptRunner::expire(ProxiedRequest& request, Seconds now) {
   bool const is_sent = request.awaited.connection != nullptr && request.awaited.connection->has_sent;
   if (is_sent) record_failure(request, request.awaited, kDeadline);
--- a/packages/proxy/front_listener.cpp
+++ b/packages/proxy/front_listener.cpp
@@ -1,6 +1,7 @@
 #include "proxy/front_listener.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <stdexcept>
 
 #include "proxy/request_intake.hpp"
@@ -14,6 +15,10 @@
 }
 }  // namespace
 
+int idle_timeout_seconds(LimitsConfig const& limits) {
+  return std::max(1, static_cast<int>(std::ceil(limits.idle)));
+}
+
 FrontListener::FrontListener(event_base* loop, Address const& address, LimitsConfig const& limits,
                              RequestIntake& intake)
     : intake_(intake), server_(evhttp_new(loop)) {
@@ -35,8 +40,7 @@
 void FrontListener::set_limits(LimitsConfig const& limits) {
   evhttp_set_max_headers_size(server_.get(), head_limit_of(limits));
   evhttp_set_max_body_size(server_.get(), static_cast<ev_ssize_t>(limits.body_bytes));
-  int const idle_seconds = static_cast<int>(limits.idle + 0.999);
-  evhttp_set_timeout(server_.get(), std::max(1, idle_seconds));
+  evhttp_set_timeout(server_.get(), idle_timeout_seconds(limits));
 }
 
 void FrontListener::stop_accepting() {
--- a/packages/proxy/include/proxy/attempt_runner.hpp
+++ b/packages/proxy/include/proxy/attempt_runner.hpp
@@ -27,6 +27,8 @@
   void resume_hedged(ProxiedRequest& request);
   /// The request has its answer, or its deadline has come: ends all attempts that are still at work.
   void abandon_all(ProxiedRequest& request);
+  /// Ends the request, or lets its run go on, as its state machine says.
+  void on_client_left(ProxiedRequest& request);
   /// The request's timer fired: its deadline, a connect that takes too long, or an attempt that is late.
   void on_timer(ProxiedRequest& request);
   /// Counts an attempt that had been sent and is over without an answer; after a SIGTERM also logs it by itself.
@@ -48,6 +50,8 @@
   void set_timer(ProxiedRequest& request, Seconds now);
   /// Has no byte of it been acknowledged yet, and might its server be slow to read it?
   bool awaits_acknowledgement(ProxiedRequest const& request) const;
+  /// Tells the load balancer of the attempts at work, which are to be broken off for nobody waits for them.
+  void report_cancelled(ProxiedRequest const& request, Seconds now);
   void retire_connection(ProxiedRequest& request);
   void retire(UpstreamConnection& connection);
   /// Tells the load balancer how an attempt ended. was_kept: its connection had served another request before.
--- a/packages/proxy/include/proxy/front_listener.hpp
+++ b/packages/proxy/include/proxy/front_listener.hpp
@@ -11,6 +11,9 @@
 
 class RequestIntake;
 
+/// How long a client's connection may be idle, as evhttp takes it.
+int idle_timeout_seconds(LimitsConfig const& limits);
+
 /// Owns the HTTP server of the clients. Each complete request is given to the intake.
 class FrontListener {
  public:
--- a/packages/proxy/include/proxy/response_writer.hpp
+++ b/packages/proxy/include/proxy/response_writer.hpp
@@ -12,9 +12,7 @@
 /// The only place that calls evhttp_send_reply for a client. It does not end requests: callers do that next.
 class ResponseWriter {
  public:
-  /// answers_without_client counts those that are written to clients that have left. All must outlive the writer.
-  ResponseWriter(DrainStatus const& drain, ResponseFlushTracker& flushes, u64& answers_without_client)
-      : drain_(drain), flushes_(flushes), answers_without_client_(answers_without_client) {}
+  ResponseWriter(DrainStatus const& drain, ResponseFlushTracker& flushes) : drain_(drain), flushes_(flushes) {}
 
   /// An answer of the proxy's own. attempt_id: empty if the client named none.
   void write_local_reply(evhttp_request* client_request, LocalReply const& reply, std::string const& attempt_id) const;
@@ -29,7 +27,6 @@
   void send(evhttp_request* client_request, int status, char const* reason, evbuffer* body) const;
   DrainStatus const& drain_;
   ResponseFlushTracker& flushes_;
-  u64& answers_without_client_;
 };
 
 /// The answer as it is kept for repeats of its key. body is copied, not drained.
--- a/packages/proxy/proxied_request.cpp
+++ b/packages/proxy/proxied_request.cpp
@@ -33,6 +33,15 @@
   self->flow_.on_timer(*self);
 }
 
+void ProxiedRequest::client_left(void* request) {
+  auto* const self = static_cast<ProxiedRequest*>(request);
+  self->flow_.on_client_left(*self);
+}
+
+void ProxiedRequest::watch_client(int idle_timeout_seconds) {
+  client_watch.start(client_request, idle_timeout_seconds, client_left, this);
+}
+
 void ProxiedRequest::set_timer(Seconds at) {
   Seconds const delay = std::max(kShortestTimer, at - steady_now());
   auto const whole_seconds = static_cast<time_t>(delay);
--- a/packages/proxy/request_driver.cpp
+++ b/packages/proxy/request_driver.cpp
@@ -2,15 +2,22 @@
 
 #include <log4cplus/loggingmacros.h>
 
+#include <vector>
+
 namespace dockbend {
 namespace {
 /// Answers of ours from here on, but for the promise that nothing ran, stand in place of a server's.
 int constexpr kFirstFailureStatus = 500;
+
+bool answers_client(RequestAction::Step step) {
+  return step == RequestAction::Step::forward_response || step == RequestAction::Step::send_stored_answer ||
+         step == RequestAction::Step::send_local_reply;
+}
 }  // namespace
 
 RequestDriver::RequestDriver(ProxyContext& context, std::string front)
     : context_(context),
-      writer_(context.drain, context.response_flushes, context.answers_without_client),
+      writer_(context.drain, context.response_flushes),
       key_outcomes_(context.agent),
       usage_(context),
       quota_(context, *this, std::move(front)),
@@ -27,6 +34,7 @@
   if (action.claim == ClaimDisposition::not_run) key_outcomes_.report(request, KeyOutcome::not_run);
   if (action.claim == ClaimDisposition::lost) key_outcomes_.report(request, KeyOutcome::lost);
   if (action.reason != nullptr) ++context_.given_up[action.reason];
+  if (answers_client(action.step)) request.client_watch.stop();
   switch (action.step) {
     case RequestAction::Step::acquire_key: return idempotency_.acquire(request);
     case RequestAction::Step::choose_server: return attempts_.start(request);
@@ -66,4 +74,17 @@
   attempts_.on_timer(request);
 }
 
+void RequestDriver::on_client_left(ProxiedRequest& request) {
+  attempts_.on_client_left(request);
+}
+
+void RequestDriver::find_hidden_departures() {
+  std::vector<RequestsInFlight::Handle> left;
+  context_.requests.for_each([&](ProxiedRequest const& request) {
+    if (request.client_watch.has_left_unseen()) left.push_back(request.handle);
+  });
+  for (RequestsInFlight::Handle const handle : left)
+    if (ProxiedRequest* const request = context_.requests.find(handle)) request->client_watch.report_departure();
+}
+
 }  // namespace dockbend
--- a/packages/proxy/response_writer.cpp
+++ b/packages/proxy/response_writer.cpp
@@ -1,13 +1,11 @@
 #include "proxy/response_writer.hpp"
 
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/http.h>
 
 #include <cstdio>
 
 #include "transport/event_owners.hpp"
-#include "transport/socket_options.hpp"
 
 namespace dockbend {
 
@@ -16,9 +14,6 @@
 }
 
 void ResponseWriter::send(evhttp_request* client_request, int status, char const* reason, evbuffer* body) const {
-  evhttp_connection* const connection = evhttp_request_get_connection(client_request);
-  if (connection != nullptr && has_peer_left(bufferevent_getfd(evhttp_connection_get_bufferevent(connection))))
-    ++answers_without_client_;
   flushes_.track(client_request);
   evhttp_send_reply(client_request, status, reason, body);
 }
--- a/tests/load_balancing/load_balancer_test.cpp
+++ b/tests/load_balancing/load_balancer_test.cpp
@@ -263,3 +263,49 @@
   cr_assert_lt(a.safe_idle_time(y, false, 11), 0.4);
   cr_assert_gt(a.safe_idle_time(y, false, 40), 10);
 }
+
+namespace {
+// Requests one after the other, each cancelled after `patience` at z and answered after 0.05 s at y; how many went to
+// z.
+int chosen_of(LoadBalancer& balancer, Seconds patience, int requests) {
+  int at_z = 0;
+  Seconds now = 0;
+  for (int i = 0; i < requests; ++i) {
+    ServerIndex const server = *balancer.choose(query_of(balancer), now).server;
+    balancer.attempt_started(server, now);
+    if (balancer.endpoint(server).id == "z") {
+      ++at_z;
+      now += patience;
+      balancer.attempt_cancelled(server, patience, now);
+      balancer.attempt_abandoned(server);
+    } else {
+      now += 0.05;
+      balancer.attempt_succeeded(server, 0.05, now);
+    }
+  }
+  return at_z;
+}
+}  // namespace
+
+// A server that answers nobody: each client leaves after a while, so that it never has a request in flight for long.
+Test(load_balancer, server_whose_clients_leave_unanswered_does_not_look_idle) {
+  Settings const st = settings();
+  LoadBalancer a(st);
+  a.replace_servers({seen("z", "n1"), seen("y", "n1")}, 0);
+  cr_assert_lt(chosen_of(a, 0.5, 200), 40);
+  for (Endpoint const& endpoint : a.endpoints())
+    cr_assert_eq(endpoint.in_flight, 0);
+}
+
+Test(load_balancer, attempt_cancelled_at_once_says_nothing_of_its_server) {
+  Settings const st = settings();
+  LoadBalancer a(st);
+  a.replace_servers({seen("z", "n1"), seen("y", "n1")}, 0);
+  chosen_of(a, 0.001, 200);
+  for (Endpoint const& endpoint : a.endpoints()) {
+    if (endpoint.id != "z") continue;
+    cr_assert_eq(endpoint.latency, 0);
+    cr_assert_eq(endpoint.ejections, 0);
+    cr_assert_eq(endpoint.failure_share, 0);
+  }
+}
--- a/tests/request/request_machine_test.cpp
+++ b/tests/request/request_machine_test.cpp
@@ -41,6 +41,7 @@
   agent_killed,
   proxy_frozen,
   drain,
+  client_left,
   count
 };
 
@@ -95,6 +96,7 @@
     return check();
   }
   std::size_t hedges() const { return hedges_; }
+  std::size_t departures() const { return departures_; }
   // Many at once, each message spoiled by chance.
   std::string storm(int n) {
     chance_ = 0.12;
@@ -174,6 +176,7 @@
                            nullptr});
         break;
       case Spoil::drain: draining_ = true; break;
+      case Spoil::client_left: bag_.push_back(Msg{[this](Spoil) { some_client_leaves(); }, nullptr}); break;
       default: break;
     }
     bag_.push_back(Msg{[m, sp](Spoil) { m.run(sp); }, m.conn, m.to_server, m.to_agent, m.claim});
@@ -250,6 +253,26 @@
       case RetryState::TimerMeaning::wait: return;
     }
   }
+  void some_client_leaves() {
+    std::vector<typename Table::Handle> all;
+    table_.for_each([&](Req const& q) { all.push_back(q.handle); });
+    if (!all.empty()) client_left(*table_.find(all[rnd_() % all.size()]));
+  }
+  void client_left(Req& q) {
+    bool const may_repeat = once_.count(q.id) == 0;
+    bool const sent = q.connection != nullptr && q.connection->sent;
+    left_.insert(q.id);
+    ++departures_;
+    RequestAction const s = q.machine.on_client_left(sent);
+    if (s.step == RequestAction::Step::wait) {
+      if (may_repeat) fail(q.id + " goes on, though its client has left and it may be repeated");
+      if (!sent && !q.machine.retry_state().may_have_run()) fail(q.id + " is kept for a client that has left");
+      return;
+    }
+    if (!may_repeat && sent) fail(q.id + " is cut for its client has left, though it may not be repeated");
+    retire_all(q);
+    carry(q, s);
+  }
   void carry(Req& q, RequestAction const& s) {
     if (s.claim == ClaimDisposition::not_run || s.claim == ClaimDisposition::lost) tell(q, s.claim);
     switch (s.step) {
@@ -284,6 +307,7 @@
     attempt_at(q, s);
   }
   void attempt_at(Req& q, int s) {
+    if (left_.count(q.id) > 0 && q.key.empty()) fail(q.id + " is sent on though its client has left");
     q.attempted.insert(s);
     Conn* c = nullptr;
     for (auto& x : conns_)
@@ -468,14 +492,14 @@
   std::vector<Msg> after_;
   std::optional<Msg> late_;
   std::vector<std::unique_ptr<Conn>> conns_;
-  std::size_t posted_ = 0, second_at_ = 0, hedges_ = 0;
+  std::size_t posted_ = 0, second_at_ = 0, hedges_ = 0, departures_ = 0;
   u64 holders_ = 0;
   int frozen_ = -1;
   bool second_ = false, draining_ = false, claims_spoiled_ = false;
   std::map<std::string, int> runs_, key_runs_, answered_;
   std::map<std::string, u64> holder_;
   std::map<std::string, std::string> first_;
-  std::set<std::string> once_;
+  std::set<std::string> once_, left_;
   std::set<u64> told_lost_;
 };
 
@@ -529,6 +553,12 @@
     return dockbend::check_response(r, id);
   }
 };
+struct CancelsAlways : RequestRules {
+  static bool may_cancel(RetryState const&, bool, bool) { return true; }
+};
+struct CancelsNever : RequestRules {
+  static bool may_cancel(RetryState const&, bool, bool) { return false; }
+};
 struct NeverCuts : Shell {
   static constexpr bool cuts = false;
 };
@@ -546,14 +576,16 @@
 }
 
 Test(request, storms_by_seed_break_nothing) {
-  std::size_t hedges = 0;
-  for (unsigned seed = 1; seed <= 150; ++seed) {
+  std::size_t hedges = 0, departures = 0;
+  for (unsigned seed = 1; seed <= 250; ++seed) {
     World<> world(Case{Sort::effectful, static_cast<std::size_t>(-1)}, seed);
     std::string const b = world.storm(40);
     cr_assert(b.empty(), "seed %u: %s", seed, b.c_str());
     hedges += world.hedges();
+    departures += world.departures();
   }
-  cr_assert_gt(hedges, 100u, "late attempts are hedged in the storms");
+  cr_assert_gt(hedges, 100u, "late attempts are hedged in the storms: %zu", hedges);
+  cr_assert_gt(departures, 100u, "clients leave in the storms: %zu", departures);
 }
 
 Test(request, each_planted_fault_is_found) {
@@ -564,6 +596,8 @@
   cr_assert_not(mutate<GoesOnAlways>().empty());
   cr_assert_not(mutate<ReadsNoId>().empty());
   cr_assert_not(mutate<RefusalNeedsNoId>().empty());
+  cr_assert_not(mutate<CancelsAlways>().empty());
+  cr_assert_not(mutate<CancelsNever>().empty());
   cr_assert_not((mutate<RequestRules, NeverCuts>().empty()));
   bool is_found = false;  // takes two spoiled messages, so only storms find it
   for (unsigned seed = 1; seed <= 150 && !is_found; ++seed)
@@ -755,3 +789,99 @@
   cr_assert_not(r.on_attempt_ended(AttemptResult::broken, 3, 0.1, yes).step == RequestAction::Step::wait);
   cr_assert_eq(r.retry_state().arrivals(), 2u);
 }
+
+namespace {
+// What may not be repeated, with an attempt since 0.
+RequestMachine once_at_work(bool is_keyed) {
+  RequestMachine r("a", is_keyed, RetryState(false, 3, 10));
+  r.on_quota_granted();
+  if (is_keyed) r.on_key_granted();
+  r.attempt_started(0, 1, 0.25);
+  return r;
+}
+void is_over(RequestAction const& action, int status) {
+  cr_assert(action.step == RequestAction::Step::send_local_reply);
+  cr_assert_eq(action.reply.status, status);
+  cr_assert(action.reply.closes_connection);
+}
+bool no_budget() {
+  return false;
+}
+}  // namespace
+
+Test(request, client_that_leaves_while_its_request_waits_ends_it) {
+  RequestMachine waits_for_quota("a", true, RetryState(false, 3, 10));
+  RequestAction const without_token = waits_for_quota.on_client_left(false);
+  is_over(without_token, 503);
+  cr_assert(without_token.claim == ClaimDisposition::none);
+  cr_assert(waits_for_quota.on_quota_granted().step == RequestAction::Step::wait);
+
+  RequestMachine waits_for_key("a", true, RetryState(false, 3, 10));
+  waits_for_key.on_quota_granted();
+  RequestAction const without_key = waits_for_key.on_client_left(false);
+  is_over(without_key, 503);
+  cr_assert(without_key.claim == ClaimDisposition::not_run, "a key that is granted all the same is released");
+  cr_assert(without_key.refunds_quota);
+  cr_assert(waits_for_key.on_key_granted().step == RequestAction::Step::wait);
+}
+
+Test(request, client_that_leaves_before_a_byte_was_sent_ends_it) {
+  for (bool const is_keyed : {false, true}) {
+    RequestMachine r = once_at_work(is_keyed);
+    RequestAction const action = r.on_client_left(false);
+    is_over(action, 503);
+    cr_assert(action.refunds_quota);
+    cr_assert(action.claim == (is_keyed ? ClaimDisposition::not_run : ClaimDisposition::none));
+  }
+}
+
+Test(request, repeatable_run_ends_with_its_client_also_when_hedged) {
+  for (bool const is_hedged : {false, true}) {
+    RequestMachine r = at_work(3);
+    if (is_hedged) {
+      cr_assert(r.hedge_attempt(
+          2, false, [] { return true; }, [] { return true; }));
+      r.attempt_started(2, 1, 0.25);
+    }
+    RequestAction const action = r.on_client_left(!is_hedged);
+    is_over(action, 502);
+    cr_assert_not(action.refunds_quota, "it may have run");
+    cr_assert(r.on_attempt_ended(AttemptResult::complete, 3, 0.1, no_budget).step == RequestAction::Step::wait);
+  }
+}
+
+Test(request, run_that_may_not_be_repeated_outlives_its_client) {
+  for (bool const is_keyed : {false, true}) {
+    RequestMachine r = once_at_work(is_keyed);
+    cr_assert(r.on_client_left(true).step == RequestAction::Step::wait);
+    RequestAction const action = r.on_attempt_ended(AttemptResult::complete, 3, 0.1, no_budget);
+    cr_assert(action.step == RequestAction::Step::forward_response);
+    cr_assert(action.claim == (is_keyed ? ClaimDisposition::returned : ClaimDisposition::none));
+  }
+}
+
+Test(request, upload_that_was_turned_away_is_sent_nowhere_else_once_its_client_has_left) {
+  RequestMachine r = once_at_work(false);
+  cr_assert(r.on_client_left(true).step == RequestAction::Step::wait);
+  RequestAction const action = r.on_attempt_ended(AttemptResult::not_run, 1, 0.1, [] { return true; });
+  cr_assert(action.step == RequestAction::Step::send_local_reply);
+  cr_assert_eq(action.reply.status, 503);
+}
+
+// Its answer is kept for repeats of its key, so the operation is brought to its end.
+Test(request, keyed_request_that_was_turned_away_is_tried_again_though_its_client_has_left) {
+  RequestMachine r = once_at_work(true);
+  cr_assert(r.on_client_left(true).step == RequestAction::Step::wait);
+  cr_assert(r.on_attempt_ended(AttemptResult::not_run, 1, 0.1, [] { return true; }).step ==
+            RequestAction::Step::choose_server);
+}
+
+Test(request, run_without_a_client_is_not_hedged) {
+  RequestMachine r("a", true, RetryState(true, 3, 10));  // its service recognises repeats
+  r.on_quota_granted();
+  r.on_key_granted();
+  r.attempt_started(0, 1, 0.25);
+  cr_assert(r.on_client_left(true).step == RequestAction::Step::wait);
+  cr_assert_not(r.hedge_attempt(
+      2, false, [] { return true; }, [] { return true; }));
+}
--- a/tests/support/proxy_fixture.hpp
+++ b/tests/support/proxy_fixture.hpp
@@ -148,11 +148,7 @@
         front(loop),
         first(loop),
         second(loop) {
-    std::map<std::string, ConfigItem> items;
-    std::string refusal;
-    join(items, read_amend(kConfiguration), refusal);
-    for (auto const& [key, item] : items)
-      context.configuration.put(item);
+    amend(kConfiguration);
     context.has_configuration = true;
     front.handle = [this](evhttp_request* request) { intake.on_request(request, 0); };
     client = evhttp_connection_base_new(loop, nullptr, "127.0.0.1", static_cast<ev_uint16_t>(front.port));
@@ -161,6 +157,13 @@
     if (client != nullptr) evhttp_connection_free(client);
   }
 
+  void amend(char const* change) {
+    std::map<std::string, ConfigItem> items;
+    std::string refusal;
+    join(items, read_amend(change), refusal);
+    for (auto const& [key, item] : items)
+      context.configuration.put(item);
+  }
   void add_server(std::string const& id, u32 port) {
     LoadBalancer::ServerUpdate server;
     server.id = id;
