An exchange that is broken off is reset, so that its server learns of it at once

A reset need not wait behind what the link still holds, and is seen by servers that take a close for a half-close.

The test fails without the reset.

--- a/packages/proxy/attempt_runner.cpp
+++ b/packages/proxy/attempt_runner.cpp
@@ -70,21 +70,16 @@
   flow_.carry_out(request, request.machine.on_no_server(now, retry_after(request), reason));
 }
 
-void AttemptRunner::retire_connection(ProxiedRequest& request) {
+void AttemptRunner::abort_awaited(ProxiedRequest& request) {
   if (request.awaited.connection == nullptr) return;
-  retire(*std::exchange(request.awaited.connection, nullptr));
-}
-
-void AttemptRunner::retire(UpstreamConnection& connection) {
-  connection.is_busy = false;
-  context_.connections.retire(connection);
+  context_.connections.abort(*std::exchange(request.awaited.connection, nullptr));
 }
 
 void AttemptRunner::on_failed(ProxiedRequest& request, AttemptResult result) {
   Seconds const now = steady_now();
   ServerIndex const server = request.awaited.server;
   bool const was_kept = request.awaited.connection != nullptr && request.awaited.connection->idle_before >= 0;
-  retire_connection(request);
+  abort_awaited(request);
   context_.load_balancer.attempt_abandoned(server);
   if (!proves_not_run(result)) usage_.count(request);
   report_failure(server, result, was_kept, request.awaited.started_at, now);
@@ -193,11 +188,11 @@
 void AttemptRunner::abandon_all(ProxiedRequest& request) {
   if (request.awaited.connection != nullptr) {
     if (request.awaited.connection->has_sent) usage_.count(request);
-    retire_connection(request);
+    abort_awaited(request);
     context_.load_balancer.attempt_abandoned(request.awaited.server);
   }
   for (Attempt const& hedged : request.hedged_attempts) {
-    retire(*hedged.connection);
+    context_.connections.abort(*hedged.connection);
     context_.load_balancer.attempt_abandoned(hedged.server);
   }
   request.hedged_attempts.clear();
--- a/packages/proxy/include/proxy/attempt_runner.hpp
+++ b/packages/proxy/include/proxy/attempt_runner.hpp
@@ -52,8 +52,8 @@
   bool awaits_acknowledgement(ProxiedRequest const& request) const;
   /// Tells the load balancer of the attempts at work, which are to be broken off for nobody waits for them.
   void report_cancelled(ProxiedRequest const& request, Seconds now);
-  void retire_connection(ProxiedRequest& request);
-  void retire(UpstreamConnection& connection);
+  /// Breaks off the attempt that is waited for, if there is one.
+  void abort_awaited(ProxiedRequest& request);
   /// Tells the load balancer how an attempt ended. was_kept: its connection had served another request before.
   void report_failure(ServerIndex server, AttemptResult result, bool was_kept, Seconds attempt_started_at, Seconds now);
 
--- a/packages/transport/include/transport/socket_options.hpp
+++ b/packages/transport/include/transport/socket_options.hpp
@@ -17,6 +17,9 @@
 /// @param unacknowledged_ms for how long, in milliseconds
 void tune_socket(evutil_socket_t socket, int unacknowledged_ms);
 
+/// A close of the socket resets its connection, and discards what is not sent yet. Without effect on no socket.
+void reset_on_close(evutil_socket_t socket);
+
 /// Has the peer closed, half-closed or reset the connection, whatever of it is still unread? False for no socket.
 bool has_peer_left(evutil_socket_t socket);
 
--- a/packages/transport/socket_options.cpp
+++ b/packages/transport/socket_options.cpp
@@ -30,6 +30,11 @@
   setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
 }
 
+void reset_on_close(evutil_socket_t socket) {
+  linger const no_wait{1, 0};
+  setsockopt(socket, SOL_SOCKET, SO_LINGER, &no_wait, sizeof no_wait);
+}
+
 bool has_peer_left(evutil_socket_t socket) {
   pollfd entry{socket, POLLRDHUP, 0};
   return socket >= 0 && poll(&entry, 1, 0) > 0 && (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
--- a/packages/upstream/connection_pool.cpp
+++ b/packages/upstream/connection_pool.cpp
@@ -190,6 +190,12 @@
   after(loop_, 0, [this, retired = &connection] { connections_.erase(retired); });
 }
 
+void ConnectionPool::abort(UpstreamConnection& connection) {
+  connection.is_busy = false;
+  if (connection.has_sent) reset_on_close(bufferevent_getfd(evhttp_connection_get_bufferevent(connection.http.get())));
+  retire(connection);
+}
+
 void ConnectionPool::release_idle(UpstreamConnection& connection, Seconds idle_limit, Seconds now) {
   connection.is_busy = false;
   connection.owner = nullptr;
--- a/packages/upstream/include/upstream/connection_pool.hpp
+++ b/packages/upstream/include/upstream/connection_pool.hpp
@@ -49,6 +49,10 @@
   /// very turn of the loop: whoever breaks off an attempt that has sent nothing relies on that. It is freed once
   /// libevent is out of its callbacks.
   void retire(UpstreamConnection& connection);
+  /// Retires the connection of an exchange that is broken off. If a byte of it has left the connection is reset, so
+  /// that a server that takes a close for a half-close learns of it too, and bytes that wait to be sent don't delay
+  /// that.
+  void abort(UpstreamConnection& connection);
   /// Closes what was idle for too long, or is to a server that is gone.
   void retire_expired(Seconds now);
   /// Closes what is idle to these servers.
--- a/tests/upstream/connection_pool_test.cpp
+++ b/tests/upstream/connection_pool_test.cpp
@@ -141,8 +141,7 @@
     bool left = false;
     auto const retire = [&] {
       left = c.has_sent;
-      c.is_busy = false;
-      d.pool.retire(c);
+      d.pool.abort(c);
     };
     if (turns < 0) {
       d.sink.within_the_turn(retire);
@@ -194,6 +193,40 @@
   cr_assert(d.sink.conns.empty() && d.sink.bytes == n);
 }
 
+namespace {
+// The error at the server's side of its newest connection, once that has ended; 0: it was closed.
+int error_at_server(PoolWithServer& d) {
+  bool has_ended = false;
+  bufferevent* const socket = d.sink.conns.back();
+  bufferevent_setcb(
+      socket, nullptr, nullptr, [](bufferevent*, short, void* ended) { *static_cast<bool*>(ended) = true; },
+      &has_ended);
+  d.sink.until([&] { return has_ended; });
+  int error = 0;
+  socklen_t length = sizeof error;
+  cr_assert_eq(getsockopt(bufferevent_getfd(socket), SOL_SOCKET, SO_ERROR, &error, &length), 0);
+  return error;
+}
+}  // namespace
+
+// A server may take a close for a half-close, and work on.
+Test(connection_pool, an_exchange_that_is_broken_off_is_reset_and_an_idle_connection_is_closed) {
+  PoolWithServer broken_off;
+  UpstreamConnection& at_work = broken_off.send(0);
+  broken_off.sink.until([&] { return broken_off.sink.bytes > 0; });
+  broken_off.pool.abort(at_work);
+  cr_assert_neq(error_at_server(broken_off), 0);
+
+  PoolWithServer complete;
+  UpstreamConnection& idle = complete.send(0);
+  complete.sink.until([&] { return complete.sink.bytes > 0; });
+  complete.sink.answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  complete.sink.until([&] { return complete.returns == 1; });
+  complete.pool.release_idle(idle, 4, 1);
+  complete.pool.retire_expired(6);
+  cr_assert_eq(error_at_server(complete), 0);
+}
+
 namespace {
 // How long until libevent gives up on silence at this socket; < 0: there is no such limit.
 struct SilenceLimit {
