Soak: clients leave, alone and in herds, by FIN, RST, half-close and behind a next request

The judge counts runs that go on, and requests that are sent on, for clients that have left, and cut runs that may not be repeated; half-closed clients may get no false answer. At the end each proxy gets a SIGTERM with nothing left to do: what keeps it was left behind.

--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -51,6 +51,7 @@
     SENT_ON_AFTER_DEPARTURE = "GONE: sent to a server over half a second after its client had left"
     AT_WORK_AFTER_DEPARTURE = "GONE: at work over half a second after its client had left"
     CUT_FOR_DEPARTURE = "a run that can't be repeated was broken off for its client had left"
+    SLOW_END = "a process with nothing left to do took long to end: something was left behind"
     OVERDUE_PROCESS = "a process was still there at the end of the grace period"
     CRASHED_PROCESS = "a process ended by itself"
     REFUSED_CHANGE = "CONFIG: a proper change was refused"
@@ -106,6 +107,7 @@
         verdict.findings.append(Finding(Cause.UNASKED, attempt_id, ""))
     for cause, names in ((Cause.OVERDUE_PROCESS, ledger.overdue_processes),
                          (Cause.CRASHED_PROCESS, ledger.crashed_processes),
+                         (Cause.SLOW_END, ledger.slow_ends),
                          (Cause.REFUSED_CHANGE, ledger.refused_changes)):
         verdict.findings += [Finding(cause, "", name) for name in names]
     return verdict
@@ -207,6 +209,10 @@
 
 def _result_of_departure(ledger: Ledger, request: Request) -> Cause | Excuse:
     """Nothing is begun for a client that has left, and what may be repeated is broken off; other runs go on."""
+    if 200 <= request.status < 300 and not _is_answer_of_a_run(ledger, request):
+        return Cause.MIXED
+    if request.status in PROMISES and request.runs and not request.kind.is_repeatable:
+        return Cause.RAN_THOUGH_REFUSED
     until = request.left_at + DEPARTURE_SLACK_S
     if request.kind is not Kind.KEYED and any(run.started_at > until + ledger.observer_lag(request.left_at, run.started_at)
                                               for run in request.runs):
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -170,6 +170,16 @@
         run = a_run(RunEnd.CUT_BY_PROXY, ended_at=0.6)
         self.expect_cause(Cause.CUT_FOR_DEPARTURE, ledger_of(a_departure(run)))
 
+    def test_half_closed_client_gets_no_false_answer(self):
+        run = a_run(RunEnd.FINISHED, ended_at=2.0)
+        self.expect_cause(Cause.RAN_THOUGH_REFUSED, ledger_of(a_departure(run, status=503)))
+        self.expect_cause(Cause.MIXED, ledger_of(a_departure(run, status=200, seal="other", body=BODY)))
+
+    def test_process_that_something_keeps_is_found(self):
+        ledger = ledger_of(a_success(a_run(RunEnd.FINISHED)))
+        ledger.slow_ends.append("edge-1: 5.0 s")
+        self.expect_cause(Cause.SLOW_END, ledger)
+
     def test_run_of_a_client_that_left_may_be_cut_at_its_deadline_or_by_a_kill(self):
         at_deadline = a_run(RunEnd.CUT_BY_PROXY, ended_at=5.0)
         self.expect_excuse(Excuse.CLIENT_LEFT, ledger_of(a_departure(at_deadline)))
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -123,6 +123,8 @@
     crashed_processes: list[str] = dataclasses.field(default_factory=list)  # ended by themselves
     refused_changes: list[str] = dataclasses.field(default_factory=list)  # proper changes that got a 4xx
     changes_acknowledged: int = 0
+    departures_in_herds: int = 0
+    slow_ends: list[str] = dataclasses.field(default_factory=list)  # of processes that had nothing left to do
     observer_lags: list[tuple[float, float]] = dataclasses.field(default_factory=list)  # when, how late in seconds
 
     def open_request(self, request: Request) -> None:
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -13,6 +13,8 @@
 from ledger import Ledger, Signal
 
 RESTART_DELAY_S = 0.2
+# A proxy with nothing to do ends once it accepts no more connections, at this part of the grace period.
+ACCEPTING_PART, IDLE_END_SLACK_S = 0.45, 1.0
 # Until a program's own code runs, a SIGHUP ends it whatever it says: the system's loader is at work.
 LOADING_S = 0.25
 CONTROL_PORT, DIRECTORY_PORT, FRONT_PORT, READY_PORT = 8146, 8143, 8144, 8140
@@ -102,6 +104,18 @@
 
         await self._replace(stop, self.start)
 
+    async def stop_idle(self) -> None:
+        """SIGTERM, for good, where nothing is left to do: what keeps a process then was left behind."""
+        self._is_stopping = True
+        began_at = time.monotonic()
+        for process in self._processes:
+            process.send(signal.SIGTERM)
+        await asyncio.gather(*(self._end(process) for process in self._processes))
+        took_s = time.monotonic() - began_at
+        limit_s = ACCEPTING_PART * self._ledger.grace_period_s + IDLE_END_SLACK_S
+        if took_s > limit_s + self._ledger.observer_lag(began_at, time.monotonic()):
+            self._ledger.slow_ends.append(f"{self.settings.stem}: {took_s:.1f} s")
+
     async def kill(self) -> None:
         """SIGKILL for all its processes, and a new start."""
         async def stop() -> None:
@@ -197,6 +211,9 @@
     async def stop(self) -> None:
         await asyncio.gather(*(machine.stop() for machine in self.controller_machines + self.proxy_machines))
 
+    async def stop_idle_proxies(self) -> None:
+        await asyncio.gather(*(machine.stop_idle() for machine in self.proxy_machines))
+
     def note_crashes(self) -> None:
         for machine in self.controller_machines + self.proxy_machines:
             machine.note_crashes()
