--- a/tests/proxy/attempt_at_work_test.cpp
+++ b/tests/proxy/attempt_at_work_test.cpp
@@ -118,3 +118,17 @@
   cr_assert_eq(fixture.status, 500);
   cr_assert_str_eq(fixture.body.c_str(), kBody);
 }
+
+// They belong to no request: the next one goes out on another connection.
+Test(attempt_at_work, bytes_behind_a_whole_answer_end_the_connection) {
+  ProxyFixture fixture;
+  ScriptedServer server(fixture.loop);
+  fixture.add_server("i-1", server.port);
+  fixture.ask();
+  fixture.until([&] { return server.received() > 0; });
+  server.answer("a1", kBody);
+  evbuffer_add_printf(bufferevent_get_output(server.accepted.back()), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  fixture.expect_answer();
+  fixture.until([&] { return server.is_closed; });
+  cr_assert_eq(fixture.context.load_balancer.endpoint(ServerIndex{0}).idle_connections, 0);
+}
--- /dev/null
+++ b/tests/rules/mutations.py
@@ -0,0 +1,241 @@
+"""What carries each rule of docs/rules.md, how it is taken away, and the tests that must then fail."""
+
+import dataclasses
+
+COURSE, DEPARTURES = "tests/soak/incident_course.py", "tests/soak/client_departures.py"
+
+
+@dataclasses.dataclass(frozen=True)
+class UnitTest:
+    """`name`: SUITE::TEST in EXECUTABLE_test."""
+
+    executable: str
+    name: str
+
+    def __str__(self) -> str:
+        return f"{self.executable} {self.name}"
+
+
+@dataclasses.dataclass(frozen=True)
+class Script:
+    """The word BUILD stands for the build's folder."""
+
+    command: tuple[str, ...]
+
+    def __str__(self) -> str:
+        return " ".join(self.command)
+
+
+def scenario(script: str, name: str) -> Script:
+    return Script((script, "BUILD", "--only", name))
+
+
+@dataclasses.dataclass(frozen=True)
+class Mutation:
+    """`old`, which stands once in `file`, becomes `new`."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+    guards: tuple[UnitTest | Script, ...]
+
+
+MACHINE, HEADERS = "packages/request/include/request/request_machine.hpp", "packages/request/headers.cpp"
+RETRY, ADMISSION = "packages/request/include/request/retry_state.hpp", "packages/request/admission.cpp"
+BALANCER, RECEIVER = "packages/load_balancing/load_balancer.cpp", "packages/proxy/response_receiver.cpp"
+SENDER, WRITER = "packages/proxy/upstream_sender.cpp", "packages/proxy/response_writer.cpp"
+KEY_TABLE, ACCEPTOR = "packages/idempotency/key_table.cpp", "packages/consensus/acceptor.cpp"
+CONFIGURATION = "packages/configuration/compiled_configuration.cpp"
+
+SPOILED_RESPONSES = UnitTest("request", "headers::each_spoiled_response_is_recognized")
+ONE_SPOILED = UnitTest("request", "request::one_message_spoiled_at_a_time_breaks_nothing")
+SPOILED_REQUESTS = UnitTest("request", "admission::each_spoiled_request_is_refused")
+GOOD_REQUEST = UnitTest("request", "admission::a_good_request_has_its_route_key_homes_and_time")
+ONE_CLAIM_SPOILED = UnitTest("idempotency",
+                             "claim_coordinator::any_single_message_fault_lets_no_key_run_twice_and_leaves_nothing_behind")
+HOMES = UnitTest("load_balancing", "load_balancer::prefers_own_zone_then_region_within_the_homes")
+
+MUTATIONS = (
+    # ---- MIXED ----
+    Mutation("mixed-seal", HEADERS, "if (response.status < 300 && !is_sealed) return", "if (false) return", (SPOILED_RESPONSES,)),
+    Mutation("mixed-other-id", HEADERS, "if (value != attempt_id) return", "if (false) return", (SPOILED_RESPONSES, ONE_SPOILED)),
+    Mutation("mixed-whole-body", HEADERS, "length != response.body_bytes) return false;", "false) return false;",
+             (SPOILED_RESPONSES,)),
+    Mutation("mixed-bare-promise", HEADERS, "if (promises_not_run(response.status) || says_not_run) return", "if (false) return",
+             (SPOILED_RESPONSES,)),
+    Mutation("mixed-surplus", RECEIVER, "      !has_surplus && !connection", "      !connection",
+             (UnitTest("proxy", "attempt_at_work::bytes_behind_a_whole_answer_end_the_connection"),)),
+    Mutation("mixed-late-answer", "packages/request/include/request/request_table.hpp",
+             "if (request != nullptr && request->has_attempt_on(connection)) return request;",
+             "if (request != nullptr) return request;", (UnitTest("request", "request::storms_by_seed_break_nothing"),)),
+    Mutation("mixed-stored-answer", WRITER, "    if (colon == std::string::npos) continue;", "    continue;",
+             (scenario(DEPARTURES, "at work, keyed"),)),
+    # ---- UNASKED ----
+    Mutation("unasked-two-ids", HEADERS, "return attempt_ids < 2;", "return true;", (SPOILED_REQUESTS,)),
+    Mutation("unasked-framing", ADMISSION, "if (!has_sound_frame(incoming) ||", "if (", (SPOILED_REQUESTS,)),
+    Mutation("unasked-target", ADMISSION, "|| !is_well_formed_target(incoming.target))", ")", (SPOILED_REQUESTS,)),
+    Mutation("unasked-tenant", SENDER, ''' ||
+      same_header_name(name, "X-Tenant"))''', ")",
+             (UnitTest("proxy", "upstream_sender::headers_that_the_system_sets_are_its_own"),)),
+    Mutation("unasked-body-length", SENDER, "if (request.body_bytes > 0 || method_has_body(request.method))", "if (false)",
+             (Script(("tests/robustness/malformed_input_ports.sh", "BUILD")),)),
+    # ---- TWICE ----
+    Mutation("twice-not-repeatable", RETRY, "if (may_have_run_ && !is_repeatable_) return false;", "",
+             (UnitTest("request", "retry_state::a_request_that_is_not_repeatable_is_retried_only_on_proof_that_it_has_not_run"),
+              ONE_SPOILED)),
+    Mutation("twice-retired-connection", "packages/upstream/connection_pool.cpp",
+             "  bufferevent_disable(socket, EV_READ | EV_WRITE);\n", "",
+             (UnitTest("upstream", "connection_pool::a_connection_retired_before_the_first_byte_sends_none_later"),)),
+    Mutation("twice-majority", "packages/idempotency/claim_quorum.cpp", "member_count_ / 2 + 1", "member_count_ / 2",
+             (UnitTest("idempotency", "claim_quorum::two_holders_are_never_both_granted_one_key"),)),
+    Mutation("twice-epoch", KEY_TABLE, "if (request.epoch != epoch) return", "if (false) return",
+             (UnitTest("idempotency", "key_table::does_not_vote_under_another_epoch_or_while_incomplete"),)),
+    Mutation("twice-new-disk", KEY_TABLE, "if (!is_complete_) return", "if (false) return",
+             (UnitTest("idempotency", "key_table::does_not_vote_under_another_epoch_or_while_incomplete"),)),
+    Mutation("twice-held", KEY_TABLE, "if (entry.holder == request.holder && !entry.is_sealed)", "if (true)",
+             (UnitTest("idempotency", "key_table::grants_a_key_to_its_first_holder_only"), ONE_CLAIM_SPOILED)),
+    Mutation("twice-age", KEY_TABLE, "now - entry->second.granted_at > age", "now - entry->second.granted_at > age / 4",
+             (UnitTest("idempotency", "key_table::forgets_keys_past_their_age_which_begins_anew_with_a_restart"),)),
+    # ---- REFUSED ----
+    Mutation("refused-ran", MACHINE, "static bool may_refuse(RetryState const& state) { return !state.may_have_run(); }",
+             "static bool may_refuse(RetryState const&) { return true; }", (ONE_SPOILED,)),
+    Mutation("refused-key-released", MACHINE,
+             "static bool may_release_key(RetryState const& state) { return !state.may_have_run(); }",
+             "static bool may_release_key(RetryState const&) { return true; }", (ONE_SPOILED,)),
+    # ---- DENIED ----
+    Mutation("denied-unconfigured", ADMISSION, "make_local_reply(503, kRetryAfterWithoutConfiguration)",
+             "make_local_reply(404)", (SPOILED_REQUESTS,)),
+    Mutation("denied-answered-key", RECEIVER, "if (action.claim == ClaimDisposition::returned)", "if (false)",
+             (scenario(DEPARTURES, "at work, keyed"),)),
+    # ---- ROUTE ----
+    Mutation("route-target-server", SENDER, '  evhttp_add_header(out, "X-Target-Server", server_id.c_str());\n', "",
+             (UnitTest("proxy", "upstream_sender::headers_that_the_system_sets_are_its_own"),)),
+    Mutation("route-misdirected", HEADERS, "if (response.status == 421) return", "if (false) return", (SPOILED_RESPONSES,)),
+    Mutation("route-longest-prefix", CONFIGURATION, "if (inexact && inexact->prefix.size() > end - host.size()) break;",
+             "if (inexact) break;", (UnitTest("configuration", "configuration::the_longest_prefix_of_the_host_wins"),)),
+    Mutation("route-unknown-key", ADMISSION, "if (!request.tenant && !request.route->keyless)", "if (false)",
+             (SPOILED_REQUESTS,)),
+    # ---- DRAIN ----
+    Mutation("drain-server", BALANCER, "return endpoint.ready && !endpoint.is_misdirected", "return !endpoint.is_misdirected",
+             (UnitTest("load_balancing", "load_balancer::retired_and_misdirected_servers_get_nothing"),)),
+    Mutation("drain-late-heartbeat", "packages/server_registry/server_registry.cpp",
+             "if (record.seq < known.seq) return false;", "",
+             (UnitTest("server_registry", "server_registry::a_late_heartbeat_changes_nothing"),)),
+    Mutation("drain-readiness", "packages/proxy/proxy_context.cpp",
+             "load_balancer.ready_servers() > 0 &&\n         !drain.is_shutting_down();", "load_balancer.ready_servers() > 0;",
+             (UnitTest("proxy", "readiness::ends_with_a_sigterm"),)),
+    Mutation("drain-directory", "packages/directory/proxy_table.cpp", "return now - item.second.heard > timeout_;",
+             "return now - item.second.heard > 100 * timeout_;",
+             (UnitTest("server_registry", "directory::entries_drop_after_missed_keepalives_and_lists_stay_short"),)),
+    # ---- LOST ----
+    Mutation("lost-shutdown-waits", "packages/proxy/shutdown_sequence.cpp", "context_.requests.size() > 0 || ", "",
+             (scenario(COURSE, "stopped three times while at work"),)),
+    Mutation("lost-being-read", "packages/proxy/shutdown_sequence.cpp",
+             " ||\n         front_.open_body_reads(kReadIdleTicks) > 0;", ";",
+             (scenario(COURSE, "upload arrives at the end of a shutdown"),)),
+    Mutation("lost-hedge-after-sigterm", MACHINE, "if (phase_ != Phase::attempt || terminating ||",
+             "if (phase_ != Phase::attempt ||", (UnitTest("request", "request::a_sigterm_breaks_off_no_attempt"),)),
+    Mutation("lost-late-attempt", MACHINE, "    if (hedged_attempts_ > 0) {\n      --hedged_attempts_;\n      phase_ = Phase::attempt;",
+             "    if (false) {\n      --hedged_attempts_;\n      phase_ = Phase::attempt;",
+             (UnitTest("request", "request::a_late_attempt_outlives_a_retry_that_reaches_no_server"),)),
+    Mutation("lost-hangup", "packages/process/signals.cpp", "  signal(SIGHUP, SIG_IGN);\n", "",
+             (UnitTest("process", "signals::hangup_before_its_event_exists_does_nothing"),)),
+    Mutation("lost-idle-limit", "packages/proxy/client_watch.cpp", "  bufferevent_set_timeouts(socket_, nullptr, nullptr);\n", "",
+             (UnitTest("proxy", "client_departure::silent_client_is_waited_for"),
+              scenario(COURSE, "GET for longer than the idle limit"))),
+    Mutation("lost-stray-answer", RECEIVER, "  if (check.rejection == ResponseRejection::other_id &&", "  if (false &&",
+             (UnitTest("proxy", "attempt_at_work::stray_answer_is_discarded_and_the_next_one_is_waited_for"),)),
+    Mutation("lost-vote-before-promise", ACCEPTOR, "  if (request.ballot < promised_) return {};\n", "",
+             (UnitTest("consensus", "consensus::racing_proposers_lose_nothing"),)),
+    Mutation("lost-wiped-disk", ACCEPTOR, "  response.incarnation = incarnation_;\n  if (request.incarnation != incarnation_) return {};\n  response.promised",
+             "  response.incarnation = incarnation_;\n  response.promised",
+             (UnitTest("consensus", "consensus::a_request_for_another_incarnation_gets_no_vote"),)),
+    Mutation("lost-unsynced", "packages/storage/disk_store.cpp", "PRAGMA synchronous=FULL", "PRAGMA synchronous=OFF",
+             (UnitTest("storage", "disk::each_commit_is_synced"),)),
+    # ---- CONFIG ----
+    Mutation("config-majority", "packages/quorum_contact/include/quorum_contact/quorum_contact.hpp",
+             "return members_.size() / 2 + 1;", "return members_.size() / 2;",
+             (UnitTest("quorum_contact", "quorum_contact::random_partitions_never_outlast_the_bound"),)),
+    Mutation("config-contact-age", "packages/quorum_contact/quorum_contact.cpp", "0.6 * bounds.applyBoundS",
+             "3 * bounds.applyBoundS", (UnitTest("quorum_contact", "quorum_contact::times_follow_from_the_apply_bound"),)),
+    Mutation("config-goes-back", CONFIGURATION, "if (!is_new && item.gen <= version->second) return;", "if (false) return;",
+             (UnitTest("configuration", "configuration::the_highest_version_holds_whether_set_or_removed"),)),
+    Mutation("config-older-state", "packages/proxy/state_applier.cpp",
+             "  if (context_.has_configuration && state.ballot <= ballot_) return;\n", "",
+             (UnitTest("proxy", "state_applier::older_state_takes_nothing_back"),)),
+    Mutation("config-same-version", "packages/configuration/merge.cpp",
+             "} else if (item.gen == current->second.gen && !same_item(item, current->second)) {", "} else if (false) {",
+             (UnitTest("operator_commands", "operator_commands::simulated_days_are_linearizable"),)),
+    Mutation("config-invalid", "packages/configuration/validation.cpp", 'if (!(actuation.deadlineS > 0)) throw',
+             "if (false) throw", (UnitTest("configuration", "configuration::the_fault_names_the_invalid_member"),)),
+    Mutation("config-unknown-service", "packages/configuration/merge.cpp",
+             "if (is_known_service(items, newer, reference)) continue;", "if (true) continue;",
+             (UnitTest("operator_commands", "operator_commands::simulated_days_are_linearizable"),)),
+    Mutation("config-resent", "packages/operator_commands/amend_configuration.cpp",
+             "case MergeResult::same: return CommandResult::accepted(false);",
+             'case MergeResult::same: return CommandResult::refused(CommandStatus::conflict, "");',
+             (UnitTest("operator_commands", "operator_commands::accepted_change_is_accepted_again_and_changes_nothing"),)),
+    Mutation("config-deadline", RETRY, "if (now >= deadline_ - kTimerSlack) return TimerMeaning::expired;", "",
+             (UnitTest("request", "retry_state::a_timer_means_what_the_attempt_came_to"),)),
+    Mutation("config-split", ADMISSION, "if (weight > 0 && rest < weight) return &service;", "return &service;",
+             (GOOD_REQUEST,)),
+    # ---- BUDGET ----
+    Mutation("budget-retries", "packages/load_balancing/retry_budget.cpp",
+             "if (retries + 1 > share * slack_ + ratio_ * requests) return false;", "",
+             (UnitTest("load_balancing", "retry_budget::bound_holds_in_every_window"),)),
+    Mutation("budget-most-servers", RETRY,
+             "return attempts_ < max_attempts_ + kAttemptsWithoutArrival && arrivals_ < max_attempts_ && has_time(now);",
+             "return attempts_ < max_attempts_ + kAttemptsWithoutArrival && has_time(now);",
+             (UnitTest("request", "request::used_up_attempts_break_off_no_attempt_and_take_no_token"),)),
+    Mutation("budget-reading-time", ADMISSION, "milliseconds / 1000.0 - reading_time", "milliseconds / 1000.0",
+             (UnitTest("request", "admission::what_reading_took_is_off_the_clients_time"),)),
+    Mutation("budget-time-left", SENDER, "(request.deadline() - now) * 1000", "request.route->deadline * 1000",
+             (UnitTest("proxy", "upstream_sender::time_left_shrinks_with_each_attempt"),)),
+    # ---- GONE ----
+    Mutation("gone-unseen", "packages/proxy/client_watch.cpp", "  bufferevent_enable(socket_, EV_READ);\n", "",
+             (UnitTest("proxy", "client_departure::repeatable_run_ends_with_its_client"),
+              UnitTest("proxy", "client_departure::both_hedged_attempts_end_with_their_client"),
+              scenario(DEPARTURES, "at work, repeatable"))),
+    Mutation("gone-read-too-late", "packages/proxy/request_intake.cpp",
+             "if (result.request && has_client_left(client_request)) {", "if (false) {",
+             (UnitTest("proxy", "client_departure::request_of_a_client_that_left_before_it_was_read_reaches_no_server"),)),
+    Mutation("gone-sent-on", MACHINE, "(has_client_left_ && !is_keyed_) || ", "",
+             (UnitTest("request", "request::upload_that_was_turned_away_is_sent_nowhere_else_once_its_client_has_left"),
+              scenario(DEPARTURES, "between attempts"))),
+    Mutation("gone-cuts-all", MACHINE, "return !has_begun || (state.is_repeatable() && !is_keyed);", "return true;",
+             (UnitTest("request", "request::run_that_may_not_be_repeated_outlives_its_client"),
+              scenario(DEPARTURES, "at work, upload"))),
+    Mutation("gone-hidden", "packages/proxy/client_watch.cpp", "         has_peer_left(bufferevent_getfd(socket_));", "         false;",
+             (UnitTest("proxy", "client_departure::is_found_behind_a_next_request_that_is_long"),)),
+    Mutation("gone-looks-idle", BALANCER, "if (elapsed > expected) learn_endpoint_latency", "if (false) learn_endpoint_latency",
+             (UnitTest("load_balancing", "load_balancer::server_whose_clients_leave_unanswered_does_not_look_idle"),)),
+    # ---- FAILBACK ----
+    Mutation("failback-rate", BALANCER, "return proxies > 0 && endpoint.slow_start.has_token(now, slow_start_rate(endpoint, proxies), kSlowStartBurst);",
+             "return true;", (UnitTest("load_balancing", "load_balancer::slow_start_rate_holds_summed_over_all_proxies"),)),
+    Mutation("failback-returned-zone", BALANCER, "      start_warm_up(ServerIndex(slot), it->second - now, now);\n", "      ;\n",
+             (UnitTest("load_balancing", "load_balancer::servers_of_a_zone_taken_back_warm_up_until_heartbeats_arrive"),)),
+    # ---- HOME ----
+    Mutation("home-server", BALANCER, " && is_home(query, endpoint);", ";", (HOMES,)),
+    Mutation("home-tenant", ADMISSION, "if (tenant == nullptr || tenant->homes.empty()) return route.homes;",
+             "return route.homes;", (GOOD_REQUEST,)),
+    Mutation("home-stored-body", "packages/idempotency/claim_disks.cpp", "  if (homes.empty()) return true;\n", "  return true;\n",
+             (UnitTest("idempotency", "claim_coordinator::body_with_home_regions_is_never_sent_through_a_relay"),)),
+    Mutation("home-directory", "packages/directory/nearest_selector.cpp",
+             "return entry.region == client.region ? kSameRegion : kElsewhere;", "return kSameRegion;",
+             (UnitTest("server_registry", "directory::entries_drop_after_missed_keepalives_and_lists_stay_short"),)),
+    # ---- EVAC ----
+    Mutation("evac", BALANCER, "         evacuated_zones_.count(endpoint.zone.v) == 0 && is_home", "         is_home", (HOMES,)),
+    # ---- ONE ----
+    Mutation("one-takeover", "packages/leases/include/leases/lease_client.hpp",
+             "return options_.duration + options_.margin;", "return 0;",
+             (UnitTest("leases", "lease_client::random_kills_freezes_and_partitions_break_no_invariant"),)),
+    Mutation("one-late-call", "packages/leases/lease_client.cpp", " || now + call_duration > may_act_until_) return false;",
+             ") return false;", (UnitTest("leases", "lease_client::the_time_to_act_is_counted_from_the_proposal_not_from_its_result"),)),
+    Mutation("one-frozen", "packages/leases/usage_reporter.cpp",
+             "  if (state.to_fix != 0 && state.to_fix != report.window) return false;\n", "",
+             (UnitTest("leases", "usage_reporter::freezes_once_sends_in_order_and_repeats_byte_for_byte"),)),
+    # ---- usage ----
+    Mutation("usage-merged", "packages/usage/usage_totals.cpp", "    count = row.counts[i];\n", "    count += row.counts[i];\n",
+             (UnitTest("usage", "usage_totals::rows_merge_to_the_same_sum_whatever_their_way"),)),
+)
--- a/tests/storage/disk_store_test.cpp
+++ b/tests/storage/disk_store_test.cpp
@@ -5,6 +5,7 @@
 #include <sqlite3.h>
 #include <sys/resource.h>
 #include <sys/stat.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 #include <filesystem>
@@ -18,6 +19,20 @@
 using namespace dockbend::test;
 namespace fs = std::filesystem;
 
+namespace {
+int syncs = 0;  // of this process
+}  // namespace
+
+// SQLite calls these in place of the system's, which they call in turn.
+extern "C" int fdatasync(int file) {
+  ++syncs;
+  return static_cast<int>(syscall(SYS_fdatasync, file));
+}
+extern "C" int fsync(int file) {
+  ++syncs;
+  return static_cast<int>(syscall(SYS_fsync, file));
+}
+
 namespace {
 /// Removed with all its files at the end.
 struct TemporaryDirectory {
@@ -303,3 +318,15 @@
   cr_assert(refused);
   cr_assert(was == bytes());
 }
+
+// What is reported as written survives a loss of power only if it was synced before.
+Test(disk, each_commit_is_synced) {
+  TemporaryDirectory directory;
+  VotingDisk disk(directory.path);
+  Rnd random(1);
+  for (int i = 0; i < 5; ++i) {
+    int const before = syncs;
+    cr_assert(disk.accept(random));
+    cr_assert_gt(syncs, before);
+  }
+}
--- a/tests/support/proxy_fixture.hpp
+++ b/tests/support/proxy_fixture.hpp
@@ -181,6 +181,8 @@
         [](evhttp_request* answer, void* fixture) { static_cast<ProxyFixture*>(fixture)->on_answer(answer); }, this);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "a.example");
     evhttp_add_header(evhttp_request_get_output_headers(request), "X-Attempt-Id", attempt_id);
+    for (auto const& [name, value] : client_headers)
+      evhttp_add_header(evhttp_request_get_output_headers(request), name.c_str(), value.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(request), sent_body.data(), sent_body.size());
     cr_assert_eq(evhttp_make_request(client, request, method, path), 0);
   }
@@ -238,6 +240,7 @@
   RequestIntake intake;
   KeepingServer front, first, second;
   evhttp_connection* client = nullptr;
+  Headers client_headers;  ///< besides Host and X-Attempt-Id
   bool is_answered = false;
   int status = 0;
   std::string body;
