--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -156,6 +156,19 @@
         for kind in (Kind.IDEMPOTENT, Kind.UPLOAD):
             self.expect_cause(Cause.SENT_ON_AFTER_DEPARTURE, ledger_of(a_departure(run, kind=kind)))
 
+    def test_server_that_does_not_look_may_work_on_until_it_does(self):
+        run = a_run(RunEnd.CUT_BY_PROXY, ended_at=3.6)
+        run.reads_from = 3.5
+        self.expect_excuse(Excuse.CLIENT_LEFT, ledger_of(a_departure(run, kind=Kind.IDEMPOTENT)))
+        run.ended_at = 4.1
+        self.expect_cause(Cause.AT_WORK_AFTER_DEPARTURE, ledger_of(a_departure(run, kind=Kind.IDEMPOTENT)))
+
+    def test_cut_at_the_deadline_that_its_server_sees_late_is_excused(self):
+        run = a_run(RunEnd.CUT_BY_PROXY, ended_at=4.0)
+        self.expect_cause(Cause.CUT_FOR_DEPARTURE, ledger_of(a_departure(run)))
+        run.reads_from = 3.9
+        self.expect_excuse(Excuse.CLIENT_LEFT, ledger_of(a_departure(run)))
+
     def test_lag_of_the_observer_is_no_departure_missed(self):
         ledger = ledger_of(a_departure(a_run(RunEnd.CUT_BY_PROXY, ended_at=1.2), kind=Kind.IDEMPOTENT))
         ledger.observer_lags.append((1.1, 0.4))
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -44,6 +44,7 @@
     seal: str = ""
     body: bytes = b""
     is_failure: bool = False  # the server's answer was a failure of its own
+    reads_from: float = 0.0  # its server looks at the connection only from then on
 
 
 class ClientEnd(enum.Enum):
