--- a/packages/agent/controller_links.cpp
+++ b/packages/agent/controller_links.cpp
@@ -11,7 +11,8 @@
 /// Our heartbeats are answered, so pings are rare.
 Seconds constexpr kPingInterval = 1.0, kSilenceBound = 1.5;
 std::size_t constexpr kFeedingControllers = 2;
-enum Distance : int { kSameZone = 0, kSameRegion = 1, kElsewhere = 2, kUnknown = 3 };
+/// See ControllerCandidate::distance.
+int constexpr kSameZone = 0, kSameRegion = 1, kElsewhere = 2, kUnknown = 3;
 }  // namespace
 
 ControllerLink& ControllerLinks::open(std::string const& ip) {
--- a/packages/proxy/front_listener.cpp
+++ b/packages/proxy/front_listener.cpp
@@ -10,8 +10,8 @@
 namespace {
 /// libevent refuses heads over this by itself. Those up to here get our own answer, see docs/style.md.
 ev_ssize_t head_limit_of(LimitsConfig const& limits) {
-  std::size_t constexpr extra_bytes = 128 << 10;
-  return static_cast<ev_ssize_t>(limits.header_bytes * 2 + extra_bytes);
+  std::size_t constexpr kExtraBytes = 128 << 10;
+  return static_cast<ev_ssize_t>(limits.header_bytes * 2 + kExtraBytes);
 }
 }  // namespace
 
--- a/packages/proxy/include/proxy/request_flow.hpp
+++ b/packages/proxy/include/proxy/request_flow.hpp
@@ -11,6 +11,9 @@
 /// unless the call's comment says so.
 class RequestFlow {
  public:
+  RequestFlow() = default;
+  RequestFlow(RequestFlow const&) = delete;
+  virtual ~RequestFlow() = default;
   /// Does what the request's state machine decided. With wait, pass and repeat the request still exists afterwards;
   /// for pass and repeat the caller writes the answer and then calls finish().
   virtual void carry_out(ProxiedRequest& request, RequestAction const& action) = 0;
@@ -20,9 +23,6 @@
   virtual void on_timer(ProxiedRequest& request) = 0;
   /// The request's client has left.
   virtual void on_client_left(ProxiedRequest& request) = 0;
-
- protected:
-  ~RequestFlow() = default;
 };
 
 }  // namespace dockbend
--- a/packages/proxy/response_receiver.cpp
+++ b/packages/proxy/response_receiver.cpp
@@ -23,10 +23,10 @@
 Seconds idle_limit_of(UpstreamResponse const& response) {
   std::string const* const keep_alive = find_header(response.headers, "Keep-Alive");
   if (keep_alive == nullptr) return kIdleLimit;
-  std::string_view constexpr name = "timeout=";
-  auto const position = keep_alive->find(name);
+  std::string_view constexpr kName = "timeout=";
+  auto const position = keep_alive->find(kName);
   if (position == std::string::npos) return kIdleLimit;
-  Seconds const server_limit = std::strtod(keep_alive->c_str() + position + name.size(), nullptr);
+  Seconds const server_limit = std::strtod(keep_alive->c_str() + position + kName.size(), nullptr);
   return std::clamp(server_limit - kIdleMargin, 0.0, kIdleLimitMost);
 }
 
--- a/packages/proxy/response_writer.cpp
+++ b/packages/proxy/response_writer.cpp
@@ -72,7 +72,8 @@
   char const* const line = evhttp_request_get_response_code_line(upstream_request);
   answer.reason = line != nullptr ? line : "OK";
   for (auto const& [name, value] : response.headers)
-    if (!is_hop_by_hop(name) && !same_header_name(name, "Date")) answer.headers.push_back(name + ":" + value);
+    if (!is_hop_by_hop(name) && !same_header_name(name, "Date"))
+      answer.headers.emplace_back(name).append(":").append(value);
   answer.body.resize(response.body_bytes);
   evbuffer_copyout(body, answer.body.data(), response.body_bytes);
   return answer;
