--- a/tests/rules/mutations.py
+++ b/tests/rules/mutations.py
@@ -152,6 +152,12 @@
              (UnitTest("consensus", "consensus::a_request_for_another_incarnation_gets_no_vote"),)),
     Mutation("lost-unsynced", "packages/storage/disk_store.cpp", "PRAGMA synchronous=FULL", "PRAGMA synchronous=OFF",
              (UnitTest("storage", "disk::each_commit_is_synced"),)),
+    Mutation("lost-minority", "packages/consensus/include/consensus/replicated_state.hpp",
+             "static_cast<std::size_t>(std::count_if(members.begin(), members.end(), on_disk)) > members.size() / 2;",
+             "static_cast<std::size_t>(std::count_if(members.begin(), members.end(), on_disk)) >= members.size() / 2;",
+             (UnitTest("consensus", "consensus::a_minority_commits_nothing"),)),
+    Mutation("lost-key-unwritten", KEY_TABLE, "  return was_written;\n", "  return true;\n",
+             (UnitTest("idempotency", "key_table::failed_write_grants_nothing_and_leaves_what_is_on_disk"),)),
     # ---- CONFIG ----
     Mutation("config-majority", "packages/quorum_contact/include/quorum_contact/quorum_contact.hpp",
              "return members_.size() / 2 + 1;", "return members_.size() / 2;",
@@ -183,6 +189,9 @@
     Mutation("budget-retries", "packages/load_balancing/retry_budget.cpp",
              "if (retries + 1 > share * slack_ + ratio_ * requests) return false;", "",
              (UnitTest("load_balancing", "retry_budget::bound_holds_in_every_window"),)),
+    Mutation("budget-hedges", MACHINE, "if (!reserve_server() || !spend_budget()) return false;",
+             "if (!reserve_server()) return false;",
+             (UnitTest("request", "request::an_empty_budget_breaks_off_no_attempt"),)),
     Mutation("budget-most-servers", RETRY,
              "return attempts_ < max_attempts_ + kAttemptsWithoutArrival && arrivals_ < max_attempts_ && has_time(now);",
              "return attempts_ < max_attempts_ + kAttemptsWithoutArrival && has_time(now);",
@@ -227,6 +236,9 @@
              (UnitTest("server_registry", "directory::entries_drop_after_missed_keepalives_and_lists_stay_short"),)),
     # ---- EVAC ----
     Mutation("evac", BALANCER, "         evacuated_zones_.count(endpoint.zone.v) == 0 && is_home", "         is_home", (HOMES,)),
+    Mutation("evac-once", "packages/operator_commands/set_evacuation.cpp",
+             "  if (counter_of(state, zone_) > known_counter_) return", "  if (false) return",
+             (UnitTest("operator_commands", "operator_commands::simulated_days_are_linearizable"),)),
     # ---- ONE ----
     Mutation("one-takeover", "packages/leases/include/leases/lease_client.hpp",
              "return options_.duration + options_.margin;", "return 0;",
@@ -236,6 +248,12 @@
     Mutation("one-frozen", "packages/leases/usage_reporter.cpp",
              "  if (state.to_fix != 0 && state.to_fix != report.window) return false;\n", "",
              (UnitTest("leases", "usage_reporter::freezes_once_sends_in_order_and_repeats_byte_for_byte"),)),
+    # ---- faults of our own ----
+    Mutation("fault-deep-json", "packages/configuration/json.cpp", 'if (++depth > deepest) throw', "if (false) throw",
+             (UnitTest("robustness", "input::json_that_would_cost_the_stack_or_end_early_is_refused"),)),
+    Mutation("starved-ranks", "packages/load_balancing/include/load_balancing/endpoint.hpp",
+             "return rank > 0 && expected_latency", "return expected_latency",
+             (UnitTest("load_balancing", "load_shedding::lower_ranks_are_shed_first"),)),
     # ---- usage ----
     Mutation("usage-merged", "packages/usage/usage_totals.cpp", "    count = row.counts[i];\n", "    count += row.counts[i];\n",
              (UnitTest("usage", "usage_totals::rows_merge_to_the_same_sum_whatever_their_way"),)),
--- a/tests/rules/rule_mutations.py
+++ b/tests/rules/rule_mutations.py
@@ -9,7 +9,9 @@
 """
 
 import argparse
+import os
 import pathlib
+import signal
 import subprocess
 import sys
 
@@ -17,7 +19,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 # A test that runs longer without what it guards has failed.
-TIME_LIMIT_S = 240
+TIME_LIMIT_S = 120
+TIME_LIMIT = "(time limit)"
 
 
 class Workspace:
@@ -44,21 +47,26 @@
 
     def failed_tests(self, executable: str) -> list[str]:
         """The names SUITE::TEST that fail; a crash or the time limit of the whole executable is one of its own."""
-        try:
-            run = subprocess.run([self.build / f"{executable}_test", "-j4"], cwd=self.tree, capture_output=True, text=True,
-                                 timeout=TIME_LIMIT_S)
-        except subprocess.TimeoutExpired:
-            return ["(time limit)"]
-        lines = (run.stdout + run.stderr).splitlines()
+        output = self._run([str(self.build / f"{executable}_test"), "-j4"])
+        if output is None:
+            return [TIME_LIMIT]
+        lines = output[1].splitlines()
         return [line.removeprefix("[FAIL] ").split(": ")[0] for line in lines if line.startswith("[FAIL]")]
 
     def script_fails(self, script: Script) -> bool:
-        command = [word.replace("BUILD", str(self.build)) for word in script.command]
-        try:
-            return subprocess.run(command, cwd=self.tree, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
-                                  timeout=TIME_LIMIT_S).returncode != 0
-        except subprocess.TimeoutExpired:
-            return True
+        output = self._run([word.replace("BUILD", str(self.build)) for word in script.command])
+        return output is None or output[0] != 0
+
+    def _run(self, command: list[str]) -> tuple[int, str] | None:
+        """Exit code and output; None after the time limit. What it has started ends with it."""
+        with subprocess.Popen(command, cwd=self.tree, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
+                              start_new_session=True) as process:
+            try:
+                output, _ = process.communicate(timeout=TIME_LIMIT_S)
+                return process.returncode, output
+            except subprocess.TimeoutExpired:
+                os.killpg(process.pid, signal.SIGKILL)
+                return None
 
 
 def apply(workspace: Workspace, mutation: Mutation) -> str:
@@ -87,7 +95,7 @@
             has_failed = workspace.script_fails(guard)
         else:
             names = failed[guard.executable]
-            has_failed = guard.name in names or "(time limit)" in names
+            has_failed = guard.name in names or TIME_LIMIT in names
         if not has_failed:
             passing.append(str(guard))
     if lists_all:
