--- a/tests/proxy/client_departure_test.cpp
+++ b/tests/proxy/client_departure_test.cpp
@@ -118,14 +118,15 @@
   expect_nothing_left(fixture);
 }
 
-// The next request waits unread in the connection's buffer meanwhile, and is then served.
+// The next request, longer than what is read of it meanwhile, waits in the connection's buffer, and is then served.
 Test(client_departure, client_that_stays_is_served_with_its_next_request_in_the_pipe) {
   ProxyFixture fixture;
+  fixture.amend(R"({"upsert":{"limits":{"bodyBytes":500000,"generation":"00000008"}},"remove":{"routes":[]}})");
   fixture.add_server("i-1", fixture.first.port);
   BareClient client(fixture.front.port);
   client.send(request_of("GET", "/p/x", "a1"));
   fixture.until([&] { return fixture.first.requests.size() == 1; });
-  client.send(request_of("POST", "/u/x", "a2", std::string(40000, 'b')));
+  client.send(request_of("POST", "/u/x", "a2", std::string(300000, 'b')));
   fixture.run_for(0.05);
   fixture.first.answer();
   fixture.until([&] { return fixture.first.requests.size() == 1; });
--- a/tests/soak/client_departures.py
+++ b/tests/soak/client_departures.py
@@ -28,6 +28,8 @@
 # Hundreds leave, and some stay. The servers have slots for both.
 HERD, STAYING = 300, 40
 SERVERS_FOR_HERD = 50
+# The proxy stands still for less than a run may go on, and so many clients of each kind and way come and leave meanwhile.
+STANDSTILL_S, PASSING_BY = 0.3, 5
 SOON_S = 0.5
 # A controller that has just started lends no tokens for so long.
 ALLOCATOR_START_S = 4.0
@@ -41,7 +43,8 @@
                  **fields) -> asyncio.Task:
     path = {Kind.IDEMPOTENT: "read", Kind.KEYED: "pay", Kind.UPLOAD: "upload"}[kind]
     body = fields.pop("body", b"" if kind is Kind.IDEMPOTENT else b"body")
-    key = key_of(departure) if kind is Kind.KEYED else ""
+    suffix = fields.pop("key_suffix", "")
+    key = key_of(departure) + suffix if kind is Kind.KEYED else ""
     return stage.send(kind, f"/{path}/{work}", body, key=key, leaves_after_s=leaves_after_s, departure=departure, **fields)
 
 
@@ -198,6 +201,24 @@
     await stage.until_runs_end()
 
 
+async def herd_leaves_unseen(stage: Stage) -> None:
+    """The proxy stands still for a moment, as one that is too busy: hundreds leave meanwhile, and others come, ask and leave."""
+    for _ in range(SERVERS_FOR_HERD):
+        await stage.add_server(StandInServer)
+    await asyncio.sleep(1.0)
+    herd = await send_herd(stage)
+    ways = itertools.cycle(Departure)
+    stage.proxy_machine.freeze_proxy()
+    stage.clients.leave_together(1.0, lambda: next(ways))
+    passing_by = [send_leaving(stage, departure, kind, leaves_after_s=0.1, key_suffix=f"-{number}")
+                  for kind in Kind for departure in Departure for number in range(PASSING_BY)]
+    await asyncio.sleep(STANDSTILL_S)
+    stage.proxy_machine.thaw_proxy()
+    await asyncio.gather(*herd, *passing_by)
+    await stage.until_runs_end()
+    await asyncio.gather(*(stage.send(Kind.IDEMPOTENT, "/read/quick") for _ in range(STAYING)))
+
+
 SCENARIOS = [
     Scenario("while its body is read", while_body_is_read),
     Scenario("while it waits for a token", while_waiting_for_token),
@@ -213,6 +234,7 @@
     Scenario("while it is answered", while_answered),
     Scenario("during a shutdown", during_shutdown),
     Scenario("hundreds leave at once", herd_leaves),
+    Scenario("hundreds leave while the proxy stands still", herd_leaves_unseen),
 ]
 
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -140,6 +140,12 @@
     def thaw_agent(self) -> None:
         self._processes[0].send(signal.SIGCONT)
 
+    def freeze_proxy(self) -> None:
+        self._processes[1].send(signal.SIGSTOP)
+
+    def thaw_proxy(self) -> None:
+        self._processes[1].send(signal.SIGCONT)
+
     async def _replace(self, stop: Callable[[], Awaitable[None]], start: Callable[[], Awaitable[None]]) -> None:
         """Does nothing to a machine that is being replaced already."""
         if self._is_stopping:
