Stand-in server: a run whose connection ends while its server writes is cut, not at work for ever

A server that writes something before its answer failed there without writing down how the run ended.

--- a/tests/soak/stand_in_server.py
+++ b/tests/soak/stand_in_server.py
@@ -128,6 +128,10 @@
         self._in_work += 1
         try:
             return await self._run(request, run, reader, writer, headers)
+        except OSError:  # the connection ended while something was written to it
+            if run.end is RunEnd.AT_WORK:
+                run.end = RunEnd.CUT_BY_PROXY
+            raise
         finally:
             self._in_work -= 1
             run.ended_at = time.monotonic()
