--- a/tests/proxy/attempt_at_work_test.cpp
+++ b/tests/proxy/attempt_at_work_test.cpp
@@ -15,6 +15,14 @@
   failing.answer(500);
   fixture.until([&] { return fixture.hedged_attempts() == 0; });
 }
+/// What has come behind a request's head; empty: the head is not complete.
+std::string body_received(ScriptedServer const& server) {
+  std::string bytes(server.received(), ' ');
+  evbuffer_copyout(bufferevent_get_input(server.accepted.back()), bytes.data(), bytes.size());
+  std::string const end_of_head = "\r\n\r\n";
+  auto const end = bytes.find(end_of_head);
+  return end == std::string::npos ? "" : bytes.substr(end + end_of_head.size());
+}
 }  // namespace
 
 // The server is at work on the second request when the answer to the first one comes once more. It was broken off then,
@@ -132,3 +140,30 @@
   fixture.until([&] { return server.is_closed; });
   cr_assert_eq(fixture.context.load_balancer.endpoint(ServerIndex{0}).idle_connections, 0);
 }
+
+// A server may answer before it has read a long body, and read on later: it gets the rest of that body, and then the
+// next request.
+Test(attempt_at_work, early_answer_takes_no_byte_from_the_body) {
+  ProxyFixture fixture;
+  ScriptedServer server(fixture.loop, 4096);
+  server.is_reading = false;
+  fixture.add_server("i-1", server.port);
+  std::string const body(45000, 'b');
+  fixture.ask(EVHTTP_REQ_POST, "/u/x", body, "a1");
+  fixture.until([&] { return !server.accepted.empty(); });
+  server.answer("a1", kBody);
+  fixture.run_for(0.1);
+  server.read_on();
+  fixture.expect_answer();
+  fixture.until([&] { return body_received(server).size() >= body.size(); });
+  fixture.run_for(0.02);
+  cr_assert(body_received(server) == body, "the body is whole, and nothing is behind it");
+  server.forget_received();
+
+  fixture.ask(EVHTTP_REQ_POST, "/u/x", "next", "a2");
+  fixture.until([&] { return !body_received(server).empty(); });
+  fixture.run_for(0.02);
+  cr_assert_str_eq(body_received(server).c_str(), "next");
+  server.answer("a2", kBody);
+  fixture.expect_answer();
+}
