--- a/tests/proxy/client_departure_test.cpp
+++ b/tests/proxy/client_departure_test.cpp
@@ -50,6 +50,18 @@
          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// A client's request is at work at a server.
+struct RequestAtWork {
+  explicit RequestAtWork(evhttp_cmd_type method = EVHTTP_REQ_GET, char const* path = "/p/x",
+                         std::string const& body = "") {
+    fixture.add_server("i-1", server.port);
+    fixture.ask(method, path, body);
+    fixture.until([this] { return server.received() > 0; });
+  }
+  ProxyFixture fixture;
+  ScriptedServer server{fixture.loop};
+};
+
 /// Nothing of a request is left: no slot, no load, and its server counts as healthy.
 void expect_nothing_left(ProxyFixture& fixture) {
   cr_assert_eq(fixture.context.requests.size(), 0u);
@@ -65,13 +77,10 @@
 
 // The proxy did not look at a client's connection before it wrote the answer: the server worked on for nobody.
 Test(client_departure, repeatable_run_ends_with_its_client) {
-  ProxyFixture fixture;
-  ScriptedServer server(fixture.loop);
-  fixture.add_server("i-1", server.port);
-  fixture.ask();
-  fixture.until([&] { return server.received() > 0; });
+  RequestAtWork at_work;
+  ProxyFixture& fixture = at_work.fixture;
   fixture.leave();
-  fixture.until([&] { return server.is_closed; });
+  fixture.until([&] { return at_work.server.is_closed; });
   expect_nothing_left(fixture);
   cr_assert_eq(fixture.context.given_up[kClientLeft], 1u);
 }
@@ -156,11 +165,9 @@
 }
 
 Test(client_departure, upload_at_work_goes_on_and_its_answer_is_learned_from) {
-  ProxyFixture fixture;
-  ScriptedServer server(fixture.loop);
-  fixture.add_server("i-1", server.port);
-  fixture.ask(EVHTTP_REQ_POST, "/u/x", "body");
-  fixture.until([&] { return server.received() > 0; });
+  RequestAtWork at_work(EVHTTP_REQ_POST, "/u/x", "body");
+  ProxyFixture& fixture = at_work.fixture;
+  ScriptedServer& server = at_work.server;
   fixture.leave();
   fixture.until([&] { return fixture.context.runs_without_client == 1; });
   fixture.run_for(0.05);
--- a/tests/request/admission_test.cpp
+++ b/tests/request/admission_test.cpp
@@ -24,13 +24,17 @@
   bool chunks = false, drains = false, known = true;
   Seconds reading_time = 0;
 };
-AdmissionResult play(std::function<void(Call&)> spoil = [](Call&) {}) {
+CompiledConfiguration compile(std::string const& change) {
   std::map<std::string, ConfigItem> items;
-  std::string f;
-  join(items, read_amend(call), f);
-  CompiledConfiguration man;
-  for (auto const& [k, i] : items)
-    man.put(i);
+  std::string refusal;
+  join(items, read_amend(change), refusal);
+  CompiledConfiguration configuration;
+  for (auto const& [key, item] : items)
+    configuration.put(item);
+  return configuration;
+}
+AdmissionResult play(std::function<void(Call&)> spoil = [](Call&) {}) {
+  CompiledConfiguration const man = compile(call);
   Call c;
   spoil(c);
   return admit(IncomingRequest{c.heads, c.target, c.body, c.chunks, c.reading_time}, c.known ? &man : nullptr,
@@ -111,12 +115,7 @@
 "pools":[{"name":"s1","healthPath":"/health","generation":"00000007"}]},"remove":{"routes":[]}})";
 
 AdmissionResult ask_as(std::string const& authorization, std::string const& target = "/p/x") {
-  std::map<std::string, ConfigItem> items;
-  std::string refusal;
-  join(items, read_amend(call_with_tenants), refusal);
-  CompiledConfiguration configuration;
-  for (auto const& [key, item] : items)
-    configuration.put(item);
+  CompiledConfiguration const configuration = compile(call_with_tenants);
   Headers headers{{"Host", "a.example"}, {"X-Attempt-Id", "a1"}, {"X-Operation-Key", "k"}};
   if (!authorization.empty()) headers.emplace_back("Authorization", authorization);
   return admit(IncomingRequest{headers, target, 0, false, 0}, &configuration, configuration.limits(), false, 0.5);
@@ -144,15 +143,10 @@
 }
 
 Test(admission, parts_of_a_split_get_their_share) {
+  CompiledConfiguration const configuration = compile(call);
+  Headers const headers{{"Host", "a.example"}, {"X-Attempt-Id", "a1"}};
   int of_first = 0;
   for (double draw = 0.005; draw < 1; draw += 0.01) {
-    std::map<std::string, ConfigItem> items;
-    std::string refusal;
-    join(items, read_amend(call), refusal);
-    CompiledConfiguration configuration;
-    for (auto const& [key, item] : items)
-      configuration.put(item);
-    Headers const headers{{"Host", "a.example"}, {"X-Attempt-Id", "a1"}};
     AdmissionResult const result =
         admit(IncomingRequest{headers, "/p/x", 0, false, 0}, &configuration, configuration.limits(), false, draw);
     of_first += *result.request->service == "s1" ? 1 : 0;
--- a/tests/soak/client_departures.py
+++ b/tests/soak/client_departures.py
@@ -178,7 +178,10 @@
 
 
 async def send_herd(stage: Stage) -> list[asyncio.Task]:
-    """Until all of it are at work."""
+    """To servers enough, until all of it are at work."""
+    for _ in range(SERVERS_FOR_HERD):
+        await stage.add_server(StandInServer)
+    await asyncio.sleep(1.0)
     herd = []
     for number in range(HERD):
         kind, path, body = HERD_CALLS[number % len(HERD_CALLS)]
@@ -188,14 +191,16 @@
     return herd
 
 
+def leave_all(stage: Stage) -> None:
+    """Whoever waits for an answer leaves now, in all ways by turns."""
+    ways = itertools.cycle(Departure)
+    stage.clients.leave_together(1.0, lambda: next(ways))
+
+
 async def herd_leaves(stage: Stage) -> None:
     """Hundreds leave in one moment while the proxy serves others; those that come then are served as before."""
-    for _ in range(SERVERS_FOR_HERD):
-        await stage.add_server(StandInServer)
-    await asyncio.sleep(1.0)
     herd = await send_herd(stage)
-    ways = itertools.cycle(Departure)
-    stage.clients.leave_together(1.0, lambda: next(ways))
+    leave_all(stage)
     staying = [stage.send(Kind.IDEMPOTENT, "/read/seconds-0.3") for _ in range(STAYING)]
     await asyncio.gather(*herd, *staying)
     await stage.until_runs_end()
@@ -203,13 +208,9 @@
 
 async def herd_leaves_unseen(stage: Stage) -> None:
     """The proxy stands still for a moment, as one that is too busy: hundreds leave meanwhile, and others come, ask and leave."""
-    for _ in range(SERVERS_FOR_HERD):
-        await stage.add_server(StandInServer)
-    await asyncio.sleep(1.0)
     herd = await send_herd(stage)
-    ways = itertools.cycle(Departure)
     stage.proxy_machine.freeze_proxy()
-    stage.clients.leave_together(1.0, lambda: next(ways))
+    leave_all(stage)
     passing_by = [send_leaving(stage, departure, kind, leaves_after_s=0.1, key_suffix=f"-{number}")
                   for kind in Kind for departure in Departure for number in range(PASSING_BY)]
     await asyncio.sleep(STANDSTILL_S)
