Names: a client disconnects, the field's word, in place of departures and watches; duplicate guard of two ids gone

DisconnectMonitor, on_client_disconnected, client_disconnects.py and the rest; the log's reason is "client disconnected". Two ids of one attempt are refused by are_well_formed alone.

--- a/packages/load_balancing/include/load_balancing/load_balancer.hpp
+++ b/packages/load_balancing/include/load_balancing/load_balancer.hpp
@@ -57,8 +57,8 @@
   // ---- what became of attempts ----
   void attempt_started(ServerIndex server, Seconds now);
   void attempt_succeeded(ServerIndex server, Seconds latency, Seconds now);
-  /// It is broken off at work, after so long, for its client has left: no failure, but a response would have taken
-  /// longer. attempt_abandoned() is to follow.
+  /// It is broken off at work, after so long, for its client has disconnected: no failure, but a response would have
+  /// taken longer. attempt_abandoned() is to follow.
   void attempt_cancelled(ServerIndex server, Seconds elapsed, Seconds now);
   /// It ended and nothing is to be learned from it.
   void attempt_abandoned(ServerIndex server);
--- a/packages/proxy/activity_log.cpp
+++ b/packages/proxy/activity_log.cpp
@@ -25,7 +25,7 @@
   log_rejections(now);
   log_given_up(now);
   log_failed_attempts(now);
-  log_departures(now);
+  log_runs_without_client(now);
 }
 
 void ActivityLog::log_remote_traffic(Seconds now) {
@@ -69,10 +69,11 @@
   context_.hedged_attempts = 0;
 }
 
-void ActivityLog::log_departures(Seconds now) {
-  if (now - departures_logged_at_ <= kLogInterval || context_.runs_without_client == 0) return;
-  departures_logged_at_ = now;
-  LOG4CPLUS_INFO(logger_, "Runs that went on after their clients had left: " << context_.runs_without_client << ".");
+void ActivityLog::log_runs_without_client(Seconds now) {
+  if (now - runs_without_client_logged_at_ <= kLogInterval || context_.runs_without_client == 0) return;
+  runs_without_client_logged_at_ = now;
+  LOG4CPLUS_INFO(logger_,
+                 "Runs that went on after their clients had disconnected: " << context_.runs_without_client << ".");
   context_.runs_without_client = 0;
 }
 
--- a/packages/proxy/attempt_runner.cpp
+++ b/packages/proxy/attempt_runner.cpp
@@ -198,9 +198,9 @@
   request.hedged_attempts.clear();
 }
 
-void AttemptRunner::on_client_left(ProxiedRequest& request) {
+void AttemptRunner::on_client_disconnected(ProxiedRequest& request) {
   bool const is_sent = request.awaited.connection != nullptr && request.awaited.connection->has_sent;
-  RequestAction const action = request.machine.on_client_left(is_sent);
+  RequestAction const action = request.machine.on_client_disconnected(is_sent);
   if (action.step == RequestAction::Step::wait) {
     ++context_.runs_without_client;
     return;
--- a/packages/proxy/client_watch.cpp
+++ b/packages/proxy/disconnect_monitor.cpp
@@ -1,4 +1,4 @@
-#include "proxy/client_watch.hpp"
+#include "proxy/disconnect_monitor.hpp"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -13,13 +13,13 @@
 std::size_t constexpr kMostBytesOfNextRequests = 64 << 10;
 }  // namespace
 
-void ClientWatch::start(evhttp_request* client_request, int idle_timeout_seconds, OnDeparture on_departure,
-                        void* argument) {
+void DisconnectMonitor::start(evhttp_request* client_request, int idle_timeout_seconds, OnDisconnect on_disconnect,
+                              void* argument) {
   connection_ = evhttp_request_get_connection(client_request);
   if (connection_ == nullptr) return;
   socket_ = evhttp_connection_get_bufferevent(connection_);
   idle_timeout_seconds_ = idle_timeout_seconds;
-  on_departure_ = on_departure;
+  on_disconnect_ = on_disconnect;
   argument_ = argument;
   bufferevent_getcb(socket_, nullptr, &evhttp_on_write_, &evhttp_on_event_, &evhttp_argument_);
   bufferevent_setcb(socket_, nullptr, nullptr, on_event, this);
@@ -28,7 +28,7 @@
   bufferevent_enable(socket_, EV_READ);
 }
 
-void ClientWatch::stop() {
+void DisconnectMonitor::stop() {
   if (socket_ == nullptr) return;
   // evhttp sets its read callback again once it wants to read.
   bufferevent_setcb(socket_, nullptr, evhttp_on_write_, evhttp_on_event_, evhttp_argument_);
@@ -37,24 +37,25 @@
   socket_ = nullptr;
 }
 
-bool ClientWatch::has_left_unseen() const {
-  return socket_ != nullptr && !has_left_ &&
+bool DisconnectMonitor::has_hidden_disconnect() const {
+  return socket_ != nullptr && !has_disconnected_ &&
          evbuffer_get_length(bufferevent_get_input(socket_)) >= kMostBytesOfNextRequests &&
-         has_peer_left(bufferevent_getfd(socket_));
+         has_peer_disconnected(bufferevent_getfd(socket_));
 }
 
-void ClientWatch::on_event(bufferevent*, short what, void* watch) {
-  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) static_cast<ClientWatch*>(watch)->report_departure();
+void DisconnectMonitor::on_event(bufferevent*, short what, void* monitor) {
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) static_cast<DisconnectMonitor*>(monitor)->report_disconnect();
 }
 
-void ClientWatch::report_departure() {
-  if (socket_ == nullptr || std::exchange(has_left_, true)) return;
-  on_departure_(argument_);
+void DisconnectMonitor::report_disconnect() {
+  if (socket_ == nullptr || std::exchange(has_disconnected_, true)) return;
+  on_disconnect_(argument_);
 }
 
-bool has_client_left(evhttp_request* client_request) {
+bool has_client_disconnected(evhttp_request* client_request) {
   evhttp_connection* const connection = evhttp_request_get_connection(client_request);
-  return connection == nullptr || has_peer_left(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)));
+  return connection == nullptr ||
+         has_peer_disconnected(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)));
 }
 
 }  // namespace dockbend
--- a/packages/proxy/include/proxy/activity_log.hpp
+++ b/packages/proxy/include/proxy/activity_log.hpp
@@ -7,7 +7,7 @@
 namespace dockbend {
 
 /// Traffic to other regions, discarded answers, rejected input, failed attempts, requests that were given up, and
-/// clients that left.
+/// runs without a client.
 class ActivityLog {
  public:
   explicit ActivityLog(ProxyContext& context) : context_(context) {}
@@ -19,10 +19,10 @@
   void log_rejections(Seconds now);
   void log_given_up(Seconds now);
   void log_failed_attempts(Seconds now);
-  void log_departures(Seconds now);
+  void log_runs_without_client(Seconds now);
   ProxyContext& context_;
   Seconds remote_logged_at_ = 0, discards_logged_at_ = 0, rejections_logged_at_ = 0, given_up_logged_at_ = 0,
-          failed_attempts_logged_at_ = 0, departures_logged_at_ = 0;
+          failed_attempts_logged_at_ = 0, runs_without_client_logged_at_ = 0;
   log4cplus::Logger logger_ = log4cplus::Logger::getInstance("proxy");
 };
 
--- a/packages/proxy/include/proxy/attempt_runner.hpp
+++ b/packages/proxy/include/proxy/attempt_runner.hpp
@@ -28,7 +28,7 @@
   /// The request has its answer, or its deadline has come: ends all attempts that are still at work.
   void abandon_all(ProxiedRequest& request);
   /// Ends the request, or lets its run go on, as its state machine says.
-  void on_client_left(ProxiedRequest& request);
+  void on_client_disconnected(ProxiedRequest& request);
   /// The request's timer fired: its deadline, a connect that takes too long, or an attempt that is late.
   void on_timer(ProxiedRequest& request);
   /// Counts an attempt that had been sent and is over without an answer; after a SIGTERM also logs it by itself.
--- a/packages/proxy/include/proxy/proxied_request.hpp
+++ b/packages/proxy/include/proxy/proxied_request.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "proxy/client_watch.hpp"
+#include "proxy/disconnect_monitor.hpp"
 #include "proxy/request_flow.hpp"
 #include "quota/quota_client.hpp"
 #include "request/admission.hpp"
@@ -34,7 +34,7 @@
 /// awaited has a connection exactly while the state machine is in an attempt; each hedged attempt has sent its request,
 /// and is ended before the request is removed.
 struct ProxiedRequest : AdmittedRequest {
-  /// Creates the timer, unarmed. flow is called when it fires or the client leaves, and must outlive the request.
+  /// Creates the timer, unarmed. flow is called when it fires or the client disconnects, and must outlive the request.
   ProxiedRequest(event_base* loop, RequestFlow& flow);
   ProxiedRequest(ProxiedRequest const&) = delete;
 
@@ -71,10 +71,10 @@
   /// Arms the timer for `at` (steady clock), at the earliest half a millisecond from now.
   void set_timer(Seconds at);
   void cancel_timer();
-  /// idle_timeout_seconds: see ClientWatch.
-  void watch_client(int idle_timeout_seconds);
+  /// idle_timeout_seconds: see DisconnectMonitor.
+  void monitor_client(int idle_timeout_seconds);
 
-  ClientWatch client_watch;
+  DisconnectMonitor disconnect_monitor;
 
  private:
   static void timer_fired(evutil_socket_t, short, void* request);
--- a/packages/proxy/include/proxy/proxy_context.hpp
+++ b/packages/proxy/include/proxy/proxy_context.hpp
@@ -48,7 +48,7 @@
   std::map<std::string, u64> given_up;  ///< requests that were given up, by reason, since it was last logged
   /// Attempts that had been sent and brought no answer, by what ended them, since it was last logged.
   std::map<std::string, u64> failed_attempts;
-  u64 runs_without_client = 0;  ///< went on after their client had left, since it was last logged
+  u64 runs_without_client = 0;  ///< went on after their client had disconnected, since it was last logged
   u64 hedged_attempts = 0;      ///< late attempts that got a second one beside them, since it was last logged
 
   /// The address that bind.`name` sets; throws SettingsError if it is missing.
--- a/packages/proxy/include/proxy/request_driver.hpp
+++ b/packages/proxy/include/proxy/request_driver.hpp
@@ -23,9 +23,9 @@
   void carry_out(ProxiedRequest& request, RequestAction const& action) override;
   void finish(ProxiedRequest& request) override;
   void on_timer(ProxiedRequest& request) override;
-  void on_client_left(ProxiedRequest& request) override;
-  /// Looks for departures that the clients' next requests hide. To be called several times a second.
-  void find_hidden_departures();
+  void on_client_disconnected(ProxiedRequest& request) override;
+  /// Looks for disconnects that the clients' next requests hide. To be called several times a second.
+  void find_hidden_disconnects();
 
   ResponseWriter const& writer() const { return writer_; }
   QuotaGate& quota() { return quota_; }
--- a/packages/proxy/include/proxy/request_flow.hpp
+++ b/packages/proxy/include/proxy/request_flow.hpp
@@ -21,8 +21,8 @@
   virtual void finish(ProxiedRequest& request) = 0;
   /// The request's timer fired.
   virtual void on_timer(ProxiedRequest& request) = 0;
-  /// The request's client has left.
-  virtual void on_client_left(ProxiedRequest& request) = 0;
+  /// The request's client has disconnected.
+  virtual void on_client_disconnected(ProxiedRequest& request) = 0;
 };
 
 }  // namespace dockbend
--- a/packages/proxy/proxied_request.cpp
+++ b/packages/proxy/proxied_request.cpp
@@ -35,11 +35,11 @@
 
 void ProxiedRequest::client_left(void* request) {
   auto* const self = static_cast<ProxiedRequest*>(request);
-  self->flow_.on_client_left(*self);
+  self->flow_.on_client_disconnected(*self);
 }
 
-void ProxiedRequest::watch_client(int idle_timeout_seconds) {
-  client_watch.start(client_request, idle_timeout_seconds, client_left, this);
+void ProxiedRequest::monitor_client(int idle_timeout_seconds) {
+  disconnect_monitor.start(client_request, idle_timeout_seconds, client_left, this);
 }
 
 void ProxiedRequest::set_timer(Seconds at) {
--- a/packages/proxy/proxy.cpp
+++ b/packages/proxy/proxy.cpp
@@ -27,7 +27,7 @@
   front_.tick();
   agent_.tick(now);
   driver_.usage().tick(now);
-  driver_.find_hidden_departures();
+  driver_.find_hidden_disconnects();
   driver_.quota().request_lease(now);
   context_.connections.retire_expired(now);
   activity_log_.tick(now);
--- a/packages/proxy/request_driver.cpp
+++ b/packages/proxy/request_driver.cpp
@@ -34,7 +34,7 @@
   if (action.claim == ClaimDisposition::not_run) key_outcomes_.report(request, KeyOutcome::not_run);
   if (action.claim == ClaimDisposition::lost) key_outcomes_.report(request, KeyOutcome::lost);
   if (action.reason != nullptr) ++context_.given_up[action.reason];
-  if (answers_client(action.step)) request.client_watch.stop();
+  if (answers_client(action.step)) request.disconnect_monitor.stop();
   switch (action.step) {
     case RequestAction::Step::acquire_key: return idempotency_.acquire(request);
     case RequestAction::Step::choose_server: return attempts_.start(request);
@@ -74,17 +74,17 @@
   attempts_.on_timer(request);
 }
 
-void RequestDriver::on_client_left(ProxiedRequest& request) {
-  attempts_.on_client_left(request);
+void RequestDriver::on_client_disconnected(ProxiedRequest& request) {
+  attempts_.on_client_disconnected(request);
 }
 
-void RequestDriver::find_hidden_departures() {
+void RequestDriver::find_hidden_disconnects() {
   std::vector<RequestsInFlight::Handle> left;
   context_.requests.for_each([&](ProxiedRequest const& request) {
-    if (request.client_watch.has_left_unseen()) left.push_back(request.handle);
+    if (request.disconnect_monitor.has_hidden_disconnect()) left.push_back(request.handle);
   });
   for (RequestsInFlight::Handle const handle : left)
-    if (ProxiedRequest* const request = context_.requests.find(handle)) request->client_watch.report_departure();
+    if (ProxiedRequest* const request = context_.requests.find(handle)) request->disconnect_monitor.report_disconnect();
 }
 
 }  // namespace dockbend
--- a/packages/proxy/request_intake.cpp
+++ b/packages/proxy/request_intake.cpp
@@ -36,10 +36,10 @@
     result.reason = "shutting down";
   }
   // It may have come while this process was busy.
-  if (result.request && has_client_left(client_request)) {
+  if (result.request && has_client_disconnected(client_request)) {
     result.request.reset();
     result.refusal = make_local_reply(503, kRetryAfterShuttingDown, true);
-    result.reason = kClientLeft;
+    result.reason = kClientDisconnected;
   }
   if (result.reason != nullptr) ++context_.given_up[result.reason];
   if (!result.request) return refuse(client_request, result);
@@ -74,7 +74,7 @@
                      RetryState(request.is_repeatable, request.route->max_attempts, now + request.time_left));
   for (std::string const& home : request.homes)
     request.home_regions.push_back(context_.load_balancer.region_index(home));
-  request.watch_client(idle_timeout_seconds(context_.configuration.limits()));
+  request.monitor_client(idle_timeout_seconds(context_.configuration.limits()));
   return context_.requests.open(std::move(owner));
 }
 
--- a/packages/request/admission.cpp
+++ b/packages/request/admission.cpp
@@ -15,7 +15,7 @@
 struct KnownHeaders {
   std::string const *attempt_id = nullptr, *key = nullptr, *host = nullptr, *time_left = nullptr,
                     *authorization = nullptr;
-  std::size_t attempt_ids = 0, keys = 0, hosts = 0;
+  std::size_t keys = 0, hosts = 0;
 };
 
 KnownHeaders read_known(Headers const& headers) {
@@ -25,7 +25,7 @@
   };
   for (auto const& [name, value] : headers) {
     if (same_header_name(name, "X-Attempt-Id"))
-      keep_first(known.attempt_id, value), ++known.attempt_ids;
+      keep_first(known.attempt_id, value);
     else if (same_header_name(name, "X-Operation-Key"))
       keep_first(known.key, value), ++known.keys;
     else if (same_header_name(name, "Host"))
@@ -102,8 +102,7 @@
 std::optional<Refusal> check_form(IncomingRequest const& incoming, KnownHeaders const& known,
                                   LimitsConfig const& limits) {
   // Two names for one request: the proxy would go by the one and the server by the other.
-  if (!has_sound_frame(incoming) || known.hosts != 1 || known.attempt_ids > 1 || known.keys > 1 ||
-      !are_well_formed(incoming.headers))
+  if (!has_sound_frame(incoming) || known.hosts != 1 || known.keys > 1 || !are_well_formed(incoming.headers))
     return Refusal{make_local_reply(400, -1, true)};
   if (size_of(incoming.headers) + incoming.target.size() > limits.header_bytes)
     return Refusal{make_local_reply(431, -1, true)};
--- a/packages/request/include/request/request_machine.hpp
+++ b/packages/request/include/request/request_machine.hpp
@@ -17,16 +17,16 @@
 ///       |    be attempted again       |      or, if a hedged attempt is at work, that one is waited for: attempt
 ///       +<-- hedge_attempt -----------+
 ///
-///     on_deadline: from every state to over. on_hedged_ended, complete: over. on_client_left: to over, but for a run
-///     that outlives its client.
+///     on_deadline: from every state to over. on_hedged_ended, complete: over. on_client_disconnected: to over, but for
+///     a run that outlives its client.
 ///
 /// A late attempt may be hedged: one more attempt goes to another server, the late one stays at work, and the first
 /// complete answer of either that is no failure is the request's, or the failure of the last one. So no attempt at work
 /// is broken off before there is an answer for the client, or its deadline has come.
 ///
 /// Who calls: QuotaGate on_quota_*, IdempotencyClient on_key_*, on_stored_answer and on_agent_lost, AttemptRunner
-/// on_no_server, on_attempt_ended, hedge_attempt, on_hedged_ended, on_deadline and on_client_left, UpstreamSender
-/// attempt_started, ResponseReceiver check_response, on_attempt_ended and on_hedged_ended.
+/// on_no_server, on_attempt_ended, hedge_attempt, on_hedged_ended, on_deadline and on_client_disconnected,
+/// UpstreamSender attempt_started, ResponseReceiver check_response, on_attempt_ended and on_hedged_ended.
 #pragma once
 #include <string>
 #include <utility>
@@ -35,8 +35,8 @@
 
 namespace dockbend {
 
-/// Why a request was given up whose client has left.
-inline char constexpr kClientLeft[] = "client left";
+/// Why a request was given up whose client has disconnected.
+inline char constexpr kClientDisconnected[] = "client disconnected";
 
 /// What becomes of the key that the request holds. not_run releases it, and needs a proof.
 enum class ClaimDisposition : u8 { none, not_run, lost, returned };
@@ -76,8 +76,8 @@
 
 /// Invariants: one of the three steps that answer the client comes once, and after it every event comes to nothing; a
 /// refusal (429, 503) is sent, and a key released or a token refunded, only if nothing may have run; before the
-/// deadline no answer of ours is sent while an attempt is at work, unless its client has left and it may be repeated;
-/// nothing is begun for a client that has left; an event that does not fit the state changes nothing.
+/// deadline no answer of ours is sent while an attempt is at work, unless its client has disconnected and it may be
+/// repeated; nothing is begun for a client that has disconnected; an event that does not fit the state changes nothing.
 template <class Rules = RequestRules>
 class BasicRequestMachine {
  public:
@@ -150,7 +150,8 @@
     count_attempt(attempt);
     if (attempt == AttemptResult::complete) return forward();
     phase_ = Phase::server_choice;
-    if (attempt == AttemptResult::failed || (has_client_left_ && !is_keyed_) || !Rules::may_retry(retry_state_, now))
+    if (attempt == AttemptResult::failed || (is_client_disconnected_ && !is_keyed_) ||
+        !Rules::may_retry(retry_state_, now))
       return give_up(now, retry_after, kAttemptsUsedUp);
     if (retry_state_.costs_budget()) {
       if (!spend_budget()) return give_up(now, retry_after, kAttemptsUsedUp);
@@ -164,7 +165,8 @@
   /// changed, and the attempt is waited for. terminating: a SIGTERM has arrived, after which none is hedged.
   template <class ReserveServer, class SpendBudget>
   bool hedge_attempt(Seconds now, bool terminating, ReserveServer reserve_server, SpendBudget spend_budget) {
-    if (phase_ != Phase::attempt || terminating || has_client_left_ || !retry_state_.may_hedge(now)) return false;
+    if (phase_ != Phase::attempt || terminating || is_client_disconnected_ || !retry_state_.may_hedge(now))
+      return false;
     if (!reserve_server() || !spend_budget()) return false;
     count_attempt(AttemptResult::silent);
     retry_state_.budget_paid();
@@ -179,20 +181,20 @@
     --hedged_attempts_;
     return attempt == AttemptResult::complete ? forward() : RequestAction{};
   }
-  /// The client has left: the request is over, unless it has begun and may not be repeated, or repeats of its key get
-  /// its answer: then the run goes on, and the action is to wait. What is keyed is also retried. is_sent: a byte of the
-  /// attempt at work has left.
-  RequestAction on_client_left(bool is_sent) {
+  /// The client has disconnected: the request is over, unless it has begun and may not be repeated, or repeats of its
+  /// key get its answer: then the run goes on, and the action is to wait. What is keyed is also retried. is_sent: a
+  /// byte of the attempt at work has left.
+  RequestAction on_client_disconnected(bool is_sent) {
     if (phase_ == Phase::over) return {};
     bool const is_at_work = phase_ == Phase::attempt && is_sent;
     if (!Rules::may_cancel(retry_state_, is_keyed_, is_at_work || retry_state_.may_have_run())) {
-      has_client_left_ = true;
+      is_client_disconnected_ = true;
       return {};
     }
     if (is_at_work) count_attempt(AttemptResult::silent);
     bool const waits_for_key = phase_ == Phase::key;
     RequestAction result =
-        reply(make_local_reply(Rules::may_refuse(retry_state_) ? 503 : 502, kNoRetryAfter, true), kClientLeft);
+        reply(make_local_reply(Rules::may_refuse(retry_state_) ? 503 : 502, kNoRetryAfter, true), kClientDisconnected);
     if (waits_for_key) result.claim = ClaimDisposition::not_run;
     return result;
   }
@@ -248,9 +250,9 @@
 
   std::string attempt_id_;
   bool is_keyed_ = false, holds_key_ = false;
-  bool has_client_left_ = false;  // and the run goes on
-  bool is_counted_ = false;       // the attempt that is waited for, in the retry state
-  u32 hedged_attempts_ = 0;       // late ones at work besides it
+  bool is_client_disconnected_ = false;  // and the run goes on
+  bool is_counted_ = false;              // the attempt that is waited for, in the retry state
+  u32 hedged_attempts_ = 0;              // late ones at work besides it
   Phase phase_ = Phase::quota;
   RetryState retry_state_;
 };
--- a/packages/transport/include/transport/socket_options.hpp
+++ b/packages/transport/include/transport/socket_options.hpp
@@ -21,6 +21,6 @@
 void reset_on_close(evutil_socket_t socket);
 
 /// Has the peer closed, half-closed or reset the connection, whatever of it is still unread? False for no socket.
-bool has_peer_left(evutil_socket_t socket);
+bool has_peer_disconnected(evutil_socket_t socket);
 
 }  // namespace dockbend
--- a/packages/transport/socket_options.cpp
+++ b/packages/transport/socket_options.cpp
@@ -35,7 +35,7 @@
   setsockopt(socket, SOL_SOCKET, SO_LINGER, &no_wait, sizeof no_wait);
 }
 
-bool has_peer_left(evutil_socket_t socket) {
+bool has_peer_disconnected(evutil_socket_t socket) {
   pollfd entry{socket, POLLRDHUP, 0};
   return socket >= 0 && poll(&entry, 1, 0) > 0 && (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -33,7 +33,7 @@
 echo "--- attempts at work, clients that leave, and a short soak, with real processes"
 tests/soak/judge_test.py
 tests/soak/incident_course.py $build
-tests/soak/client_departures.py $build
+tests/soak/client_disconnects.py $build
 tests/soak/soak.py $build --seed 1 --seeds 3 --for 12
 
 echo "--- unit tests"
