Malformed input test: its client waits for an answer before it half-closes

The test's client was wrong, and had become blind: a smuggled request that the proxy took would have been given up as well, not answered with 200.

Now it half-closes once an answer begins, or after half a second without one (which still ends what was cut off midway); frames as before. No check is changed.

--- a/tests/robustness/malformed_input_ports.cpp
+++ b/tests/robustness/malformed_input_ports.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 int const patience_ms = 3000;
+int const silence_ms = 500;
 struct Back {
   int code = 0;  // 0: closed without an answer
   bool hung = false;
@@ -34,8 +35,11 @@
   return -1;
 }
 
-// Sends all, says that no more comes, and reads what comes back to its end.
-Back round_trip(Address const& a, std::string const& bytes, bool end = true) {
+enum class HalfClose { at_once, after_answer };
+
+// Sends all and reads what comes back to its end. To the proxy a client that half-closes has left: whoever wants an
+// answer half-closes once it has begun, or once none has come for a while, so that what was cut off midway ends too.
+Back round_trip(Address const& a, std::string const& bytes, HalfClose half_close = HalfClose::after_answer) {
   Back b;
   int const fd = dial(a);
   if (fd < 0) return b;
@@ -44,7 +48,9 @@
     if (n <= 0) break;
     at += static_cast<std::size_t>(n);
   }
-  if (end) shutdown(fd, SHUT_WR);
+  pollfd answer{fd, POLLIN, 0};
+  if (half_close == HalfClose::after_answer) poll(&answer, 1, silence_ms);
+  shutdown(fd, SHUT_WR);
   std::string got;
   for (char buf[65536];;) {
     pollfd p{fd, POLLIN, 0};
@@ -247,7 +253,7 @@
       if (sp.chance(20)) s += framed(MessageType::deflated, 0, std::string("\x07\x04\0\0\0x", 6));
       if (sp.chance(20)) s.resize(s.size() - std::min<std::size_t>(s.size(), 3));
       ++n.frames;
-      if (round_trip(a, s).hung) n.faults.push_back("a frame's channel does not end");
+      if (round_trip(a, s, HalfClose::at_once).hung) n.faults.push_back("a frame's channel does not end");
     }
 
   auto const after = round_trip(control, call("GET", "/-/Config.Read"));
