--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,9 +6,10 @@
 build=target/dev
 scripts/install_packages.sh
 
-echo "--- layers, formatter, shell scripts"
+echo "--- layers, formatter, shell scripts, mutations of rules"
 tests/layering_test.py # the check itself finds violations
 tests/layering.py
+tests/rules/mutations_test.py
 find packages programs tests -name '*.[ch]pp' -print0 | xargs -0 clang-format --dry-run --Werror
 shellcheck .ci/run scripts/*.sh tests/*.sh tests/*/*.sh
 
