Known red: 409 for an answered key whose disk is slow to look it up; scenarios know how late their own clients are

So the key was held and answered, and the agent gave up waiting for the stored answer (ClaimCoordinator: 0.1 s and two round trips); suspected since 2026-12-02, now shown. claim_coordinator/ stored_answer_that_is_found_late_is_repeated fails for it each time, without disks; listed. The rule counts such 409s from a second after the success on: the scenario's repeats are tried again until then, and the judge still counts what is denied later.

Traced: the process that plays clients and servers was itself up to 1.0 s late.

--- a/tests/idempotency/claim_coordinator_test.cpp
+++ b/tests/idempotency/claim_coordinator_test.cpp
@@ -125,3 +125,56 @@
       cr_assert_eq(is_stored, !(is_relayed && has_homes), "relayed %d, homes %d", is_relayed, has_homes);
     }
 }
+
+namespace {
+u32 tag_of_claim(std::vector<ClaimAction> const& actions) {
+  for (ClaimAction const& action : actions)
+    if (auto const* const claim = std::get_if<SendClaim>(&action)) return claim->tag;
+  cr_assert_fail("no claim was sent");
+  return 0;
+}
+
+/// How the request of a proxy was answered; unset: not yet.
+std::optional<AcquireResult> result_of(std::vector<ClaimAction> const& actions) {
+  for (ClaimAction const& action : actions)
+    if (auto const* const answer = std::get_if<SendAnswer>(&action)) return answer->answer.result;
+  return std::nullopt;
+}
+}  // namespace
+
+// A repeat gets 409 for a key that is answered, while the disk that has the answer is slow to look it up.
+Test(claim_coordinator, stored_answer_that_is_found_late_is_repeated) {
+  ClaimCoordinator<> claims("z", "r", "node");
+  ReplicatedState state;
+  Member member;
+  member.ip = "10.0.0.1";
+  member.zone = "z";
+  member.region = "r";
+  member.incarnation = Incarnation(1);
+  state.membership.push_back(member);
+  claims.set_membership(state, 1);
+  claims.set_proxy_connection(7);
+  claims.on_disk_connected(member.ip, 1);
+  claims.set_round_trip(member.ip, 0.001);
+  AcquireKeyRequest request;
+  request.key = "k";
+  request.holder = 5;
+  request.work_ms = 4000;
+  claims.acquire(7, 1, request, 1);
+  u32 const tag = tag_of_claim(claims.take_actions());
+  ClaimResponse held;
+  held.vote = ClaimVote::held;
+  held.holder = request.holder;
+  held.epoch = state.epoch;
+  held.incarnation = member.incarnation;
+  held.in_progress = true;
+  claims.on_claim_response(member.ip, 1, tag, held, 1.01);
+  claims.tick(1.3);
+  StoredAnswer stored;
+  stored.key = request.key;
+  FetchAnswerResponse found;
+  found.found = true;
+  found.stored_answer = codec::pack(stored);
+  claims.on_fetch_response(member.ip, 1, tag, found);
+  cr_assert(result_of(claims.take_actions()) == AcquireResult::repeat);
+}
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -81,6 +81,7 @@
     reads_after_s: float = 0.0  # the client looks for its answer so long after it has sent
     sent_at: float = 0.0  # its last byte was handed to the system
     ended_at: float = 0.0
+    is_to_disconnect: bool = False  # the client means to leave before its answer
     disconnected_at: float = 0.0  # the client left; 0: it stayed
     disconnect: Disconnect | None = None
     end: ClientEnd = ClientEnd.OPEN
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -8,7 +8,7 @@
 
 from clients import Call, ClientGroup
 from http_messages import Message
-from ledger import Kind, Ledger, Request, Run, RunEnd
+from ledger import Kind, Ledger, Request, Run, RunEnd, watch_lag
 from stand_in_server import StandInServer, Work
 from system import Machine, System
 
@@ -71,8 +71,10 @@
         self.servers: list[StandInServer] = []
         self.complaints: list[str] = []  # of the scenario itself, beside the judge's findings
         self._idle_timeout_s = idle_timeout_s
+        self._lag_watch: asyncio.Task | None = None
 
     async def start(self, first_server: type[StandInServer]) -> None:
+        self._lag_watch = asyncio.create_task(watch_lag(self.ledger))
         await self.system.start()
         await self.add_server(first_server)
         if await self.system.amend(configuration(self._idle_timeout_s)) != 200:
@@ -84,6 +86,8 @@
         for server in self.servers:
             await server.stop()
         await self.system.stop()
+        if self._lag_watch:
+            self._lag_watch.cancel()
 
     async def add_server(self, kind: type[StandInServer], zone: str = NEAR, capacity: int = 8) -> StandInServer:
         server = kind(self.ledger, SERVICE, zone, self.system.server_address(len(self.servers)), work_of, capacity)
