--- a/packages/agent/controller_messages.cpp
+++ b/packages/agent/controller_messages.cpp
@@ -40,11 +40,11 @@
 
 void ControllerMessages::on_message(ControllerLink& from, Message const& message) {
   auto const handler = handlers_.find(message.kind);
-  if (handler == handlers_.end()) {
+  if (handler == nullptr) {
     ++rejected_input().letters;
     return;
   }
-  (this->*handler->second)(Incoming{from, message, steady_now()});
+  (this->*handler)(Incoming{from, message, steady_now()});
 }
 
 void ControllerMessages::on_handshake_response(Incoming const& incoming) {
--- a/packages/agent/include/agent/controller_messages.hpp
+++ b/packages/agent/include/agent/controller_messages.hpp
@@ -1,12 +1,11 @@
 /// What controllers say to the agent.
 #pragma once
-#include <map>
-
 #include "agent/agent_context.hpp"
 #include "agent/claim_sender.hpp"
 #include "agent/controller_links.hpp"
 #include "agent/proxy_session.hpp"
 #include "agent/state_receiver.hpp"
+#include "transport/message_dispatch.hpp"
 
 namespace dockbend {
 
@@ -23,7 +22,6 @@
     Message const& message;
     Seconds now;
   };
-  using Handler = void (ControllerMessages::*)(Incoming const&);
 
   void on_handshake_response(Incoming const& incoming);
   void on_heartbeat_response(Incoming const& incoming);
@@ -46,7 +44,7 @@
   ProxySession& proxy_;
   ClaimSender& claims_;
   StateReceiver states_;
-  std::map<MessageType, Handler> const handlers_;
+  MessageDispatch<ControllerMessages, Incoming const&> const handlers_;
 };
 
 }  // namespace dockbend
--- a/packages/agent/include/agent/proxy_requests.hpp
+++ b/packages/agent/include/agent/proxy_requests.hpp
@@ -1,11 +1,10 @@
 /// What the proxy says to its agent.
 #pragma once
-#include <map>
-
 #include "agent/agent_context.hpp"
 #include "agent/claim_sender.hpp"
 #include "agent/controller_links.hpp"
 #include "agent/proxy_session.hpp"
+#include "transport/message_dispatch.hpp"
 
 namespace dockbend {
 
@@ -17,7 +16,6 @@
   void on_message(Connection& connection, Message const& message);
 
  private:
-  using Handler = void (ProxyRequests::*)(Connection&, Message const&);
   void on_load_report(Connection& connection, Message const& message);
   void on_acquire_key_request(Connection& connection, Message const& message);
   void on_key_outcome(Connection& connection, Message const& message);
@@ -32,7 +30,7 @@
   ControllerLinks& controllers_;
   ProxySession& proxy_;
   ClaimSender& claims_;
-  std::map<MessageType, Handler> const handlers_;
+  MessageDispatch<ProxyRequests, Connection&, Message const&> const handlers_;
 };
 
 }  // namespace dockbend
--- a/packages/agent/include/agent/state_receiver.hpp
+++ b/packages/agent/include/agent/state_receiver.hpp
@@ -1,5 +1,7 @@
 /// Takes over what controllers say of the committed state and of servers, and has the proxy told.
 #pragma once
+#include <string>
+
 #include "agent/agent_context.hpp"
 #include "agent/claim_sender.hpp"
 #include "agent/controller_links.hpp"
@@ -20,6 +22,8 @@
   void on_catch_up_response(ControllerLink& from, CommitNotice const& notice);
 
  private:
+  /// Each is encoded, and may be empty; the difference counts only without a state.
+  void take_state(ControllerLink& from, std::string const& state, std::string const& difference);
   void take(ReplicatedState state, StateDelta const* difference);
   void take_difference(ControllerLink& from, StateDelta const& difference);
   void take_servers(StateUpdate const& update, Seconds now);
--- a/packages/agent/proxy_requests.cpp
+++ b/packages/agent/proxy_requests.cpp
@@ -29,11 +29,11 @@
 void ProxyRequests::on_message(Connection& connection, Message const& message) {
   proxy_.note_heard(steady_now());
   auto const handler = handlers_.find(message.kind);
-  if (handler == handlers_.end()) {
+  if (handler == nullptr) {
     ++rejected_input().letters;
     return;
   }
-  (this->*handler->second)(connection, message);
+  (this->*handler)(connection, message);
 }
 
 void ProxyRequests::on_load_report(Connection&, Message const& message) {
--- a/packages/agent/state_receiver.cpp
+++ b/packages/agent/state_receiver.cpp
@@ -11,18 +11,19 @@
 }  // namespace
 
 void StateReceiver::on_update(ControllerLink& from, StateUpdate const& update, Seconds now) {
-  if (!update.state.empty())
-    take(read_state(update.state), nullptr);
-  else if (!update.delta.empty())
-    take_difference(from, read_delta(update.delta));
+  take_state(from, update.state, update.delta);
   take_servers(update, now);
 }
 
 void StateReceiver::on_catch_up_response(ControllerLink& from, CommitNotice const& notice) {
-  if (!notice.state.empty())
-    take(read_state(notice.state), nullptr);
-  else if (!notice.delta.empty())
-    take_difference(from, read_delta(notice.delta));
+  take_state(from, notice.state, notice.delta);
+}
+
+void StateReceiver::take_state(ControllerLink& from, std::string const& state, std::string const& difference) {
+  if (!state.empty())
+    take(read_state(state), nullptr);
+  else if (!difference.empty())
+    take_difference(from, read_delta(difference));
 }
 
 void StateReceiver::take_servers(StateUpdate const& update, Seconds now) {
--- a/packages/controller/include/controller/inbound_sessions.hpp
+++ b/packages/controller/include/controller/inbound_sessions.hpp
@@ -1,7 +1,7 @@
 /// The connections that others open to this controller, and the requests that come over them.
 #pragma once
 #include "controller/digest_gossip.hpp"
-#include "controller/message_dispatch.hpp"
+#include "transport/message_dispatch.hpp"
 
 namespace dockbend {
 
--- a/packages/controller/include/controller/outbound_peers.hpp
+++ b/packages/controller/include/controller/outbound_peers.hpp
@@ -1,7 +1,7 @@
 /// The links that this controller dials to its peers, and the answers that come over them.
 #pragma once
 #include "controller/digest_gossip.hpp"
-#include "controller/message_dispatch.hpp"
+#include "transport/message_dispatch.hpp"
 
 namespace dockbend {
 
--- a/packages/leases/platform_client.cpp
+++ b/packages/leases/platform_client.cpp
@@ -4,7 +4,6 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
-#include <sys/socket.h>
 
 #include <cstdlib>
 #include <utility>
@@ -35,10 +34,7 @@
 void reset_on_close(evhttp_connection* connection) {
   bufferevent* const buffered = evhttp_connection_get_bufferevent(connection);
   bufferevent_disable(buffered, EV_READ | EV_WRITE);
-  if (evutil_socket_t const socket = bufferevent_getfd(buffered); socket >= 0) {
-    linger const without_delay{1, 0};
-    setsockopt(socket, SOL_SOCKET, SO_LINGER, &without_delay, sizeof without_delay);
-  }
+  dockbend::reset_on_close(bufferevent_getfd(buffered));
 }
 
 }  // namespace
--- a/packages/proxy/attempt_runner.cpp
+++ b/packages/proxy/attempt_runner.cpp
@@ -118,7 +118,7 @@
 void AttemptRunner::on_timer(ProxiedRequest& request) {
   Seconds const now = steady_now();
   bool const has_connection = request.awaited.connection != nullptr;
-  bool const is_sent = has_connection && request.awaited.connection->has_sent;
+  bool const is_sent = request.awaited.is_sent();
   if (awaits_acknowledgement(request))
     context_.connections.check_acknowledged(*request.awaited.connection,
                                             request.deadline() - now + kLimitBehindDeadline);
@@ -137,9 +137,8 @@
 }
 
 void AttemptRunner::set_timer(ProxiedRequest& request, Seconds now) {
-  UpstreamConnection const* const connection = request.awaited.connection;
   Seconds const next =
-      request.retry_state().next_timer(now, connection != nullptr, connection != nullptr && connection->has_sent);
+      request.retry_state().next_timer(now, request.awaited.connection != nullptr, request.awaited.is_sent());
   request.set_timer(awaits_acknowledgement(request) ? std::min(next, now + kAcknowledgementCheckInterval) : next);
 }
 
@@ -187,7 +186,7 @@
 
 void AttemptRunner::abandon_all(ProxiedRequest& request) {
   if (request.awaited.connection != nullptr) {
-    if (request.awaited.connection->has_sent) usage_.count(request);
+    if (request.awaited.is_sent()) usage_.count(request);
     abort_awaited(request);
     context_.load_balancer.attempt_abandoned(request.awaited.server);
   }
@@ -199,7 +198,7 @@
 }
 
 void AttemptRunner::on_client_disconnected(ProxiedRequest& request) {
-  bool const is_sent = request.awaited.connection != nullptr && request.awaited.connection->has_sent;
+  bool const is_sent = request.awaited.is_sent();
   RequestAction const action = request.machine.on_client_disconnected(is_sent);
   if (action.step == RequestAction::Step::wait) {
     ++context_.runs_without_client;
@@ -212,14 +211,14 @@
 
 void AttemptRunner::report_cancelled(ProxiedRequest const& request, Seconds now) {
   LoadBalancer& balancer = context_.load_balancer;
-  if (request.awaited.connection != nullptr && request.awaited.connection->has_sent)
+  if (request.awaited.is_sent())
     balancer.attempt_cancelled(request.awaited.server, now - request.awaited.started_at, now);
   for (Attempt const& hedged : request.hedged_attempts)
     balancer.attempt_cancelled(hedged.server, now - hedged.started_at, now);
 }
 
 void AttemptRunner::expire(ProxiedRequest& request, Seconds now) {
-  bool const is_sent = request.awaited.connection != nullptr && request.awaited.connection->has_sent;
+  bool const is_sent = request.awaited.is_sent();
   if (is_sent) record_failure(request, request.awaited, kDeadline);
   for (Attempt const& hedged : request.hedged_attempts)
     record_failure(request, hedged, kDeadline);
--- a/packages/proxy/include/proxy/proxied_request.hpp
+++ b/packages/proxy/include/proxy/proxied_request.hpp
@@ -28,6 +28,9 @@
   ServerIndex server;
   Seconds started_at = 0;
   u32 number = 0;  ///< 1 for the request's first one
+
+  /// Is it at work, and has a byte of its request left?
+  bool is_sent() const { return connection != nullptr && connection->has_sent; }
 };
 
 /// Invariants: client_request is answered exactly once, and the request is removed from the table right after that;
@@ -78,7 +81,7 @@
 
  private:
   static void timer_fired(evutil_socket_t, short, void* request);
-  static void client_left(void* request);
+  static void client_disconnected(void* request);
   RequestFlow& flow_;
   EventOwner timer_;
 };
--- a/packages/proxy/proxied_request.cpp
+++ b/packages/proxy/proxied_request.cpp
@@ -33,13 +33,13 @@
   self->flow_.on_timer(*self);
 }
 
-void ProxiedRequest::client_left(void* request) {
+void ProxiedRequest::client_disconnected(void* request) {
   auto* const self = static_cast<ProxiedRequest*>(request);
   self->flow_.on_client_disconnected(*self);
 }
 
 void ProxiedRequest::monitor_client(int idle_timeout_seconds) {
-  disconnect_monitor.start(client_request, idle_timeout_seconds, client_left, this);
+  disconnect_monitor.start(client_request, idle_timeout_seconds, client_disconnected, this);
 }
 
 void ProxiedRequest::set_timer(Seconds at) {
--- a/packages/proxy/usage_metering.cpp
+++ b/packages/proxy/usage_metering.cpp
@@ -32,8 +32,7 @@
     UncountedAttempt const attempt = uncounted_.front();
     uncounted_.pop_front();
     ProxiedRequest* const request = context_.requests.find(attempt.handle);
-    if (request != nullptr && request->retry_state().attempts() == attempt.attempts &&
-        request->awaited.connection != nullptr && request->awaited.connection->has_sent)
+    if (request != nullptr && request->retry_state().attempts() == attempt.attempts && request->awaited.is_sent())
       count(*request);
   }
 }
--- a/tests/base/socket_options_test.cpp
+++ b/tests/base/socket_options_test.cpp
@@ -34,8 +34,7 @@
     client = -1;
   }
   void reset_client() {
-    linger const no_linger{1, 0};
-    setsockopt(client, SOL_SOCKET, SO_LINGER, &no_linger, sizeof no_linger);
+    reset_on_close(client);
     close_client();
   }
   void send_from_client() { cr_assert_eq(write(client, "next request", 12), 12); }
--- a/tests/proxy/client_disconnect_test.cpp
+++ b/tests/proxy/client_disconnect_test.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 
 #include "support/proxy_fixture.hpp"
+#include "transport/socket_options.hpp"
 
 using namespace dockbend;
 using namespace dockbend::test;
@@ -35,8 +36,7 @@
     if (socket_ >= 0) close(std::exchange(socket_, -1));
   }
   void leave_by_reset() {
-    linger const no_linger{1, 0};
-    setsockopt(socket_, SOL_SOCKET, SO_LINGER, &no_linger, sizeof no_linger);
+    reset_on_close(socket_);
     leave();
   }
   void half_close() { shutdown(socket_, SHUT_WR); }
