--- a/tests/configuration/configuration_test.cpp
+++ b/tests/configuration/configuration_test.cpp
@@ -3,8 +3,10 @@
 #include <random>
 
 #include "configuration/configuration.hpp"
+#include "support/configuration_items.hpp"
 
 using namespace dockbend;
+using namespace dockbend::test;
 
 namespace {
 std::string const complete_call =
@@ -225,12 +227,9 @@
 
 // A proxy compiles what it is told; one who is behind may tell it an older item again.
 Test(configuration, older_version_of_an_item_takes_nothing_back) {
-  std::map<std::string, ConfigItem> items;
-  std::string f;
-  join(items, read_amend(complete_call), f);
+  std::map<std::string, ConfigItem> const items = items_of(complete_call);
   CompiledConfiguration c;
-  for (auto const& [key, item] : items)
-    c.put(item);
+  put_items(c, complete_call);
   cr_assert(c.find("a.example", "/p/x"));
   ConfigItem removed = items.at("r/r1");
   removed.gone = true;
--- a/tests/controller/registry_service_test.cpp
+++ b/tests/controller/registry_service_test.cpp
@@ -1,23 +1,13 @@
 // A server's word is acknowledged only where the acknowledgement binds all: by a controller in contact with a majority.
 #include <criterion/criterion.h>
-#include <stdlib.h>
-
-#include <filesystem>
 
 #include "controller/registry_service.hpp"
+#include "support/temporary_directory.hpp"
 
 using namespace dockbend;
+using namespace dockbend::test;
 
 namespace {
-struct TemporaryDirectory {
-  TemporaryDirectory() {
-    char name[] = "/tmp/dockbend-registry-XXXXXX";
-    path = mkdtemp(name);
-  }
-  ~TemporaryDirectory() { std::filesystem::remove_all(path); }
-  std::string path;
-};
-
 Settings settings_of_controller() {
   Settings settings;
   settings.ip = "10.0.0.1";
--- a/tests/golden/golden_store_test.cpp
+++ b/tests/golden/golden_store_test.cpp
@@ -11,6 +11,7 @@
 #include "storage/disk_store.hpp"
 #include "support/golden_fields.hpp"
 #include "support/golden_file.hpp"
+#include "support/temporary_directory.hpp"
 
 using namespace dockbend;
 using namespace dockbend::test;
@@ -19,15 +20,6 @@
 namespace {
 char const* const kStoreFiles[] = {"register.db", "register.db-wal", "register.mark"};
 
-struct TemporaryDirectory {
-  std::string path;
-  TemporaryDirectory() {
-    char name[] = "/tmp/dockbend-golden-XXXXXX";
-    path = ::mkdtemp(name);
-  }
-  ~TemporaryDirectory() { fs::remove_all(path); }
-};
-
 // A value with every field of every list set; a drain with its units is among them.
 ReplicatedState whole_value() {
   ReplicatedState value = filled<ReplicatedState>();
--- a/tests/idempotency/claim_coordinator_test.cpp
+++ b/tests/idempotency/claim_coordinator_test.cpp
@@ -95,20 +95,32 @@
   }
 }
 
+namespace {
+u64 constexpr kProxyConnection = 7;
+
+ReplicatedState state_of_one_disk() {
+  ReplicatedState state;
+  Member& member = state.membership.emplace_back();
+  member.ip = "10.0.0.1";
+  member.zone = "z";
+  member.region = "r";
+  member.incarnation = Incarnation(1);
+  return state;
+}
+
+/// To the proxy and to the state's first disk.
+void connect(ClaimCoordinator<>& claims, ReplicatedState const& state, bool is_relayed = false) {
+  claims.set_membership(state, 1);
+  claims.set_proxy_connection(kProxyConnection);
+  claims.on_disk_connected(state.membership.front().ip, 1, is_relayed);
+}
+}  // namespace
+
 Test(claim_coordinator, body_with_home_regions_is_never_sent_through_a_relay) {
   for (bool const is_relayed : {false, true})
     for (bool const has_homes : {false, true}) {
       ClaimCoordinator<> claims("z", "r", "node");
-      ReplicatedState state;
-      Member member;
-      member.ip = "10.0.0.1";
-      member.zone = "z";
-      member.region = "r";
-      member.incarnation = Incarnation(1);
-      state.membership.push_back(member);
-      claims.set_membership(state, 1);
-      claims.set_proxy_connection(7);
-      claims.on_disk_connected(member.ip, 1, is_relayed);
+      connect(claims, state_of_one_disk(), is_relayed);
       KeyOutcomeNotice notice;
       notice.key = "k";
       notice.holder = 5;
@@ -145,22 +157,15 @@
 // A repeat gets 409 for a key that is answered, while the disk that has the answer is slow to look it up.
 Test(claim_coordinator, stored_answer_that_is_found_late_is_repeated) {
   ClaimCoordinator<> claims("z", "r", "node");
-  ReplicatedState state;
-  Member member;
-  member.ip = "10.0.0.1";
-  member.zone = "z";
-  member.region = "r";
-  member.incarnation = Incarnation(1);
-  state.membership.push_back(member);
-  claims.set_membership(state, 1);
-  claims.set_proxy_connection(7);
-  claims.on_disk_connected(member.ip, 1);
+  ReplicatedState const state = state_of_one_disk();
+  Member const& member = state.membership.front();
+  connect(claims, state);
   claims.set_round_trip(member.ip, 0.001);
   AcquireKeyRequest request;
   request.key = "k";
   request.holder = 5;
   request.work_ms = 4000;
-  claims.acquire(7, 1, request, 1);
+  claims.acquire(kProxyConnection, 1, request, 1);
   u32 const tag = tag_of_claim(claims.take_actions());
   ClaimResponse held;
   held.vote = ClaimVote::held;
--- a/tests/proxy/proxy_state_test.cpp
+++ b/tests/proxy/proxy_state_test.cpp
@@ -11,13 +11,10 @@
 
 namespace {
 StateUpdate state_with(u64 ballot, char const* change) {
-  std::map<std::string, ConfigItem> items;
-  std::string refusal;
-  join(items, read_amend(change), refusal);
   ReplicatedState state;
   state.ballot = Ballot(ballot);
   state.membership.emplace_back().ip = "10.0.0.1";
-  for (auto const& [key, item] : items)
+  for (auto const& [key, item] : items_of(change))
     state.items.push_back(item);
   StateUpdate update;
   update.state = codec::pack(state);
--- a/tests/request/admission_test.cpp
+++ b/tests/request/admission_test.cpp
@@ -4,8 +4,10 @@
 #include <map>
 
 #include "request/admission.hpp"
+#include "support/configuration_items.hpp"
 
 using namespace dockbend;
+using namespace dockbend::test;
 
 namespace {
 std::string const call =
@@ -25,12 +27,8 @@
   Seconds reading_time = 0;
 };
 CompiledConfiguration compile(std::string const& change) {
-  std::map<std::string, ConfigItem> items;
-  std::string refusal;
-  join(items, read_amend(change), refusal);
   CompiledConfiguration configuration;
-  for (auto const& [key, item] : items)
-    configuration.put(item);
+  put_items(configuration, change);
   return configuration;
 }
 AdmissionResult play(std::function<void(Call&)> spoil = [](Call&) {}) {
--- a/tests/storage/disk_store_test.cpp
+++ b/tests/storage/disk_store_test.cpp
@@ -14,6 +14,7 @@
 #include "settings/settings.hpp"
 #include "storage/disk_store.hpp"
 #include "support/random_changes.hpp"
+#include "support/temporary_directory.hpp"
 
 using namespace dockbend;
 using namespace dockbend::test;
@@ -34,15 +35,6 @@
 }
 
 namespace {
-/// Removed with all its files at the end.
-struct TemporaryDirectory {
-  std::string path;
-  TemporaryDirectory() {
-    char t[] = "/tmp/dockbend-disk-XXXXXX";
-    path = ::mkdtemp(t);
-  }
-  ~TemporaryDirectory() { fs::remove_all(path); }
-};
 /// An acceptor with a store that writes each vote at once.
 struct VotingDisk {
   std::unique_ptr<DiskStore> store;
--- a/tests/support/proxy_fixture.hpp
+++ b/tests/support/proxy_fixture.hpp
@@ -11,7 +11,6 @@
 
 #include <cstring>
 #include <functional>
-#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -19,6 +18,7 @@
 #include "proxy/request_driver.hpp"
 #include "proxy/request_intake.hpp"
 #include "proxy/service_routing.hpp"
+#include "support/configuration_items.hpp"
 
 namespace dockbend::test {
 
@@ -158,13 +158,7 @@
     if (client != nullptr) evhttp_connection_free(client);
   }
 
-  void amend(char const* change) {
-    std::map<std::string, ConfigItem> items;
-    std::string refusal;
-    join(items, read_amend(change), refusal);
-    for (auto const& [key, item] : items)
-      context.configuration.put(item);
-  }
+  void amend(char const* change) { put_items(context.configuration, change); }
   void add_server(std::string const& id, u32 port) {
     LoadBalancer::ServerUpdate server;
     server.id = id;
