--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -213,6 +213,7 @@
         return Cause.MIXED
     if request.status in PROMISES and request.runs and not request.kind.is_repeatable:
         return Cause.RAN_THOUGH_REFUSED
+
     def is_late(moment: float, since: float) -> bool:
         return moment > since + DISCONNECT_SLACK_S + ledger.observer_lag(request.disconnected_at, moment)
 
