--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,8 +2,8 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-[ -x target/review/head_refused ] && [ -x target/dockbend-controller ] || exit 2
-timeout -k 5 110 target/review/head_refused target "$here/record.txt"
+[ -x target/review/lost_leave ] && [ -x target/dockbend-controller ] || exit 2
+timeout -k 5 110 target/review/lost_leave target "$here/record.txt"
 result=$?
 [ $result -le 1 ] && exit $result
 exit 2
