--- a/review/stand/head_refused.cpp
+++ b/review/stand/head_refused.cpp
@@ -149,16 +149,17 @@
     }
   }
   bool const was_sound = !ends;
+  bool is_changed = true;
   if (was_sound && trouble) {
     int const status = system.order("POST", "/-/Config.Amend", kDrop, 10);
     record.line("POST /-/Config.Amend %s: %d", kDrop, status);
-    if (status != 200) return 2;
+    is_changed = status == 200;
   }
-  if (was_sound) sleep_for(kAfter);
+  if (was_sound && is_changed) sleep_for(kAfter);
   ends = true;
   for (std::thread& thread : threads)
     thread.join();
-  if (!was_sound) return 2;
+  if (!was_sound || !is_changed) return 2;
   for (auto const& client : clients)
     for (std::string const& id : client->unread_) {
       std::lock_guard<std::mutex> const lock(mutex);
--- a/review/stand/lost_leave.cpp
+++ b/review/stand/lost_leave.cpp
@@ -18,7 +18,7 @@
 
 struct Arrival {
   double at;
-  std::string attempt_id;
+  std::string server, attempt_id;
 };
 }  // namespace
 
@@ -45,21 +45,20 @@
   system.first_start_is_over();
 
   std::mutex mutex;
-  std::vector<Arrival> arrivals;  // at the server that leaves
+  std::vector<Arrival> arrivals;
   std::vector<std::unique_ptr<Server>> servers;
   for (int i = 0; i < 12; ++i) {
     auto server = std::make_unique<Server>("i-" + random_id().substr(0, 8), kService, system.zones[i / 2].name, Address{system.server_ip(i), 9001});
     server->capacity = 8;
     server->work_s = 0.02;
+    server->on_arrival = [&, id = server->id](Message const& request, double at) {
+      std::lock_guard<std::mutex> const lock(mutex);
+      arrivals.push_back({at, id, request.value("X-Attempt-Id")});
+    };
     if (!server->start()) return 2;
     server->start_beats(controllers, kBeatPeriod);
     servers.push_back(std::move(server));
   }
-  Server& leaving = *servers[0];
-  leaving.on_arrival = [&](Message const& request, double at) {
-    std::lock_guard<std::mutex> const lock(mutex);
-    arrivals.push_back({at, request.value("X-Attempt-Id")});
-  };
   if (!system.wait_ready(15)) {
     record.line("the proxies did not become ready");
     return 2;
@@ -83,19 +82,31 @@
       }
     });
   sleep_for(3);
-  std::size_t served_before = 0;
+  // The server that is used most is the one that leaves.
+  std::map<std::string, std::size_t> served;
   {
     std::lock_guard<std::mutex> const lock(mutex);
-    served_before = arrivals.size();
+    for (Arrival const& arrival : arrivals)
+      ++served[arrival.server];
   }
+  Server* most_used = servers[0].get();
+  for (auto const& server : servers)
+    if (served[server->id] > served[most_used->id]) most_used = server.get();
+  Server& leaving = *most_used;
+  auto const end_clients = [&] {
+    ends = true;
+    for (std::thread& client : clients)
+      client.join();
+  };
   std::string const target = leaving.last_target();
   std::size_t node = 0;
   for (std::size_t i = 0; i < controllers.size(); ++i)
     if (controllers[i].str() == target) node = i;
-  record.line("server %s at %s has got %zu requests; its heartbeats go to %s (%s)", leaving.id.c_str(), leaving.address.str().c_str(), served_before, target.c_str(),
+  record.line("server %s at %s has got %zu requests; its heartbeats go to %s (%s)", leaving.id.c_str(), leaving.address.str().c_str(), served[leaving.id], target.c_str(),
               system.controllers[node].name.c_str());
-  if (served_before == 0 || target.empty()) {
-    record.line("the server that is to leave is not in use");
+  if (served[leaving.id] == 0 || target.empty()) {
+    record.line("no server is in use");
+    end_clients();
     return 2;
   }
 
@@ -109,6 +120,7 @@
   leaving.is_leaving = true;
   if (!answer || answer->status() != 200) {
     record.line("the leave was answered with %d", answer ? answer->status() : 0);
+    end_clients();
     return 2;
   }
   record.line("POST /-/Servers.Leave/%s was acknowledged with 200 by %s after %.1f ms", leaving.id.c_str(), system.controllers[node].name.c_str(), (acknowledged_at - sent_at) * 1000);
@@ -124,9 +136,7 @@
     }
   }
   sleep_until(acknowledged_at + kServesOn);
-  ends = true;
-  for (std::thread& client : clients)
-    client.join();
+  end_clients();
 
   // The machines are in touch from quietS after the kill until the start, and from quietS after the start on.
   auto const in_touch = [&](double at) {
@@ -140,7 +150,7 @@
   for (auto const& [id, done] : tries)
     ++statuses[done.status];
   for (Arrival const& arrival : arrivals) {
-    if (arrival.at <= acknowledged_at + kDrainBound) continue;
+    if (arrival.server != leaving.id || arrival.at <= acknowledged_at + kDrainBound) continue;
     ++late;
     auto const found = tries.find(arrival.attempt_id);
     bool const counts = found != tries.end() && in_touch(found->second.sent_at) && in_touch(arrival.at);
