--- a/review/stand/head_refused.cpp
+++ b/review/stand/head_refused.cpp
@@ -56,7 +56,7 @@
       return false;
     }
     ++(answer->status() == 404 ? counts_.dropped : counts_.looked_up);
-    if (answer->status() != 200) record_.line("HEAD /photo/%d, try %s: %d", i, id_.c_str(), answer->status());
+    record_.line("HEAD /photo/%d to %s, try %s: %d", i, system_.front(edge_).str().c_str(), id_.c_str(), answer->status());
     return true;
   }
   void approve(int i) {
@@ -66,7 +66,7 @@
     std::lock_guard<std::mutex> const lock(mutex_);
     if (answer && answer->start.starts_with("HTTP/1.1 ")) {
       ++counts_.approved;
-      if (answer->status() != 200) record_.line("POST /approve/%d, try %s, key %s: %d", i, id_.c_str(), key.c_str(), answer->status());
+      record_.line("POST /approve/%d to %s, try %s, key %s: %d", i, system_.front(edge_).str().c_str(), id_.c_str(), key.c_str(), answer->status());
       return;
     }
     ++counts_.stray;
@@ -120,6 +120,7 @@
     server->on_run = [&](Run const& run) {
       std::lock_guard<std::mutex> const lock(mutex);
       ran.insert(run.attempt_id);
+      record.line("%s runs %s, try %s", run.server.c_str(), run.target.c_str(), run.attempt_id.c_str());
     };
     if (!server->start()) return 2;
     server->start_beats(controllers, kBeatPeriod);
--- a/review/stand/lost_leave.cpp
+++ b/review/stand/lost_leave.cpp
@@ -54,6 +54,7 @@
     server->on_arrival = [&, id = server->id](Message const& request, double at) {
       std::lock_guard<std::mutex> const lock(mutex);
       arrivals.push_back({at, id, request.value("X-Attempt-Id")});
+      record.line("%s gets %s, try %s", id.c_str(), request.target().c_str(), arrivals.back().attempt_id.c_str());
     };
     if (!server->start()) return 2;
     server->start_beats(controllers, kBeatPeriod);
@@ -77,6 +78,7 @@
         {
           std::lock_guard<std::mutex> const lock(mutex);
           tries[done.id] = done;
+          record.line("GET /roster/%zu to %s, try %s: %d", i, system.front(i).str().c_str(), done.id.c_str(), done.status);
         }
         sleep_until(next);
       }
--- a/review/stand/raised_limit.cpp
+++ b/review/stand/raised_limit.cpp
@@ -65,6 +65,7 @@
     auto server = std::make_unique<Server>("i-" + random_id().substr(0, 8), kService, system.zones[static_cast<std::size_t>(i) / 2].name, Address{system.server_ip(i), 9001});
     server->capacity = 8;
     server->work_s = 0.02;
+    server->on_run = [&record](Run const& run) { record.line("%s runs %s, try %s", run.server.c_str(), run.target.c_str(), run.attempt_id.c_str()); };
     if (!server->start()) return 2;
     server->start_beats(controllers, kBeatPeriod);
     servers.push_back(std::move(server));
@@ -91,6 +92,7 @@
             std::lock_guard<std::mutex> const lock(mutex);
             ++requests;
             served += look_up.status == 200 ? 1 : 0;
+            record.line("GET /roster/%d to %s, try %s: %d", k, system.front(i).str().c_str(), look_up.id.c_str(), look_up.status);
           }
           if (look_up.status != 200) wire = Wire::dial(system.front(i), now() + 1);
           if (!wire) return;
