A server's departure is on a majority of disks before it is acknowledged

Cause: RegistryService::leave answered at once, told peers and agents 40 ms later, and had the row written up to 60 ms later; a `draining` heartbeat the same. Behind it stood a second gap: the row of a server that had left was deleted on disk, and an older row of another disk brought it back.

Rows of servers that have left stay on disk for as long as in memory. Links that come up carry departures to far peers too. Cost: a message to each peer and a row on each disk for a departure; other heartbeats cost nothing more.

--- a/packages/controller/control_api.cpp
+++ b/packages/controller/control_api.cpp
@@ -17,7 +17,7 @@
                      [](ControlApi& api, Call const& call) { api.heartbeat(call); }},
                     {"/-/Servers.Leave/", PathMatch::prefix, Method::post, Contact::not_needed,
                      [](ControlApi& api, Call const& call) {
-                       api.respond(call, api.services_.registry.leave(call.rest, call.path));
+                       api.services_.registry.leave(call.rest, call.path, api.responder(call));
                      }},
                     {"/-/Config.Amend", PathMatch::exact, Method::post, Contact::needed,
                      [](ControlApi& api, Call const& call) {
@@ -128,14 +128,18 @@
   context_.api.write(call.request, response);
 }
 
+RegistryService::Respond ControlApi::responder(Call const& call) {
+  return [this, request = call.request](ApiResponse const& response) { context_.api.write(request, response); };
+}
+
 void ControlApi::heartbeat(Call const& call) {
-  ApiResponse response;
+  schema::Heartbeat heartbeat;
   try {
-    response = services_.registry.heartbeat(call.rest, json::parse_as<schema::Heartbeat>(call.body), call.path);
+    heartbeat = json::parse_as<schema::Heartbeat>(call.body);
   } catch (json::Fault const& fault) {
-    response = error_response(400, fault.what());
+    return respond(call, error_response(400, fault.what()));
   }
-  respond(call, response);
+  services_.registry.heartbeat(call.rest, heartbeat, call.path, responder(call));
 }
 
 void ControlApi::read_configuration(Call const& call) {
--- a/packages/controller/controller.cpp
+++ b/packages/controller/controller.cpp
@@ -12,7 +12,6 @@
 constexpr Seconds kTickSeconds = 0.1;
 constexpr Seconds kSlowStepSeconds = 0.6;
 constexpr Seconds kStallSeconds = 1.0;  // between two ticks: this process itself did not run
-constexpr Seconds kServerPurgeSeconds = 90;
 constexpr Seconds kMembershipWarningAfterSeconds = 20;
 constexpr Seconds kCounterLogSeconds = 10;
 constexpr Seconds kMinLeaveSeconds = 0.5;      // what was sent last gets out meanwhile
@@ -164,6 +163,7 @@
   directory_.tell_sites(now);
   membership_.tick(now);
   idempotency_->rebuild(now);
+  registry_.departures().tick(now);
   consensus_.finish_open_state(now);
   if (now - last_slow_step_at_ < kSlowStepSeconds) prober_.probe_due(now);
 }
@@ -182,7 +182,7 @@
   // Out of contact heartbeats are heard but not acknowledged, and servers go to others: their silence says nothing.
   bool const could_be_heard = now - started_at_ > kMissedHeartbeats * context_.settings.beatPeriodS;
   if (could_be_heard && prober_.was_in_contact()) registry_.tick(now);
-  registry_.roll().forget_gone(kServerPurgeSeconds, now);
+  registry_.forget_gone(now);
   directory_.catalog().drop_expired(now);
   directory_.count_sites(now);
   idempotency_->forget_old(now);
@@ -213,8 +213,8 @@
 void Controller::end_if_left(Seconds now) {
   if (context_.leaving_since == 0) return;
   Seconds const leaving_for = now - context_.leaving_since;
-  bool const has_nothing_left =
-      consensus_.is_idle() && !leases_.is_handing_over() && !membership_.is_leave_pending(now);
+  bool const has_nothing_left = consensus_.is_idle() && registry_.departures().is_idle() &&
+                                !leases_.is_handing_over() && !membership_.is_leave_pending(now);
   if ((has_nothing_left && leaving_for > kMinLeaveSeconds) ||
       leaving_for > context_.settings.bounds.gracePeriodS - kLeaveReserveSeconds)
     event_base_loopbreak(context_.loop);
--- a/packages/controller/inbound_sessions.cpp
+++ b/packages/controller/inbound_sessions.cpp
@@ -21,6 +21,7 @@
           {MessageType::commit_notice, &InboundSessions::on_commit_notice},
           {MessageType::catch_up_request, &InboundSessions::on_catch_up_request},
           {MessageType::server_records, &InboundSessions::on_server_records},
+          {MessageType::store_departures_request, &InboundSessions::on_store_departures_request},
           {MessageType::digest, &InboundSessions::on_digest},
           {MessageType::proxy_heartbeat, &InboundSessions::on_proxy_heartbeat},
           {MessageType::subscribe, &InboundSessions::on_subscribe},
@@ -124,6 +125,18 @@
   services_.registry.rows(request.message.as<StateUpdate>().rows, request.session.hello.ip);
 }
 
+void InboundSessions::on_store_departures_request(Request const& request) {
+  std::weak_ptr<Connection> const connection = request.session.ch;
+  auto const confirm = [this, connection, tag = request.message.tag] {
+    auto const open = connection.lock();
+    if (open)
+      open->send(MessageType::store_departures_response, tag,
+                 StoreDeparturesResponse{context_.acceptor->incarnation()});
+  };
+  services_.registry.store_departures(request.message.as<StoreDeparturesRequest>().records, request.session.hello.ip,
+                                      confirm);
+}
+
 void InboundSessions::on_digest(Request const& request) {
   GossipDigest const digest = request.message.as<GossipDigest>();
   std::string const& ip = request.session.hello.ip;
--- a/packages/controller/include/controller/control_api.hpp
+++ b/packages/controller/include/controller/control_api.hpp
@@ -46,6 +46,8 @@
   static Call read_call(evhttp_request* request);
   static Route const* find_route(std::string const& path);
   void respond(Call const& call, ApiResponse const& response);
+  /// Answers the call later.
+  RegistryService::Respond responder(Call const& call);
 
   void heartbeat(Call const& call);
   void read_configuration(Call const& call);
--- a/packages/controller/include/controller/inbound_sessions.hpp
+++ b/packages/controller/include/controller/inbound_sessions.hpp
@@ -37,6 +37,7 @@
   void on_catch_up_request(Request const& request);
   void on_server_records(Request const& request);
   void on_digest(Request const& request);
+  void on_store_departures_request(Request const& request);
   void on_proxy_heartbeat(Request const& request);
   void on_subscribe(Request const& request);
   void on_contact_probe(Request const& request);
--- a/packages/controller/include/controller/outbound_peers.hpp
+++ b/packages/controller/include/controller/outbound_peers.hpp
@@ -37,6 +37,7 @@
   void on_key_copy_response(Reply const& reply);
   void on_contact_probe_response(Reply const& reply);
   void on_digest_response(Reply const& reply);
+  void on_store_departures_response(Reply const& reply);
   void ignore(Reply const& reply);
 
   ControllerServices services_;
--- a/packages/controller/outbound_peers.cpp
+++ b/packages/controller/outbound_peers.cpp
@@ -31,6 +31,7 @@
           {MessageType::key_copy_response, &OutboundPeers::on_key_copy_response},
           {MessageType::contact_probe_response, &OutboundPeers::on_contact_probe_response},
           {MessageType::digest_response, &OutboundPeers::on_digest_response},
+          {MessageType::store_departures_response, &OutboundPeers::on_store_departures_response},
           // These answers come over the peer's own link, as requests of an inbound session.
           {MessageType::stage_response, &OutboundPeers::ignore},
           {MessageType::survey_response, &OutboundPeers::ignore},
@@ -67,9 +68,7 @@
   services_.consensus.on_link_up(ip, link);
   context_.contact.on_connected(ip);
   prober_.probe(ip, link, steady_now());
-  // The peer may have started anew, so it gets all servers known here. One with nearer peers gets them from those; a
-  // difference that lasts is repaired by digests.
-  if (context_.peers.is_near(ip)) services_.registry.spread_all(link);
+  services_.registry.on_link_up(ip, link);
 }
 
 HandshakeRequest OutboundPeers::own_handshake() const {
@@ -134,6 +133,10 @@
   gossip_.on_response(reply.ip, reply.message.tag, reply.message.as<GossipDigest>());
 }
 
+void OutboundPeers::on_store_departures_response(Reply const& reply) {
+  services_.registry.departures().on_response(reply.ip, reply.message.tag, reply.message.as<StoreDeparturesResponse>());
+}
+
 void OutboundPeers::ignore(Reply const&) {}
 
 }  // namespace dockbend
--- a/packages/controller/registry_service.cpp
+++ b/packages/controller/registry_service.cpp
@@ -4,16 +4,37 @@
 
 namespace dockbend {
 
-RegistryService::RegistryService(ControllerContext& h) : context_(h) {}
+namespace {
+constexpr Seconds kGoneServerMemorySeconds = 90;
+
+/// What is wrong with a heartbeat, naming the field; empty: nothing.
+std::string fault_of(std::string const& id, schema::Heartbeat const& heartbeat) {
+  if (id.empty()) return "id: empty";
+  if (heartbeat.state != "ready" && heartbeat.state != "draining") return "state: neither ready nor draining";
+  if (heartbeat.service.empty()) return "service: empty";
+  if (heartbeat.capacity < 0) return "capacity: negative";
+  for (auto const& [text, field] : {std::pair{&id, "id"}, {&heartbeat.service, "service"}, {&heartbeat.zone, "zone"}})
+    if (has_control(*text)) return std::string(field) + ": holds a control character";
+  try {
+    parse_addr(heartbeat.address, "address");
+  } catch (SettingsError const& error) {
+    return error.what();
+  }
+  return "";
+}
+}  // namespace
+
+RegistryService::RegistryService(ControllerContext& h) : context_(h), departures_(h, roll_) {}
 
 void RegistryService::spread(std::vector<ServerRecord> const& v, std::string const& from) {
   if (v.empty()) return;
   // Stored too, so that after a power loss everywhere the servers are known before their next heartbeats. Not
-  // confirmed: the heartbeats correct what is missing.
+  // confirmed: the heartbeats correct what is missing. One that has left sends none: its row stays until it is
+  // forgotten, else another disk's older row would bring it back.
   std::vector<StoreOperation> ops;
   for (ServerRecord const& r : v)
-    ops.push_back(r.state == ServerState::gone ? StoreOperation::delete_server(r.id)
-                                               : StoreOperation::put_server(r.id, codec::pack(r)));
+    ops.push_back(r.state == ServerState::gone && !has_left(r) ? StoreOperation::delete_server(r.id)
+                                                               : StoreOperation::put_server(r.id, codec::pack(r)));
   context_.disk->submit_lazily(std::move(ops));
   for (ServerRecord const& r : v)
     pending_[r.id] = from;
@@ -38,18 +59,9 @@
   if (!back.empty() && it != context_.controllers.end() && it->second.link) spread_to(*it->second.link, back);
 }
 
-ApiResponse RegistryService::heartbeat(std::string const& id, schema::Heartbeat const& b, std::string const& uri) {
-  if (id.empty()) return error_response(400, "id: empty");
-  if (b.state != "ready" && b.state != "draining") return error_response(400, "state: neither ready nor draining");
-  if (b.service.empty()) return error_response(400, "service: empty");
-  if (b.capacity < 0) return error_response(400, "capacity: negative");
-  for (auto const& [s, f] : {std::pair{&id, "id"}, {&b.service, "service"}, {&b.zone, "zone"}})
-    if (has_control(*s)) return error_response(400, std::string(f) + ": holds a control character");
-  try {
-    parse_addr(b.address, "address");
-  } catch (SettingsError const& e) {
-    return error_response(400, e.what());
-  }
+void RegistryService::heartbeat(std::string const& id, schema::Heartbeat const& b, std::string const& uri,
+                                Respond const& respond) {
+  if (std::string const fault = fault_of(id, b); !fault.empty()) return respond(error_response(400, fault));
   ServerRecord r;
   r.id = id;
   r.service = b.service;
@@ -63,15 +75,18 @@
   drained(r);
   Seconds const now = steady_now();
   if (roll_.record_heartbeat(r, context_.settings.ip, now)) spread({*roll_.find(id, now)}, "");
-  if (!context_.in_contact()) return redirect_to_controller_in_contact(context_, uri);
+  if (!context_.in_contact()) return respond(redirect_to_controller_in_contact(context_, uri));
   schema::HeartbeatResponse ret;
   std::string const t = beat_target(b.zone);
   if (!t.empty()) ret.beatTarget = t;
-  return {200, json::render(ret)};
+  ApiResponse const acknowledgement{200, json::render(ret)};
+  bool const drains = b.state == "draining" && roll_.find(id, now)->state != ServerState::ready;
+  if (!drains) return respond(acknowledgement);
+  acknowledge_departure(id, acknowledgement, respond);
 }
 
-ApiResponse RegistryService::leave(std::string const& id, std::string const& uri) {
-  if (id.empty()) return error_response(400, "id: empty");
+void RegistryService::leave(std::string const& id, std::string const& uri, Respond const& respond) {
+  if (id.empty()) return respond(error_response(400, "id: empty"));
   Seconds const now = steady_now();
   auto cur = roll_.find(id, now);
   ServerRecord r;
@@ -80,8 +95,21 @@
   r.state = ServerState::gone;
   r.seq = kDepartedSequence;
   if (roll_.merge_record(r, now)) spread({r}, "");
-  if (!context_.in_contact()) return redirect_to_controller_in_contact(context_, uri);
-  return {200, "{}"};
+  if (!context_.in_contact()) return respond(redirect_to_controller_in_contact(context_, uri));
+  acknowledge_departure(id, {200, "{}"}, respond);
+}
+
+void RegistryService::acknowledge_departure(std::string const& id, ApiResponse const& acknowledgement,
+                                            Respond const& respond) {
+  departures_.replicate(id, [acknowledgement, respond](bool is_durable) {
+    respond(is_durable ? acknowledgement : error_response(503, "no majority of disks in time"));
+  });
+}
+
+void RegistryService::store_departures(std::vector<ServerRecord> const& departures, std::string const& from,
+                                       std::function<void()> stored) {
+  rows(departures, from);
+  departures_.store(departures, std::move(stored));
 }
 
 void RegistryService::feed(Connection& ch, Seconds now) {
@@ -116,6 +144,24 @@
   spread_to(l, roll_.records(steady_now()));
 }
 
+void RegistryService::on_link_up(std::string const& ip, PeerLink& link) {
+  if (context_.peers.is_near(ip)) {
+    spread_all(link);
+  } else {
+    std::vector<ServerRecord> departures = roll_.records(steady_now());
+    std::erase_if(departures, [](ServerRecord const& record) { return !is_departure(record); });
+    spread_to(link, departures);
+  }
+  departures_.on_link_up(link);
+}
+
+void RegistryService::forget_gone(Seconds now) {
+  std::vector<StoreOperation> operations;
+  for (std::string const& id : roll_.forget_gone(kGoneServerMemorySeconds, now))
+    operations.push_back(StoreOperation::delete_server(id));
+  if (!operations.empty()) context_.disk->submit_lazily(std::move(operations));
+}
+
 void RegistryService::tick(Seconds now) {
   spread(roll_.mark_silent_gone(context_.settings.ip, 3 * context_.settings.beatPeriodS, now), "");
   for (auto& [ip, m] : context_.controllers)
--- a/packages/server_registry/include/server_registry/server_record.hpp
+++ b/packages/server_registry/include/server_registry/server_record.hpp
@@ -28,4 +28,14 @@
 /// The sequence number of a server that has left by its own word: no heartbeat reaches it.
 u64 constexpr kDepartedSequence = ~0ULL >> 1;
 
+/// Has the server left by its own word?
+inline bool has_left(ServerRecord const& record) {
+  return record.state == ServerState::gone && record.seq == kDepartedSequence;
+}
+
+/// Does the server get no more requests by its own word?
+inline bool is_departure(ServerRecord const& record) {
+  return record.state == ServerState::draining || has_left(record);
+}
+
 }  // namespace dockbend
--- a/packages/server_registry/include/server_registry/server_registry.hpp
+++ b/packages/server_registry/include/server_registry/server_registry.hpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "server_registry/departure_messages.hpp"
 #include "server_registry/digest_mismatch_detector.hpp"
 #include "server_registry/gossip_messages.hpp"
 #include "server_registry/handshake_messages.hpp"
@@ -25,6 +26,7 @@
     Seconds warming_until = 0;  // it is warming up until then
     Seconds changed_at = 0;     // when this process last learned something new about it
     Seconds heartbeat_at = 0;   // when this process last received its heartbeat; used by its owner only
+    bool is_durable = false;    // it drains or has left, and a majority of disks is known to hold that
   };
 
   /// Takes a record from this process' own disk after a start; the server's time-out begins now.
@@ -44,8 +46,12 @@
   std::vector<std::string> mark_absent_gone(std::vector<ServerRecord> const& complete, Seconds min_age, Seconds now);
   /// Starts all time-outs anew: after this process itself was stalled, no server is late.
   void restart_timeouts(Seconds now);
-  /// Forgets servers that have been gone for longer than `age` seconds.
-  void forget_gone(Seconds age, Seconds now);
+  /// Forgets servers that have been gone for longer than `age` seconds; returns their ids.
+  std::vector<std::string> forget_gone(Seconds age, Seconds now);
+  /// A majority of disks holds this departure. Without effect if another state of the server is known meanwhile.
+  void mark_durable(ServerRecord const& departure);
+  /// Is the server's departure known to be on a majority of disks?
+  bool is_durable(std::string const& id) const;
 
   /// All records, those of servers that are gone included, with the warm-up times that are left at `now`.
   std::vector<ServerRecord> records(Seconds now) const;
--- a/packages/server_registry/server_registry.cpp
+++ b/packages/server_registry/server_registry.cpp
@@ -24,6 +24,7 @@
 void ServerRegistry::replace(Entry& entry, ServerRecord const& record, Seconds now) {
   bool const is_new_entry = entry.record.id.empty();
   if (!is_new_entry && entry.record.state != ServerState::gone) digest_ -= hash_of(entry.record);
+  entry.is_durable = entry.is_durable && record.state == entry.record.state;
   entry.record = record;
   entry.warming_until = now + record.cold_left;
   entry.changed_at = now;
@@ -104,11 +105,25 @@
     entry.heartbeat_at = now;
 }
 
-void ServerRegistry::forget_gone(Seconds age, Seconds now) {
+std::vector<std::string> ServerRegistry::forget_gone(Seconds age, Seconds now) {
+  std::vector<std::string> forgotten;
   std::erase_if(entries_, [&](auto const& item) {
     Entry const& entry = item.second;
-    return entry.record.state == ServerState::gone && now - entry.changed_at > age;
+    bool const is_old = entry.record.state == ServerState::gone && now - entry.changed_at > age;
+    if (is_old) forgotten.push_back(item.first);
+    return is_old;
   });
+  return forgotten;
+}
+
+void ServerRegistry::mark_durable(ServerRecord const& departure) {
+  auto const known = entries_.find(departure.id);
+  if (known != entries_.end() && known->second.record.state == departure.state) known->second.is_durable = true;
+}
+
+bool ServerRegistry::is_durable(std::string const& id) const {
+  auto const known = entries_.find(id);
+  return known != entries_.end() && known->second.is_durable;
 }
 
 std::vector<ServerRecord> ServerRegistry::records(Seconds now) const {
--- a/packages/wire/include/wire/message_type.hpp
+++ b/packages/wire/include/wire/message_type.hpp
@@ -32,6 +32,8 @@
   server_records = 30,
   digest = 31,
   digest_response = 32,
+  store_departures_request = 33,
+  store_departures_response = 34,
   acquire_key_request = 40,
   acquire_key_response = 41,
   key_outcome = 42,
--- a/tests/golden/golden_wire_test.cpp
+++ b/tests/golden/golden_wire_test.cpp
@@ -149,6 +149,8 @@
   file.check("kind-030", number(MessageType::server_records));
   file.check("kind-031", number(MessageType::digest));
   file.check("kind-032", number(MessageType::digest_response));
+  file.check("kind-033", number(MessageType::store_departures_request));
+  file.check("kind-034", number(MessageType::store_departures_response));
   file.check("kind-040", number(MessageType::acquire_key_request));
   file.check("kind-041", number(MessageType::acquire_key_response));
   file.check("kind-042", number(MessageType::key_outcome));
@@ -250,6 +252,8 @@
   check_message<StateUpdate>(file, "message-030", MessageType::server_records);
   check_message<GossipDigest>(file, "message-031", MessageType::digest);
   check_message<GossipDigest>(file, "message-032", MessageType::digest_response);
+  check_message<StoreDeparturesRequest>(file, "message-033", MessageType::store_departures_request);
+  check_message<StoreDeparturesResponse>(file, "message-034", MessageType::store_departures_response);
   check_message<AcquireKeyRequest>(file, "message-040", MessageType::acquire_key_request);
   check_message<AcquireKeyResponse>(file, "message-041", MessageType::acquire_key_response);
   check_message<KeyOutcomeNotice>(file, "message-042", MessageType::key_outcome);
@@ -344,6 +348,8 @@
   check_record<ServerLatency>(file, "record-065");
   check_record<DiscardCount>(file, "record-066");
   check_record<TrafficSurvey>(file, "record-067");
+  check_record<StoreDeparturesRequest>(file, "record-068");
+  check_record<StoreDeparturesResponse>(file, "record-069");
   file.finish();
 }
 
--- a/tests/rules/mutations.py
+++ b/tests/rules/mutations.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 COURSE, DISCONNECTS = "tests/soak/incident_course.py", "tests/soak/client_disconnects.py"
+AFTER_ACKNOWLEDGEMENT = "tests/soak/after_acknowledgement.py"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -123,12 +124,25 @@
              "if (record.seq < known.seq) return false;", "",
              (UnitTest("server_registry", "server_registry::a_late_heartbeat_changes_nothing"),)),
     Mutation("drain-acknowledged", "packages/controller/registry_service.cpp",
-             "  if (!context_.in_contact()) return redirect_to_controller_in_contact(context_, uri);\n  schema::HeartbeatResponse ret;",
+             "  if (!context_.in_contact()) return respond(redirect_to_controller_in_contact(context_, uri));\n"
+             "  schema::HeartbeatResponse ret;",
              "  schema::HeartbeatResponse ret;",
              (UnitTest("controller", "registry_service::acknowledges_nothing_out_of_contact"),)),
     Mutation("drain-left-acknowledged", "packages/controller/registry_service.cpp",
-             '  if (!context_.in_contact()) return redirect_to_controller_in_contact(context_, uri);\n  return {200, "{}"};',
-             '  return {200, "{}"};', (UnitTest("controller", "registry_service::acknowledges_nothing_out_of_contact"),)),
+             "  if (!context_.in_contact()) return respond(redirect_to_controller_in_contact(context_, uri));\n"
+             '  acknowledge_departure(id, {200, "{}"}, respond);', '  acknowledge_departure(id, {200, "{}"}, respond);',
+             (UnitTest("controller", "registry_service::acknowledges_nothing_out_of_contact"),)),
+    Mutation("drain-one-disk", "packages/controller/departure_replicator.cpp",
+             "return disk != disks.end() && disk->second == member.incarnation;", "return true;",
+             (UnitTest("controller", "registry_service::a_leave_is_acknowledged_once_a_majority_of_disks_holds_it"),
+              UnitTest("controller", "registry_service::a_drain_is_acknowledged_once_a_majority_of_disks_holds_it"),
+              scenario(AFTER_ACKNOWLEDGEMENT, "servers leave while their controller shuts down"))),
+    Mutation("drain-departed-row", "packages/controller/registry_service.cpp",
+             "r.state == ServerState::gone && !has_left(r)", "r.state == ServerState::gone",
+             (UnitTest("controller", "registry_service::a_server_that_has_left_stays_gone_on_disk_until_it_is_forgotten"),)),
+    Mutation("drain-durable-state", "packages/server_registry/server_registry.cpp",
+             "entry.is_durable = entry.is_durable && record.state == entry.record.state;", "",
+             (UnitTest("controller", "registry_service::a_drain_is_acknowledged_once_a_majority_of_disks_holds_it"),)),
     Mutation("drain-readiness", "packages/proxy/proxy_context.cpp",
              "load_balancer.ready_servers() > 0 &&\n         !drain.is_shutting_down();", "load_balancer.ready_servers() > 0;",
              (UnitTest("proxy", "readiness::ends_with_a_sigterm"),)),
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -20,6 +20,9 @@
     play: Callable[[Stage], Awaitable[None]]
     first_server: type[StandInServer] = StandInServer
     idle_timeout_s: float = IDLE_TIMEOUT_S
+    controllers: int = 1
+    proxies: int = 1
+    more_settings: tuple[str, ...] = ()
 
 
 # Prints how the requests of a scenario ended. True: as they should.
@@ -27,7 +30,8 @@
 
 
 async def _play(scenario: Scenario, check: Check, build: pathlib.Path, work: pathlib.Path, slot: int) -> bool:
-    stage = Stage(build, work / f"{slot}", slot, scenario.idle_timeout_s)
+    stage = Stage(build, work / f"{slot}", slot, scenario.idle_timeout_s, scenario.controllers, scenario.proxies,
+                  scenario.more_settings)
     try:
         await stage.start(scenario.first_server)
         await scenario.play(stage)
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -1,4 +1,4 @@
-"""A small system of real processes, on which one scenario is played: one controller, one proxy, and servers."""
+"""A small system of real processes, on which one scenario is played: controllers, proxies and servers, mostly one each."""
 
 import asyncio
 import pathlib
@@ -63,10 +63,11 @@
 class Stage:
     """Starts, plays and stops the system of one scenario."""
 
-    def __init__(self, build: pathlib.Path, work: pathlib.Path, slot: int, idle_timeout_s: float = IDLE_TIMEOUT_S):
+    def __init__(self, build: pathlib.Path, work: pathlib.Path, slot: int, idle_timeout_s: float = IDLE_TIMEOUT_S,
+                 controllers: int = 1, proxies: int = 1, more_settings: tuple[str, ...] = ()):
         self.ledger = Ledger(GRACE_PERIOD_S)
         work.mkdir(parents=True)
-        self.system = System(self.ledger, build, work, slot, controllers=1, proxies=1)
+        self.system = System(self.ledger, build, work, slot, controllers, proxies, more_settings=more_settings)
         self.clients = ClientGroup(self.ledger, self.system.fronts, HOST, random.Random(slot))
         self.servers: list[StandInServer] = []
         self.complaints: list[str] = []  # of the scenario itself, beside the judge's findings
@@ -79,6 +80,7 @@
         await self.add_server(first_server)
         if await self.system.amend(configuration(self._idle_timeout_s)) != 200:
             raise RuntimeError("the configuration was not taken")
+        self.system.first_start_is_over()
         await self.system.wait_until_ready()
 
     async def stop(self) -> None:
--- a/tests/soak/stand_in_server.py
+++ b/tests/soak/stand_in_server.py
@@ -83,10 +83,13 @@
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
 
     async def _heartbeat(self, controllers: list[str]) -> None:
-        state = "draining" if self.is_draining else "ready"
+        body = self.heartbeat_body("draining" if self.is_draining else "ready")
+        await self._tell(controllers, f"/-/Servers.Heartbeat/{self.id}", body)
+
+    def heartbeat_body(self, state: str) -> bytes:
         heartbeat = {"service": self._service, "address": self.address, "zone": self._zone, "generation": "v1",
                      "capacity": self._capacity, "state": state, "coldLeftS": 0, "callSeq": next(self._calls)}
-        await self._tell(controllers, f"/-/Servers.Heartbeat/{self.id}", json.dumps(heartbeat).encode())
+        return json.dumps(heartbeat).encode()
 
     async def _tell(self, controllers: list[str], target: str, body: bytes) -> None:
         for controller in random.sample(controllers, len(controllers)):
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -77,6 +78,9 @@
             await process.start()
         self._note(Signal.STARTED)
 
+    def is_running(self) -> bool:
+        return all(process.is_running() for process in self._processes)
+
     def change_settings(self, seeds: list[str]) -> None:
         """Other seeds, in a file that takes the place of the one before at once."""
         lines = [f"seedAddrs={','.join(seeds)}" if line.startswith("seedAddrs=") else line
@@ -124,6 +128,36 @@
 
         await self._replace(stop, self.start)
 
+    def kill_now(self) -> None:
+        """SIGKILL for all its processes, before anything else happens here; they stay down until `start_again`."""
+        self._is_stopping = True
+        self._note(Signal.KILL)
+        for process in self._processes:
+            process.send(signal.SIGKILL)
+
+    async def start_again(self, is_disk_wiped: bool = False) -> None:
+        """Starts what `kill_now` killed."""
+        await self.until_ended()
+        if is_disk_wiped:
+            shutil.rmtree(self._data_folder())
+        await self.start()
+        self._is_stopping = False
+
+    async def until_ended(self) -> None:
+        for process in self._processes:
+            await process.wait(5)
+
+    def _data_folder(self) -> pathlib.Path:
+        for line in self.settings.read_text().splitlines():
+            if line.startswith("dataDir="):
+                return pathlib.Path(line.removeprefix("dataDir="))
+        raise ValueError(f"{self.settings} names no disk")
+
+    def send_now(self, number: signal.Signals) -> None:
+        """A signal for all its processes, which are not started again if it ends them."""
+        for process in self._processes:
+            process.send(number)
+
     async def restart_agent(self) -> None:
         """SIGTERM for the agent alone, and a new start; the proxy beside it goes on."""
         agent = self._processes[0]
@@ -193,7 +227,9 @@
     """All machines of one run. `slot`: 0 and up, so that runs beside each other have addresses of their own."""
 
     def __init__(self, ledger: Ledger, build: pathlib.Path, work: pathlib.Path, slot: int, controllers: int,
-                 proxies: int, is_staged: bool = False):
+                 proxies: int, is_staged: bool = False, more_settings: tuple[str, ...] = ()):
+        """more_settings: lines of the settings files of all processes."""
+        self._more_settings = more_settings
         self._controller_arguments = ["--staged"] if is_staged else []
         self._ledger, self._build, self._work = ledger, build, work
         self._subnet = f"127.{FIRST_SUBNET + slot}"
@@ -284,7 +320,7 @@
         seeds = ",".join(self.controllers[:3])
         return [f"nodeName={name}", f"ip={ip}", f"zone={zone}", f"region={ZONES[zone]}", f"seedAddrs={seeds}",
                 "innerPorts=7660,7675", f"bounds.gracePeriodS={self._ledger.grace_period_s}", "bounds.retrySlack=100",
-                *(f"zones.{name}={region}" for name, region in ZONES.items())]
+                *(f"zones.{name}={region}" for name, region in ZONES.items()), *self._more_settings]
 
     def _controller_machine(self, n: int) -> Machine:
         name, ip = f"core-{n + 1}", f"{self._subnet}.1.{n + 1}"
