A changed limit is in force on connections that are open

Seen: bodyBytes was raised and acknowledged; 36 of 36 uploads on connections opened before got 413 for as long as these lived, and each on a new connection 200.

Cause: evhttp copies its limits into each connection that it accepts, and FrontListener::set_limits changed the server's defaults only. Told apart from an old configuration (new connections to the same proxy were served) and from admission (the 413 is evhttp's own, text/html without X-Attempt-Id). headerBytes and idleTimeoutS had the same fault, the latter raised and lowered; DisconnectMonitor kept a fourth copy for each request.

Change: ClientConnections (BodyReadTracker before, which knew sockets but not their ends) knows each connection from its acceptance to its end, and brings changed limits to all. evhttp names no connection when it accepts it; an event that is made active in the same turn of the loop finds it before a byte is read. Its close callback came in all 13 ends that were tried, and the test plays them.

--- a/packages/proxy/disconnect_monitor.cpp
+++ b/packages/proxy/disconnect_monitor.cpp
@@ -13,12 +13,10 @@
 std::size_t constexpr kMostBytesOfNextRequests = 64 << 10;
 }  // namespace
 
-void DisconnectMonitor::start(evhttp_request* client_request, int idle_timeout_seconds, OnDisconnect on_disconnect,
-                              void* argument) {
+void DisconnectMonitor::start(evhttp_request* client_request, OnDisconnect on_disconnect, void* argument) {
   connection_ = evhttp_request_get_connection(client_request);
   if (connection_ == nullptr) return;
   socket_ = evhttp_connection_get_bufferevent(connection_);
-  idle_timeout_seconds_ = idle_timeout_seconds;
   on_disconnect_ = on_disconnect;
   argument_ = argument;
   bufferevent_getcb(socket_, nullptr, &evhttp_on_write_, &evhttp_on_event_, &evhttp_argument_);
@@ -28,12 +26,12 @@
   bufferevent_enable(socket_, EV_READ);
 }
 
-void DisconnectMonitor::stop() {
+void DisconnectMonitor::stop(int idle_timeout_seconds) {
   if (socket_ == nullptr) return;
   // evhttp sets its read callback again once it wants to read.
   bufferevent_setcb(socket_, nullptr, evhttp_on_write_, evhttp_on_event_, evhttp_argument_);
   bufferevent_setwatermark(socket_, EV_READ, 0, 0);
-  evhttp_connection_set_timeout(connection_, idle_timeout_seconds_);
+  evhttp_connection_set_timeout(connection_, idle_timeout_seconds);
   socket_ = nullptr;
 }
 
--- a/packages/proxy/front_listener.cpp
+++ b/packages/proxy/front_listener.cpp
@@ -21,11 +21,11 @@
 
 FrontListener::FrontListener(event_base* loop, Address const& address, LimitsConfig const& limits,
                              RequestIntake& intake)
-    : intake_(intake), server_(evhttp_new(loop)) {
+    : intake_(intake), connections_(loop), server_(evhttp_new(loop)) {
   evhttp_set_allowed_methods(server_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
                                                 EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
   evhttp_set_gencb(server_.get(), on_request, this);
-  body_reads_.watch(server_.get());
+  connections_.watch(server_.get());
   set_limits(limits);
   socket_ = evhttp_bind_socket_with_handle(server_.get(), address.ip.c_str(), static_cast<ev_uint16_t>(address.port));
   if (socket_ == nullptr) throw std::runtime_error("can't listen at " + address.str());
@@ -33,14 +33,13 @@
 
 void FrontListener::on_request(evhttp_request* client_request, void* listener) {
   auto* const self = static_cast<FrontListener*>(listener);
-  Seconds const reading_time = self->body_reads_.request_completed(client_request);
+  Seconds const reading_time = self->connections_.request_completed(client_request);
   self->intake_.on_request(client_request, reading_time);
 }
 
 void FrontListener::set_limits(LimitsConfig const& limits) {
-  evhttp_set_max_headers_size(server_.get(), head_limit_of(limits));
-  evhttp_set_max_body_size(server_.get(), static_cast<ev_ssize_t>(limits.body_bytes));
-  evhttp_set_timeout(server_.get(), idle_timeout_seconds(limits));
+  connections_.set_limits(
+      {head_limit_of(limits), static_cast<ev_ssize_t>(limits.body_bytes), idle_timeout_seconds(limits)});
 }
 
 void FrontListener::stop_accepting() {
--- a/packages/proxy/include/proxy/disconnect_monitor.hpp
+++ b/packages/proxy/include/proxy/disconnect_monitor.hpp
@@ -21,11 +21,11 @@
   DisconnectMonitor() = default;
   DisconnectMonitor(DisconnectMonitor const&) = delete;
 
-  /// idle_timeout_seconds: evhttp's, for when the monitor has stopped. on_disconnect is called from the event loop with
-  /// argument, and may stop the monitor.
-  void start(evhttp_request* client_request, int idle_timeout_seconds, OnDisconnect on_disconnect, void* argument);
-  /// To be called before the answer is written. Without effect on a monitor that has not started or has stopped.
-  void stop();
+  /// on_disconnect is called from the event loop with argument, and may stop the monitor.
+  void start(evhttp_request* client_request, OnDisconnect on_disconnect, void* argument);
+  /// To be called before the answer is written. idle_timeout_seconds: evhttp's from now on. Without effect on a monitor
+  /// that has not started or has stopped.
+  void stop(int idle_timeout_seconds);
   /// Has the client disconnected unseen? Only next requests that fill the buffer hide a disconnect.
   bool has_hidden_disconnect() const;
   /// Has a disconnect reported that is known otherwise.
@@ -36,7 +36,6 @@
 
   bufferevent* socket_ = nullptr;  // null: not watching
   evhttp_connection* connection_ = nullptr;
-  int idle_timeout_seconds_ = 0;
   bufferevent_data_cb evhttp_on_write_ = nullptr;
   bufferevent_event_cb evhttp_on_event_ = nullptr;
   void* evhttp_argument_ = nullptr;
--- a/packages/proxy/include/proxy/front_listener.hpp
+++ b/packages/proxy/include/proxy/front_listener.hpp
@@ -3,9 +3,9 @@
 #include <event2/http.h>
 
 #include "configuration/configuration.hpp"
+#include "proxy/client_connections.hpp"
 #include "settings/settings.hpp"
 #include "transport/event_owners.hpp"
-#include "upstream/body_read_tracker.hpp"
 
 namespace dockbend {
 
@@ -21,19 +21,20 @@
   FrontListener(event_base* loop, Address const& address, LimitsConfig const& limits, RequestIntake& intake);
   FrontListener(FrontListener const&) = delete;
 
+  /// In force for open connections too.
   void set_limits(LimitsConfig const& limits);
   /// Takes no new connections; the open ones stay.
   void stop_accepting();
   bool is_accepting() const { return socket_ != nullptr; }
 
   /// Bodies that have begun to arrive and are not complete; those silent for more than `idle_ticks` don't count.
-  u32 open_body_reads(u64 idle_ticks) const { return body_reads_.open_reads(idle_ticks); }
-  void tick() { body_reads_.tick(); }
+  u32 open_body_reads(u64 idle_ticks) const { return connections_.open_reads(idle_ticks); }
+  void tick() { connections_.tick(); }
 
  private:
   static void on_request(evhttp_request* client_request, void* listener);
   RequestIntake& intake_;
-  BodyReadTracker body_reads_;
+  ClientConnections connections_;
   HttpServerOwner server_;
   evhttp_bound_socket* socket_ = nullptr;  // owned by server_; null once it accepts no more
 };
--- a/packages/proxy/include/proxy/proxied_request.hpp
+++ b/packages/proxy/include/proxy/proxied_request.hpp
@@ -74,8 +74,7 @@
   /// Arms the timer for `at` (steady clock), at the earliest half a millisecond from now.
   void set_timer(Seconds at);
   void cancel_timer();
-  /// idle_timeout_seconds: see DisconnectMonitor.
-  void monitor_client(int idle_timeout_seconds);
+  void monitor_client();
 
   DisconnectMonitor disconnect_monitor;
 
--- a/packages/proxy/proxied_request.cpp
+++ b/packages/proxy/proxied_request.cpp
@@ -38,8 +38,8 @@
   self->flow_.on_client_disconnected(*self);
 }
 
-void ProxiedRequest::monitor_client(int idle_timeout_seconds) {
-  disconnect_monitor.start(client_request, idle_timeout_seconds, client_disconnected, this);
+void ProxiedRequest::monitor_client() {
+  disconnect_monitor.start(client_request, client_disconnected, this);
 }
 
 void ProxiedRequest::set_timer(Seconds at) {
--- a/packages/proxy/request_driver.cpp
+++ b/packages/proxy/request_driver.cpp
@@ -4,6 +4,8 @@
 
 #include <vector>
 
+#include "proxy/front_listener.hpp"
+
 namespace dockbend {
 namespace {
 /// Answers of ours from here on, but for the promise that nothing ran, stand in place of a server's.
@@ -34,7 +36,8 @@
   if (action.claim == ClaimDisposition::not_run) key_outcomes_.report(request, KeyOutcome::not_run);
   if (action.claim == ClaimDisposition::lost) key_outcomes_.report(request, KeyOutcome::lost);
   if (action.reason != nullptr) ++context_.given_up[action.reason];
-  if (answers_client(action.step)) request.disconnect_monitor.stop();
+  if (answers_client(action.step))
+    request.disconnect_monitor.stop(idle_timeout_seconds(context_.configuration.limits()));
   switch (action.step) {
     case RequestAction::Step::acquire_key: return idempotency_.acquire(request);
     case RequestAction::Step::choose_server: return attempts_.start(request);
--- a/packages/proxy/request_intake.cpp
+++ b/packages/proxy/request_intake.cpp
@@ -5,7 +5,6 @@
 
 #include <memory>
 
-#include "proxy/front_listener.hpp"
 #include "transport/counters.hpp"
 
 namespace dockbend {
@@ -74,7 +73,7 @@
                      RetryState(request.is_repeatable, request.route->max_attempts, now + request.time_left));
   for (std::string const& home : request.homes)
     request.home_regions.push_back(context_.load_balancer.region_index(home));
-  request.monitor_client(idle_timeout_seconds(context_.configuration.limits()));
+  request.monitor_client();
   return context_.requests.open(std::move(owner));
 }
 
--- a/tests/rules/mutations.py
+++ b/tests/rules/mutations.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 COURSE, DISCONNECTS = "tests/soak/incident_course.py", "tests/soak/client_disconnects.py"
-AFTER_ACKNOWLEDGEMENT = "tests/soak/after_acknowledgement.py"
+AFTER_ACKNOWLEDGEMENT, SETTINGS_IN_FORCE = "tests/soak/after_acknowledgement.py", "tests/soak/settings_in_force.py"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,6 +48,7 @@
 SENDER, WRITER = "packages/proxy/upstream_sender.cpp", "packages/proxy/response_writer.cpp"
 KEY_TABLE, ACCEPTOR = "packages/idempotency/key_table.cpp", "packages/consensus/acceptor.cpp"
 CONFIGURATION = "packages/configuration/compiled_configuration.cpp"
+CLIENT_CONNECTIONS = "packages/proxy/client_connections.cpp"
 
 SPOILED_RESPONSES = UnitTest("request", "headers::each_spoiled_response_is_recognized")
 ONE_SPOILED = UnitTest("request", "request::one_message_spoiled_at_a_time_breaks_nothing")
@@ -184,6 +185,14 @@
     Mutation("lost-key-unwritten", KEY_TABLE, "  return was_written;\n", "  return true;\n",
              (UnitTest("idempotency", "key_table::grant_is_not_confirmed_once_another_holder_has_the_key"),)),
     # ---- CONFIG ----
+    Mutation("config-open-connections", CLIENT_CONNECTIONS, "    apply_sizes(connection, limits);\n", "",
+             (UnitTest("proxy", "client_connections::raised_sizes_are_in_force_on_open_connections"),
+              scenario(SETTINGS_IN_FORCE, "bodyBytes raised"), scenario(SETTINGS_IN_FORCE, "headerBytes raised"))),
+    Mutation("config-idle-connections", CLIENT_CONNECTIONS, "if (is_idle_limit_changed && !is_monitored)", "if (false)",
+             (UnitTest("proxy", "client_connections::changed_idle_limit_is_in_force_on_open_connections"),
+              scenario(SETTINGS_IN_FORCE, "idleTimeoutS raised"), scenario(SETTINGS_IN_FORCE, "idleTimeoutS lowered"))),
+    Mutation("config-idle-prolonged", CLIENT_CONNECTIONS, "limits.idle_seconds != limits_.idle_seconds;", "true;",
+             (UnitTest("proxy", "client_connections::changes_of_other_limits_prolong_no_rest"),)),
     Mutation("config-majority", "packages/quorum_contact/include/quorum_contact/quorum_contact.hpp",
              "return members_.size() / 2 + 1;", "return members_.size() / 2;",
              (UnitTest("quorum_contact", "quorum_contact::random_partitions_never_outlast_the_bound"),)),
--- a/tests/soak/after_acknowledgement.py
+++ b/tests/soak/after_acknowledgement.py
@@ -334,7 +334,7 @@
         for _ in range(REPEATS):
             served += await is_served(stage, proxy=1)
             await asyncio.sleep(REPEAT_PAUSE_S)
-        print(f"of {REPEATS} repeats {served} got the first answer")
+        stage.outcomes.append(f"of {REPEATS} repeats {served} got the first answer")
         await finish(trial)
 
     return play
@@ -380,6 +380,8 @@
     verdict = judge.judge(stage.ledger)
     print(f"{scenario.name}: {verdict.successes} succeeded"
           + "".join(f", {count} excused ({excuse.value})" for excuse, count in verdict.excused.items()))
+    for outcome in stage.outcomes:
+        print(f"    {outcome}")
     for finding in verdict.findings:
         print(f"    {finding.cause.value}\n        {finding.detail}")
     for complaint in stage.complaints:
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -71,6 +71,7 @@
         self.clients = ClientGroup(self.ledger, self.system.fronts, HOST, random.Random(slot))
         self.servers: list[StandInServer] = []
         self.complaints: list[str] = []  # of the scenario itself, beside the judge's findings
+        self.outcomes: list[str] = []  # in words, for the report
         self._idle_timeout_s = idle_timeout_s
         self._lag_watch: asyncio.Task | None = None
 
