Bounds of a changed settings file reach what took a copy of them

RetryBudget (one a service), the drain planners and the membership monitor kept those of the start.

Before, tests/soak/settings_in_force.py on the code before: retrySlack raised and lowered in the settings file, "with a slack of 0: 200, not 503" in both.

--- a/packages/consensus/include/consensus/membership_monitor.hpp
+++ b/packages/consensus/include/consensus/membership_monitor.hpp
@@ -23,6 +23,8 @@
 class MembershipMonitor {
  public:
   explicit MembershipMonitor(MembershipMonitorOptions options, Seconds now) : options_(options), epoch_since_(now) {}
+  /// In force from now on.
+  void set_options(MembershipMonitorOptions const& options) { options_ = options; }
   /// A newer value is in force.
   void see(ReplicatedState const& state, Seconds now);
   /// A message of that member arrived.
--- a/packages/controller/controller.cpp
+++ b/packages/controller/controller.cpp
@@ -104,6 +104,8 @@
   context_.settings.bounds = changed.bounds;
   context_.settings.rollout = changed.rollout;
   context_.contact.set_options(ContactOptions::from_bounds(context_.settings.bounds));
+  drains_.on_settings_changed();
+  membership_.on_settings_changed();
   connect_to_seeds();
 }
 
--- a/packages/controller/drain_service.cpp
+++ b/packages/controller/drain_service.cpp
@@ -117,6 +117,11 @@
   return options;
 }
 
+void DrainService::on_settings_changed() {
+  proxy_planner_.set_options(proxy_options(context_.settings));
+  server_planner_.set_options(server_options(context_.settings));
+}
+
 void DrainService::on_committed() {
   if (!context_.committed) return;
   UnitsByName units = units_out(*context_.committed);
--- a/packages/controller/include/controller/drain_service.hpp
+++ b/packages/controller/include/controller/drain_service.hpp
@@ -28,6 +28,8 @@
   /// A new value was committed: publishes the units that are out to the directory and the registry.
   void on_committed();
   void tick(Seconds now);
+  /// The settings of the context have other bounds now.
+  void on_settings_changed();
 
   /// All calls under `/-/Drain.` and, if `servers`, `/-/Rotation.`; `what` is the rest of the path.
   void call(evhttp_request* http_request, std::string const& what, bool servers, bool is_post, std::string const& body);
--- a/packages/controller/include/controller/membership_service.hpp
+++ b/packages/controller/include/controller/membership_service.hpp
@@ -19,6 +19,8 @@
   MembershipService(ControllerContext& context, IdempotencyService& idempotency, Seconds now);
 
   void tick(Seconds now);
+  /// The settings of the context have other bounds now.
+  void on_settings_changed();
   /// The keys are complete: asks at the next tick that the membership says so.
   void update_own_entry_soon() { next_join_at_ = 0; }
   /// Brings a controller's wish to join, its own or another's, into the replicated state.
--- a/packages/controller/membership_service.cpp
+++ b/packages/controller/membership_service.cpp
@@ -65,6 +65,10 @@
   return options;
 }
 
+void MembershipService::on_settings_changed() {
+  monitor_.set_options(monitor_options(context_.settings.bounds));
+}
+
 void MembershipService::tick(Seconds now) {
   if (last_tick_at_ > 0 && now - last_tick_at_ > kStallSeconds) monitor_.forgive(now);
   last_tick_at_ = now;
--- a/packages/drain/include/drain/proxy_drain.hpp
+++ b/packages/drain/include/drain/proxy_drain.hpp
@@ -27,6 +27,8 @@
  public:
   explicit ProxyDrainPlanner(ProxyDrainOptions options)
       : options_(options), shortages_(options.shortage_confirmation) {}
+  /// In force from the next step on, apart from `shortage_confirmation`.
+  void set_options(ProxyDrainOptions const& options) { options_ = options; }
 
   /// The changes that the runs in `state` need now, by what is known of the proxies. Called by the holder of the
   /// drain lease every few hundred milliseconds; the caller submits the changes.
--- a/packages/drain/include/drain/server_drain.hpp
+++ b/packages/drain/include/drain/server_drain.hpp
@@ -41,6 +41,8 @@
 class ServerDrainPlanner {
  public:
   explicit ServerDrainPlanner(ServerDrainOptions options) : options_(options) {}
+  /// In force from the next step on.
+  void set_options(ServerDrainOptions const& options) { options_ = options; }
 
   /// The changes that the runs in `state` need now, by what is known of the servers. Called by the holder of the
   /// drain lease every few hundred milliseconds; the caller submits the changes.
--- a/packages/load_balancing/include/load_balancing/load_balancer.hpp
+++ b/packages/load_balancing/include/load_balancing/load_balancer.hpp
@@ -41,6 +41,8 @@
   void update_servers(std::vector<ServerUpdate> const& servers, Seconds now);
   void set_evacuated_zones(std::set<std::string> const& zones, Seconds now);
   void set_proxy_counts(std::map<std::string, u32> const& count_by_zone);
+  /// The settings that the constructor was given have other bounds now.
+  void on_settings_changed();
 
   // ---- the choice ----
   enum class Refusal {
@@ -104,6 +106,7 @@
     // Of connections to any server of the service, for requests that are not repeatable.
     Seconds safe_idle_time = 60, idle_reset_at = 0;
   };
+  RetryBounds retry_bounds() const;
   u32 insert(ServerUpdate const& update, ServiceIndex service);
   void put(ServerUpdate const& update, Seconds now);
   void forget_retired();
--- a/packages/load_balancing/load_balancer.cpp
+++ b/packages/load_balancing/load_balancer.cpp
@@ -88,8 +88,7 @@
 ServiceIndex LoadBalancer::service_index(std::string const& name) {
   u32 const index = index_of(service_indices_, name);
   while (services_.size() <= index) {
-    services_.emplace_back(RetryBudget(settings_.bounds.retryWindowS, settings_.bounds.retryRatio * kRetryRatioPart,
-                                       settings_.bounds.retrySlack * kRetrySlackPart));
+    services_.emplace_back(RetryBudget(retry_bounds()));
     service_names_.push_back(name);
   }
   return ServiceIndex(index);
@@ -105,6 +104,16 @@
 
 // ---- what is configured and known ----
 
+RetryBounds LoadBalancer::retry_bounds() const {
+  Bounds const& bounds = settings_.bounds;
+  return {bounds.retryWindowS, bounds.retryRatio * kRetryRatioPart, bounds.retrySlack * kRetrySlackPart};
+}
+
+void LoadBalancer::on_settings_changed() {
+  for (Service& service : services_)
+    service.retry_budget.set_bounds(retry_bounds());
+}
+
 void LoadBalancer::set_limits(ServiceIndex service, ServiceLimits limits) {
   services_[service.v].limits = limits;
 }
--- a/packages/load_balancing/retry_budget.cpp
+++ b/packages/load_balancing/retry_budget.cpp
@@ -8,15 +8,15 @@
   for (Slot const& slot : slots_) {
     // Retries are counted over a longer span than requests, because the window of the bound slides.
     retries += slot.retries;
-    if (now - slot.started_at < window_ - slot_length()) requests += slot.requests;
+    if (now - slot.started_at < bounds_.window - slot_length()) requests += slot.requests;
   }
-  if (retries + 1 > share * slack_ + ratio_ * requests) return false;
+  if (retries + 1 > share * bounds_.slack + bounds_.ratio * requests) return false;
   current.retries += 1;
   return true;
 }
 
 RetryBudget::Slot& RetryBudget::slot_at(Seconds now) {
-  while (!slots_.empty() && now - slots_.front().started_at > window_ + slot_length())
+  while (!slots_.empty() && now - slots_.front().started_at > bounds_.window + slot_length())
     slots_.pop_front();
   if (slots_.empty() || now - slots_.back().started_at >= slot_length()) slots_.push_back(Slot{now, 0, 0});
   return slots_.back();
--- a/packages/proxy/include/proxy/proxy.hpp
+++ b/packages/proxy/include/proxy/proxy.hpp
@@ -27,7 +27,10 @@
   /// A SIGTERM: shuts down gracefully, and breaks the event loop at the end.
   void term() { shutdown_.begin(); }
   /// The settings file changed: only the bounds are taken over.
-  void settings(Settings const& changed) { context_.settings.bounds = changed.bounds; }
+  void settings(Settings const& changed) {
+    context_.settings.bounds = changed.bounds;
+    context_.load_balancer.on_settings_changed();
+  }
 
  private:
   void tick();
--- a/tests/controller/membership_test.cpp
+++ b/tests/controller/membership_test.cpp
@@ -237,6 +237,18 @@
   cr_assert_not(u.swap(s, me, 5));
 }
 
+// Failure: the horizon of a changed settings file was not in force until the process started again.
+Test(member, a_changed_horizon_is_in_force) {
+  ReplicatedState const state = roster_of("abcdef");
+  MembershipMonitor monitor(plan, 0);
+  monitor.see(state, 0);
+  cr_assert_not(monitor.settled(79));
+  monitor.set_options({plan.silent, plan.recent, 50});
+  cr_assert(monitor.settled(51));
+  monitor.set_options({plan.silent, plan.recent, 120});
+  cr_assert_not(monitor.settled(119));
+}
+
 // Keys bind for a horizon; only a node that saw one roster stand for so long may say that
 // those of wider ones are over.
 Test(member, a_wide_roster_is_forgotten_after_a_horizon) {
--- a/tests/load_balancing/load_balancer_test.cpp
+++ b/tests/load_balancing/load_balancer_test.cpp
@@ -113,7 +113,7 @@
   std::mt19937 rnd(5);
   double const window = 10, ratio = 0.2, slack = 60;
   int const n = 9;
-  auto fresh = [&] { return RetryBudget(window, ratio * 0.8, slack * 0.7); };
+  auto fresh = [&] { return RetryBudget({window, ratio * 0.8, slack * 0.7}); };
   std::vector<RetryBudget> b;
   for (int i = 0; i < n; ++i)
     b.push_back(fresh());
@@ -140,6 +140,25 @@
   cr_assert(attempts.size() > 100);
 }
 
+// Failure: bounds of a changed settings file were not in force for services that had been used before.
+Test(load_balancer, changed_retry_bounds_are_in_force_for_services_in_use) {
+  Settings changing = settings();
+  changing.bounds.retryRatio = changing.bounds.retrySlack = 0;
+  LoadBalancer balancer(changing);
+  ServiceIndex const service = balancer.service_index("p");
+  auto const may_retry = [&](Seconds now) {
+    balancer.retry_budget(service).request_arrived(now);
+    return balancer.retry_budget(service).take(now, 1);
+  };
+  cr_assert_not(may_retry(1));
+  changing.bounds.retrySlack = 100;
+  balancer.on_settings_changed();
+  cr_assert(may_retry(2));
+  changing.bounds.retrySlack = 0;
+  balancer.on_settings_changed();
+  cr_assert_not(may_retry(3));
+}
+
 // Connections of all proxies together stay under a server's limit, also when some know of fewer proxies than there are.
 Test(load_balancer, connection_shares_stay_under_the_limit) {
   Settings const st = settings();
--- a/tests/soak/settings_in_force.py
+++ b/tests/soak/settings_in_force.py
@@ -16,7 +16,9 @@
 from http_messages import BrokenMessage
 from ledger import Kind
 from scenarios import Scenario, run
-from stage import DEADLINE_S, HOST, TENANTS, Stage, route
+from special_servers import RefusingServer
+from stage import DEADLINE_S, FAR, HOST, TENANTS, Stage, route
+from stand_in_server import StandInServer
 
 APPLY_BOUND_S = 2.5
 # The middle one is between the others, by more than all slack.
@@ -238,11 +240,36 @@
     trial.expect("fewer than all after", after < TOKENS_ASKED, True)
 
 
-def scenario(name: str, play: Play) -> Scenario:
+# ---- the settings file ----
+
+# The near server turns everything away; only a retry reaches the far one.
+NO_RETRIES, MANY_RETRIES = "0", "1000"
+
+
+async def set_retry_slack(trial: Trial, slack: str) -> None:
+    trial.stage.proxy_machine.change_setting("bounds.retryRatio", "0")
+    trial.stage.proxy_machine.change_setting("bounds.retrySlack", slack)
+    await asyncio.sleep(APPLY_BOUND_S)
+
+
+def retry_slack_changed(before: str, after: str) -> Play:
+    served = {NO_RETRIES: "503", MANY_RETRIES: "200"}
+
+    async def play(trial: Trial) -> None:
+        await trial.stage.add_server(StandInServer, FAR)
+        client = await trial.client()
+        for slack in (before, after):
+            await set_retry_slack(trial, slack)
+            trial.expect(f"with a slack of {slack}", await client.ask(), served[slack])
+
+    return play
+
+
+def scenario(name: str, play: Play, first_server: type[StandInServer] = StandInServer) -> Scenario:
     async def play_on(stage: Stage) -> None:
         await play(Trial(stage))
 
-    return Scenario(name, play_on)
+    return Scenario(name, play_on, first_server)
 
 
 SCENARIOS = [
@@ -262,6 +289,8 @@
     scenario("deadlineS lowered", deadline_changed(5.0, 0.5, "504")),
     scenario("a tenant's allowance raised", allowance_raised),
     scenario("a tenant's allowance lowered", allowance_lowered),
+    scenario("retrySlack raised in the settings file", retry_slack_changed(NO_RETRIES, MANY_RETRIES), RefusingServer),
+    scenario("retrySlack lowered in the settings file", retry_slack_changed(MANY_RETRIES, NO_RETRIES), RefusingServer),
 ]
 
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -82,9 +82,12 @@
         return all(process.is_running() for process in self._processes)
 
     def change_settings(self, seeds: list[str]) -> None:
-        """Other seeds, in a file that takes the place of the one before at once."""
-        lines = [f"seedAddrs={','.join(seeds)}" if line.startswith("seedAddrs=") else line
-                 for line in self.settings.read_text().splitlines()]
+        self.change_setting("seedAddrs", ",".join(seeds))
+
+    def change_setting(self, name: str, value: str) -> None:
+        """In a file that takes the place of the one before at once."""
+        lines = [line for line in self.settings.read_text().splitlines() if not line.startswith(f"{name}=")]
+        lines.append(f"{name}={value}")
         changed = self.settings.with_suffix(".changed")
         changed.write_text("\n".join(lines) + "\n")
         changed.rename(self.settings)
