A client's connection has one close callback: its end is never missed

ClientConnections is the one that has the callback now, and reports the end to ResponseFlushTracker.

The test, whose server now tracks its answers as the proxy does, on the code before: client_connections_test.cpp:250: Assertion Failed, play 3 (connections.size() is not 0) [FAIL] client_connections::each_end_of_a_connection_is_noticed [FAIL] client_connections::many_connections_come_and_go_while_limits_change: CRASH! After: all 38 of proxy_test pass.

--- a/packages/proxy/client_connections.cpp
+++ b/packages/proxy/client_connections.cpp
@@ -90,6 +90,7 @@
   if (open == self->open_.end()) return;
   evbuffer_remove_cb_entry(bufferevent_get_input(open->second->socket), open->second->input_callback);
   self->open_.erase(open);
+  self->on_ended.emit(connection);
 }
 
 void ClientConnections::on_input(evbuffer*, evbuffer_cb_info const* info, void* connection) {
--- a/packages/proxy/include/proxy/client_connections.hpp
+++ b/packages/proxy/include/proxy/client_connections.hpp
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
+#include <sigc++/sigc++.h>
 
 #include <memory>
 #include <unordered_map>
@@ -26,10 +27,14 @@
 /// each connection is known here from its acceptance to its end: a change of the limits reaches all of them, and the
 /// bytes of requests are counted as they arrive.
 ///
-/// Invariants: `open_` has exactly the connections that evhttp has, between two turns of the loop; a connection's bytes
-/// are those that arrived since its last complete request.
+/// Invariants: `open_` has exactly the connections that evhttp has, between two turns of the loop; their close
+/// callbacks are this object's, and nobody else sets any; a connection's bytes are those that arrived since its last
+/// complete request.
 class ClientConnections {
  public:
+  /// A connection ends now.
+  sigc::signal<void(evhttp_connection const*)> on_ended;
+
   /// `loop` must outlive this object.
   explicit ClientConnections(event_base* loop);
   ~ClientConnections();
--- a/packages/proxy/include/proxy/response_flush_tracker.hpp
+++ b/packages/proxy/include/proxy/response_flush_tracker.hpp
@@ -8,19 +8,21 @@
 namespace dockbend {
 
 /// Runs on the event loop's thread. Invariant: a client connection is counted from track() until its answer has left
-/// the process or the connection has ended. Must outlive the HTTP server of the connections.
+/// the process or the connection has ended.
 class ResponseFlushTracker {
  public:
   ResponseFlushTracker() = default;
   ResponseFlushTracker(ResponseFlushTracker const&) = delete;
   /// To be called right before the answer of client_request is handed to libevent.
   void track(evhttp_request* client_request);
+  /// The connection has ended: nothing more of its answer leaves. ClientConnections reports it; libevent has room for
+  /// one close callback of a connection, which is that one's.
+  void forget(evhttp_connection const* connection) { connections_.erase(connection); }
   /// Connections whose answer has not wholly left the process.
   std::size_t unflushed() const { return connections_.size(); }
 
  private:
   static void on_flushed(evhttp_request* client_request, void* tracker);
-  static void on_closed(evhttp_connection* connection, void* tracker);
   std::unordered_set<evhttp_connection const*> connections_;
 };
 
--- a/packages/proxy/proxy.cpp
+++ b/packages/proxy/proxy.cpp
@@ -20,7 +20,10 @@
       agent_(context_, driver_, state_, load_, shutdown_, front_address_),
       activity_log_(context_),
       tick_timer_(std::make_unique<PeriodicTimer>(loop, kTickInterval, [this] { tick(); })),
-      load_timer_(std::make_unique<PeriodicTimer>(loop, kLoadReportInterval, [this] { load_.report(); })) {}
+      load_timer_(std::make_unique<PeriodicTimer>(loop, kLoadReportInterval, [this] { load_.report(); })) {
+  front_.on_connection_ended().connect(
+      [this](evhttp_connection const* connection) { context_.response_flushes.forget(connection); });
+}
 
 void Proxy::tick() {
   Seconds const now = steady_now();
--- a/packages/proxy/response_flush_tracker.cpp
+++ b/packages/proxy/response_flush_tracker.cpp
@@ -7,15 +7,10 @@
   if (connection == nullptr) return;  // the client has gone
   connections_.insert(connection);
   evhttp_request_set_on_complete_cb(client_request, on_flushed, this);
-  evhttp_connection_set_closecb(connection, on_closed, this);
 }
 
 void ResponseFlushTracker::on_flushed(evhttp_request* client_request, void* tracker) {
   static_cast<ResponseFlushTracker*>(tracker)->connections_.erase(evhttp_request_get_connection(client_request));
 }
 
-void ResponseFlushTracker::on_closed(evhttp_connection* connection, void* tracker) {
-  static_cast<ResponseFlushTracker*>(tracker)->connections_.erase(connection);
-}
-
 }  // namespace dockbend
--- a/tests/proxy/client_connections_test.cpp
+++ b/tests/proxy/client_connections_test.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "proxy/client_connections.hpp"
+#include "proxy/response_flush_tracker.hpp"
 
 using namespace dockbend;
 
@@ -55,18 +56,23 @@
   explicit Server(ConnectionLimits const& limits = kHigh) : connections(loop.get()), http(evhttp_new(loop.get())) {
     connections.watch(http.get());
     connections.set_limits(limits);
+    connections.on_ended.connect([this](evhttp_connection const* connection) { flushes.forget(connection); });
     evhttp_set_gencb(
         http.get(),
         [](evhttp_request* request, void* self) {
           auto* const server = static_cast<Server*>(self);
           server->reading_times.push_back(server->connections.request_completed(request));
-          server->is_holding ? server->held.push_back(request) : evhttp_send_reply(request, HTTP_OK, "OK", nullptr);
+          server->is_holding ? server->held.push_back(request) : server->answer(request);
         },
         this);
     evhttp_bound_socket* const bound = evhttp_bind_socket_with_handle(http.get(), "127.0.0.1", 0);
     socklen_t length = sizeof address;
     getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&address), &length);
   }
+  void answer(evhttp_request* request) {
+    flushes.track(request);  // as the proxy does
+    evhttp_send_reply(request, HTTP_OK, "OK", nullptr);
+  }
   void run(int milliseconds = 20) const {
     timeval const wait{milliseconds / 1000, milliseconds % 1000 * 1000};
     event_base_loopexit(loop.get(), &wait);
@@ -79,6 +85,7 @@
 
   EventBaseOwner loop{event_base_new()};
   ClientConnections connections;
+  ResponseFlushTracker flushes;
   HttpServerOwner http;
   sockaddr_in address{};
   std::vector<Seconds> reading_times;
@@ -231,7 +238,7 @@
         server_of_play.send_and_run(client, kRequest);
         client.leave_by_reset();
         server_of_play.run();
-        evhttp_send_reply(server_of_play.held.back(), HTTP_OK, "OK", nullptr);
+        server_of_play.answer(server_of_play.held.back());
         server_of_play.is_holding = false;
       },
   };
@@ -242,6 +249,7 @@
     play(server, client);
     server.run();
     cr_assert_eq(server.connections.size(), 0u, "play %td", &play - plays.data());
+    cr_assert_eq(server.flushes.unflushed(), 0u, "play %td", &play - plays.data());
     server.connections.set_limits(kHigh);
     server.connections.set_limits(kLow);
   }
