Soak: servers leave, limits change, and controllers die right after a 200

New series: a controller is killed at the moment when it acknowledges a Leave, a `draining` that is not said again, a change, or an evacuation, and comes back 0.2 to 4 s later. Servers serve on for 7 s after they have left; bodyBytes and headerBytes are drawn with each change. The judge counts requests that machines in touch send to a departed server too late, 413 for a body that each configuration allowed that may have been in force, and acknowledged changes that are not read back at the end.

--- a/tests/soak/after_acknowledgement.py
+++ b/tests/soak/after_acknowledgement.py
@@ -105,10 +105,10 @@
         return answer.status == 200
 
     async def leave(self, server: StandInServer) -> bool:
-        return await self.say(server, f"/-/Servers.Leave/{server.id}")
+        return await self.say(server, server.leave_target)
 
     async def drain(self, server: StandInServer) -> bool:
-        return await self.say(server, f"/-/Servers.Heartbeat/{server.id}", server.heartbeat_body("draining"))
+        return await self.say(server, server.heartbeat_target, server.heartbeat_body("draining"))
 
     def late_requests(self) -> int:
         """Requests that reached a server too long after its acknowledgement, sent and taken by machines in touch."""
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -2,6 +2,7 @@
 leave before they are answered."""
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import socket
@@ -89,7 +90,8 @@
                 self._writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
                 self._writer.transport.abort()
             case Disconnect.HALF_CLOSE:
-                self._writer.write_eof()
+                with contextlib.suppress(OSError):  # the proxy has closed it meanwhile
+                    self._writer.write_eof()
             case Disconnect.PIPELINED:
                 self._writer.write(next_request)
                 self._writer.close()
@@ -191,7 +193,8 @@
 
     def _open_request(self, call: Call, proxy: int) -> Request:
         request = Request(self._new_attempt_id(), call.kind, proxy, time.monotonic(), call.time_left_s,
-                          operation_key=call.operation_key, reads_after_s=call.reads_after_s,
+                          operation_key=call.operation_key, body_bytes_sent=len(call.body),
+                          reads_after_s=call.reads_after_s,
                           is_to_disconnect=call.disconnects_after_s is not None)
         self._ledger.open_request(request)
         return request
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -8,7 +8,7 @@
 import dataclasses
 import enum
 
-from ledger import ClientEnd, Kind, Ledger, Request, Run, RunEnd, Signal
+from ledger import DRAIN_BOUND_S, ClientEnd, Kind, Ledger, Request, Run, RunEnd, Signal
 
 # RULES, LOST: a close later than this after the last byte was sent counts as a request that was read.
 LOSS_SLACK_S = 0.2
@@ -55,6 +55,8 @@
     OVERDUE_PROCESS = "a process was still there at the end of the grace period"
     CRASHED_PROCESS = "a process ended by itself"
     REFUSED_CHANGE = "CONFIG: a proper change was refused"
+    LOST_CHANGE = "LOST: a change that was acknowledged is not read back"
+    LATE_AT_DEPARTED = "DRAIN: sent by a machine in touch to a server whose departure had been acknowledged for too long"
 
 
 class Excuse(enum.Enum):
@@ -73,6 +75,8 @@
     NEVER_OFFERED = "502 or 504 without having reached a server"
     ANSWER_FORGOTTEN = "a repeat over a second after its key's success got 409 or 502"
     RUN_ENDED_UNKNOWN = "502 for an operation whose first run has no known end"
+    BODY_LIMIT = "larger than a configuration allowed that may have been in force (413)"
+    OUT_OF_TOUCH = "413 of a machine out of touch"
 
 
 @dataclasses.dataclass
@@ -108,6 +112,7 @@
     for cause, names in ((Cause.OVERDUE_PROCESS, ledger.overdue_processes),
                          (Cause.CRASHED_PROCESS, ledger.crashed_processes),
                          (Cause.SLOW_END, ledger.slow_ends),
+                         (Cause.LOST_CHANGE, ledger.lost_changes),
                          (Cause.REFUSED_CHANGE, ledger.refused_changes)):
         verdict.findings += [Finding(cause, "", name) for name in names]
     return verdict
@@ -117,6 +122,8 @@
     verdict.hedged += len(request.runs) > 1
     if len(request.runs) > 1 and not request.kind.is_repeatable:
         verdict.findings.append(_finding(ledger, Cause.RAN_TWICE, request))
+    if any(_is_late_at_departed(ledger, request, run) for run in request.runs):
+        verdict.findings.append(_finding(ledger, Cause.LATE_AT_DEPARTED, request))
     result = _result_of(ledger, request)
     if isinstance(result, Cause):
         verdict.findings.append(_finding(ledger, result, request))
@@ -129,6 +136,22 @@
         verdict.successes += 1
 
 
+def _is_late_at_departed(ledger: Ledger, request: Request, run: Run) -> bool:
+    departed_at = ledger.departures.get(run.server)
+    if departed_at is None:
+        return False
+    lag_s = ledger.observer_lag(request.begun_at, run.started_at)
+    is_late = run.started_at > departed_at + DRAIN_BOUND_S + lag_s
+    return is_late and ledger.is_in_touch(request.proxy, request.begun_at, run.started_at)
+
+
+def _result_of_body_limit(ledger: Ledger, request: Request) -> Cause | Excuse:
+    limits = ledger.body_limits(request.begun_at, request.ended_at)
+    if any(request.body_bytes_sent > limit for limit in limits):
+        return Excuse.BODY_LIMIT
+    return Cause.DENIED if ledger.is_in_touch(request.proxy, request.begun_at, request.ended_at) else Excuse.OUT_OF_TOUCH
+
+
 def _result_of(ledger: Ledger, request: Request) -> Cause | Excuse | None:
     """None: a success."""
     if request.end is ClientEnd.ANSWERED:
@@ -156,6 +179,8 @@
         return _result_of_runs(ledger, request) or _without_run(ledger, request)
     if request.status == 409 and request.kind is Kind.KEYED:
         return Excuse.ANSWER_FORGOTTEN if _succeeded_before(ledger, request) else Excuse.KEY_AT_WORK
+    if request.status == 413:
+        return _result_of_body_limit(ledger, request)
     return Cause.DENIED
 
 
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -4,7 +4,8 @@
 import unittest
 
 from judge import Cause, Excuse, judge
-from ledger import ClientEnd, Disconnect, Kind, Ledger, Request, Run, RunEnd, Signal
+from ledger import (APPLY_BOUND_S, DRAIN_BOUND_S, QUIET_S, ClientEnd, Disconnect, Kind, Ledger, LimitsChange, Request, Run,
+                    RunEnd, Signal)
 
 GRACE_PERIOD_S = 6.0
 ROUTE_DEADLINE_S = 3.0
@@ -99,7 +100,7 @@
 
     def test_processes_and_changes(self):
         for cause, field in ((Cause.OVERDUE_PROCESS, "overdue_processes"), (Cause.CRASHED_PROCESS, "crashed_processes"),
-                             (Cause.REFUSED_CHANGE, "refused_changes")):
+                             (Cause.REFUSED_CHANGE, "refused_changes"), (Cause.LOST_CHANGE, "lost_changes")):
             ledger = ledger_of()
             getattr(ledger, field).append("one")
             self.expect_cause(cause, ledger)
@@ -188,6 +189,43 @@
         self.expect_cause(Cause.RAN_THOUGH_REFUSED, ledger_of(a_disconnect(run, status=503)))
         self.expect_cause(Cause.MIXED, ledger_of(a_disconnect(run, status=200, seal="other", body=BODY)))
 
+    def test_late_request_at_a_departed_server(self):
+        def departed(at: float) -> Ledger:
+            request = a_success(a_run(RunEnd.FINISHED, started_at=20.1, ended_at=20.5), begun_at=20.0, sent_at=20.0,
+                                ended_at=20.5)
+            ledger = ledger_of(request)
+            ledger.departures["i-1"] = at
+            return ledger
+
+        self.expect_cause(Cause.LATE_AT_DEPARTED, departed(at=20.1 - DRAIN_BOUND_S - 0.1))
+        self.assertEqual(judge(departed(at=20.1 - DRAIN_BOUND_S + 0.1)).findings, [])
+        for proxy in (-1, 0):  # a controller's machine, the proxy's own
+            out_of_touch = departed(at=5.0)
+            out_of_touch.note(20.0 - QUIET_S + 0.1, proxy, Signal.KILL)
+            self.assertEqual(judge(out_of_touch).findings, [])
+            in_touch = departed(at=5.0)
+            in_touch.note(20.0 - QUIET_S - 0.1, proxy, Signal.KILL)
+            self.expect_cause(Cause.LATE_AT_DEPARTED, in_touch)
+
+    def test_body_over_the_limit(self):
+        def refused(*changes: LimitsChange) -> Ledger:
+            request = a_request(status=413, begun_at=20.0, sent_at=20.0, ended_at=20.5)
+            request.body_bytes_sent = 300
+            ledger = ledger_of(request)
+            ledger.limits_changes = list(changes)
+            return ledger
+
+        low, high, long_ago, lately = 100, 1000, 20.0 - APPLY_BOUND_S - 1, 20.0 - APPLY_BOUND_S + 1
+        self.expect_cause(Cause.DENIED, refused(LimitsChange(1.0, high, 1.1)))
+        self.expect_excuse(Excuse.BODY_LIMIT, refused(LimitsChange(1.0, low, 1.1)))
+        self.expect_cause(Cause.DENIED, refused(LimitsChange(1.0, low, 1.1), LimitsChange(2.0, high, long_ago)))
+        self.expect_excuse(Excuse.BODY_LIMIT, refused(LimitsChange(1.0, low, 1.1), LimitsChange(2.0, high, lately)))
+        self.expect_excuse(Excuse.BODY_LIMIT, refused(LimitsChange(1.0, high, 1.1), LimitsChange(20.2, low)))
+        self.expect_cause(Cause.DENIED, refused(LimitsChange(1.0, high, 1.1), LimitsChange(21.0, low)))
+        out_of_touch = refused(LimitsChange(1.0, high, 1.1))
+        out_of_touch.note(19.0, 0, Signal.STARTED)
+        self.expect_excuse(Excuse.OUT_OF_TOUCH, out_of_touch)
+
     def test_process_that_something_keeps_is_found(self):
         ledger = ledger_of(a_success(a_run(RunEnd.FINISHED)))
         ledger.slow_ends.append("edge-1: 5.0 s")
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -6,8 +6,11 @@
 import asyncio
 import dataclasses
 import enum
+import math
 import time
 
+# The bounds of the systems that are played.
+QUIET_S, APPLY_BOUND_S, DRAIN_BOUND_S = 4.0, 2.5, 2.5
 # How often a run looks how late its own loop is, and from where on that counts.
 LAG_CHECK_PERIOD_S, LEAST_LAG_S = 0.02, 0.01
 
@@ -78,6 +81,7 @@
     time_left_s: float
     is_on_kept_connection: bool = False
     operation_key: str = ""
+    body_bytes_sent: int = 0
     reads_after_s: float = 0.0  # the client looks for its answer so long after it has sent
     sent_at: float = 0.0  # its last byte was handed to the system
     ended_at: float = 0.0
@@ -112,6 +116,15 @@
     signal: Signal
 
 
+@dataclasses.dataclass
+class LimitsChange:
+    """A change of the limit on bodies. `acknowledged_at`: infinity until it is."""
+
+    sent_at: float
+    body_bytes: int
+    acknowledged_at: float = math.inf
+
+
 @dataclasses.dataclass
 class Ledger:
     """All facts of a run. A request's runs are kept with it, found by the attempt id that servers were sent."""
@@ -128,6 +141,10 @@
     mass_disconnects: int = 0
     slow_ends: list[str] = dataclasses.field(default_factory=list)  # of processes that had nothing left to do
     observer_lags: list[tuple[float, float]] = dataclasses.field(default_factory=list)  # when, how late in seconds
+    controller_events: list[float] = dataclasses.field(default_factory=list)  # when one was signalled or started
+    departures: dict[str, float] = dataclasses.field(default_factory=dict)  # when first acknowledged, by server
+    limits_changes: list[LimitsChange] = dataclasses.field(default_factory=list)
+    lost_changes: list[str] = dataclasses.field(default_factory=list)  # acknowledged, and not read back
 
     def open_request(self, request: Request) -> None:
         self.requests[request.attempt_id] = request
@@ -144,7 +161,27 @@
         return max((lag for at, lag in self.observer_lags if begin <= at <= end + lag), default=0.0)
 
     def note(self, at: float, proxy: int, signal: Signal) -> None:
-        self.process_events.append(ProcessEvent(at, proxy, signal))
+        """proxy < 0: a controller."""
+        if proxy < 0:
+            self.controller_events.append(at)
+        else:
+            self.process_events.append(ProcessEvent(at, proxy, signal))
+
+    def note_departure(self, server: str) -> None:
+        self.departures.setdefault(server, time.monotonic())
+
+    def is_in_touch(self, proxy: int, begin: float, end: float) -> bool:
+        """Was nothing done to the proxy's machine and to controllers in this time and before it, for as long as counts?"""
+        events = self.controller_events + [event.at for event in self.process_events
+                                           if event.proxy == proxy and event.signal is not Signal.HUP]
+        return not any(begin - QUIET_S <= at <= end for at in events)
+
+    def body_limits(self, begin: float, end: float) -> list[int]:
+        """What any configuration allows that may have been in force in this time."""
+        settled = [change for change in self.limits_changes if change.acknowledged_at < begin - APPLY_BOUND_S]
+        newest = max(settled, key=lambda change: change.sent_at, default=None)
+        return [change.body_bytes for change in self.limits_changes
+                if change is newest or (change not in settled and change.sent_at < end)]
 
     def last_before(self, proxy: int, signal: Signal, moment: float) -> float | None:
         """When the proxy last got this signal at or before the moment; None: never."""
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -22,6 +22,10 @@
     EVACUATE = "a zone is evacuated, and taken back"
     DRAIN_PROXY = "an operator's drain of a proxy, ended after a while"
     DRAIN_SERVERS = "an operator's rotation of a zone's servers, ended after a while"
+    LEAVE_THEN_KILL = "a server leaves, and its controller is killed with the acknowledgement"
+    DRAIN_THEN_KILL = "a server drains and says nothing more, and its controller is killed with the acknowledgement"
+    CHANGE_THEN_KILL = "a change, and its controller is killed with the acknowledgement"
+    EVACUATE_THEN_KILL = "an evacuation, and its controller is killed with the acknowledgement"
     MASS_DISCONNECT = "a share of the clients that wait for an answer leave in one moment"
 
 
@@ -58,6 +62,10 @@
     Series(Action.DRAIN_SERVERS, 0.2, 6.0),
     Series(Action.MASS_DISCONNECT, 0.6, 3.0),
     Series(Action.KILL_CONTROLLER, 0.2, 12.0),
+    Series(Action.LEAVE_THEN_KILL, 0.4, 8.0),
+    Series(Action.DRAIN_THEN_KILL, 0.3, 8.0),
+    Series(Action.CHANGE_THEN_KILL, 0.4, 8.0),
+    Series(Action.EVACUATE_THEN_KILL, 0.2, 10.0),
     Series(Action.KILL_MACHINE, 0.2, 8.0),
 )
 USUAL_PROXIES = 5
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,18 +13,20 @@
 import asyncio
 import collections
 import dataclasses
+import json
 import pathlib
 import random
 import resource
 import sys
 import tempfile
 import time
+from collections.abc import Coroutine
 
 import judge
 import known_red
 from clients import Call, ClientGroup
 from http_messages import Message
-from ledger import Disconnect, Kind, Ledger, watch_lag
+from ledger import Disconnect, Kind, Ledger, LimitsChange, watch_lag
 from schedule import Action, Event, draw_schedule
 from special_servers import BreakingServer, FailingServer, FullServer, RefusingServer, SlowReadingServer, StrayAnswerServer
 from stand_in_server import StandInServer, Work
@@ -34,13 +36,17 @@
 HOST = "soak.example"
 SERVICES = ("desk", "archive")
 GRACE_PERIOD_S = 6.0
-DRAIN_BOUND_S = 2.5
 DRAIN_FOR_S = 2.5  # an operator's drain
 CRASH_CHECK_PERIOD_S = 0.5
 # A deadline well beyond the longest work, and one that some requests reach.
 DEADLINES_S = (5.0, 8.0, 2.5)
 # Of the clients of one seed so many leave alone, and so much of a herd's.
 SHARES_DISCONNECTING_ALONE, SHARES_OF_MASS_DISCONNECT = (0.02, 0.1, 0.3), (0.3, 0.7, 1.0)
+# The bodies of uploads; the largest is over the lowest limit that a configuration may draw.
+UPLOAD_BYTES, BODY_LIMITS = (500, 20_000, 300_000), (200_000, 67_108_864, 67_108_864)
+# For how long a controller stays away that was killed with its acknowledgement, and a server that has left serves on.
+AWAY_S, SERVES_ON_S = (0.2, 4.0), 7.0
+READ_BACK_LIMIT_S = 10.0
 DESCRIPTORS = 8192
 MOST_SHOWN_PER_CAUSE = 5
 
@@ -74,7 +80,7 @@
                "actuation": {"split": [{"service": service, "gain": rng.choice((10, 50, 90))} for service in SERVICES],
                              "deadlineS": rng.choice(DEADLINES_S), "maxTries": rng.choice((1, 2, 3)),
                              "homeRegions": []}} for route in ROUTES]
-    limits = {"headerBytes": 16384, "bodyBytes": 67108864, "headerDeadlineS": 3,
+    limits = {"headerBytes": rng.choice((16384, 65536)), "bodyBytes": rng.choice(BODY_LIMITS), "headerDeadlineS": 3,
               "idleTimeoutS": rng.choice((2, 5, 15)), "generation": version}
     pools = [{"name": service, "healthPath": "/health", "connLimit": 1000, "selfDedupes": False, "coldS": 0,
               "coldRateS": 1000, "generation": version} for service in SERVICES]
@@ -115,7 +121,7 @@
         if route.kind is Kind.KEYED:
             call.operation_key, call.body = self._draw_key(), b"pay"
         elif route.kind is Kind.UPLOAD:
-            call.body = b"u" * self._rng.choice((500, 20_000, 300_000))
+            call.body = b"u" * self._rng.choice(UPLOAD_BYTES)
             call.sends_within_s = self._rng.choice((0.0, 0.0, 0.0, 0.4, 2.0))
             call.time_left_s += call.sends_within_s
         if self._rng.random() < self._share_disconnecting:
@@ -146,6 +152,7 @@
         self._work_rng = random.Random(seed + 2)
         self.drains_started = 0
         self.actions: collections.Counter = collections.Counter()
+        self._newest_acknowledged = 0
         self._background: set[asyncio.Task] = set()
 
     async def play(self) -> None:
@@ -161,7 +168,9 @@
                 self._begin(event)
             await load
             await traffic.finish()
-            await asyncio.gather(*self._background)
+            while self._background:  # some spawn others
+                await asyncio.gather(*self._background)
+            await self._read_back()
             await self._system.stop_idle_proxies()
             for watcher in watchers:
                 watcher.cancel()
@@ -175,7 +184,7 @@
         await self._system.start()
         for _ in range(self._options.servers):
             await self._add_server()
-        if await self._system.amend(configuration(self._generation, self._rng)) != 200:
+        if await self._amend(self._generation) != 200:
             raise RuntimeError("the first configuration was not taken")
         self._system.first_start_is_over()
         await self._system.wait_until_ready()
@@ -198,13 +207,17 @@
 
     def _begin(self, event: Event) -> None:
         self.actions[event.action] += 1
-        task = asyncio.create_task(self._carry_out(event))
+        self._spawn(self._carry_out(event))
+
+    def _spawn(self, work: Coroutine) -> None:
+        task = asyncio.create_task(work)
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
     async def _carry_out(self, event: Event) -> None:
         machine = self._system.proxy_machines[event.target % self._options.proxies]
-        controller = self._system.controller_machines[event.target % len(self._system.controller_machines)]
+        number = event.target % len(self._system.controller_machines)
+        controller = self._system.controller_machines[number]
         match event.action:
             case Action.RESTART_MACHINE: await machine.restart(event.extra_signals)
             case Action.RESTART_AGENT: await machine.restart_agent()
@@ -219,6 +232,10 @@
             case Action.CHANGE_ROUTES: await self._change_routes()
             case Action.RELEASE_SERVER: await self._release_server()
             case Action.EVACUATE: await self._evacuate(event.target)
+            case Action.LEAVE_THEN_KILL: await self._depart_then_kill(number, "gone")
+            case Action.DRAIN_THEN_KILL: await self._depart_then_kill(number, "draining")
+            case Action.CHANGE_THEN_KILL: await self._change_routes(acknowledging=number)
+            case Action.EVACUATE_THEN_KILL: await self._evacuate(event.target, acknowledging=number)
             case Action.DRAIN_PROXY: await self._drain("drain", f"edge-{event.target % self._options.proxies + 1}")
             case Action.MASS_DISCONNECT: self._mass_disconnect(SHARES_OF_MASS_DISCONNECT[event.target % len(SHARES_OF_MASS_DISCONNECT)])
             case Action.DRAIN_SERVERS: await self._drain("rotation", self._system.zone_of(event.target))
@@ -231,22 +248,89 @@
         controllers = self._system.controllers
         machine.change_settings(self._rng.sample(controllers, self._rng.randint(1, len(controllers))))
 
-    async def _change_routes(self) -> None:
+    async def _change_routes(self, acknowledging: int | None = None) -> None:
+        """acknowledging: the controller that is asked first, and killed with its acknowledgement."""
         self._generation += 1
         generation = self._generation
-        status = await self._system.amend(configuration(generation, self._rng))
+        status = await self._amend(generation, acknowledging)
         if 400 <= status < 500:
             self.ledger.refused_changes.append(f"generation {generation}: {status}")
         self.ledger.changes_acknowledged += status == 200
 
+    async def _amend(self, generation: int, acknowledging: int | None = None) -> int:
+        change = configuration(generation, self._rng)
+        limits = LimitsChange(time.monotonic(), change["upsert"]["limits"]["bodyBytes"])
+        self.ledger.limits_changes.append(limits)
+        status = 0
+        if acknowledging is not None:
+            status = await self._system.call_once(acknowledging, "/-/Config.Amend", json.dumps(change).encode())
+            if status == 200:
+                self._kill_for_a_while(acknowledging)
+        if status == 0 or status >= 500:
+            status = await self._system.amend(change)
+        if status == 200:
+            limits.acknowledged_at = time.monotonic()
+            self._newest_acknowledged = max(self._newest_acknowledged, generation)
+        return status
+
+    def _kill_for_a_while(self, controller: int) -> None:
+        """At once; it comes back by itself."""
+        machine = self._system.controller_machines[controller]
+        if machine.is_stopping:
+            return
+        machine.kill_now()
+
+        async def start_again() -> None:
+            await asyncio.sleep(self._rng.uniform(*AWAY_S))
+            await machine.start_again()
+
+        self._spawn(start_again())
+
     async def _release_server(self) -> None:
-        leaving = [server for server in self._servers if not server.is_draining]
+        leaving = self._choose_leaving()
         await self._add_server()
-        await self._rng.choice(leaving).leave(self._system.controllers, DRAIN_BOUND_S + 0.5)
+        await leaving.leave(self._system.controllers, SERVES_ON_S)
 
-    async def _evacuate(self, number: int) -> None:
+    def _choose_leaving(self) -> StandInServer:
+        leaving = self._rng.choice([server for server in self._servers if not server.is_draining])
+        leaving.is_draining = True
+        return leaving
+
+    async def _depart_then_kill(self, acknowledging: int, state: str) -> None:
+        """state: what the server says, once; then it says nothing more and serves on."""
+        await self._add_server()
+        leaving = self._choose_leaving()
+        leaving.fall_silent()
+        if state == "gone":
+            status = await self._system.call_once(acknowledging, leaving.leave_target, limit_s=1.0)
+        else:
+            status = await self._system.call_once(acknowledging, leaving.heartbeat_target,
+                                                  leaving.heartbeat_body(state), limit_s=1.0)
+        if status == 200:
+            leaving.has_departed()
+            self._kill_for_a_while(acknowledging)
+        await asyncio.sleep(SERVES_ON_S)
+        await leaving.end_idle()
+
+    async def _read_back(self) -> None:
+        """Each controller that reads the configuration reads the newest that was acknowledged, or a newer one."""
+        give_up_at = time.monotonic() + READ_BACK_LIMIT_S
+        read: list[dict] = []
+        while not read and time.monotonic() < give_up_at:
+            read = await self._system.read_back()
+        generations = [int(configuration["limits"]["generation"], 16) for configuration in read]
+        if not read:
+            self.ledger.lost_changes.append("nothing is read back")
+        if any(generation < self._newest_acknowledged for generation in generations):
+            self.ledger.lost_changes.append(f"generation {self._newest_acknowledged} acknowledged, {generations} read")
+
+    async def _evacuate(self, number: int, acknowledging: int | None = None) -> None:
         zone = self._system.zone_of(number)
-        await self._system.order(f"/-/Evacuation.Begin/{zone}")
+        order = f"/-/Evacuation.Begin/{zone}"
+        if acknowledging is not None and await self._system.call_once(acknowledging, order) == 200:
+            self._kill_for_a_while(acknowledging)
+        else:
+            await self._system.order(order)
         await asyncio.sleep(1.5)
         await self._system.order(f"/-/Evacuation.Finish/{zone}")
 
--- a/tests/soak/stand_in_server.py
+++ b/tests/soak/stand_in_server.py
@@ -68,9 +68,27 @@
     async def leave(self, controllers: list[str], serve_on_s: float) -> None:
         """Says that it drains, serves on, says that it leaves, and ends once nothing is at work."""
         self.is_draining = True
-        await self._heartbeat(controllers)
+        if await self._heartbeat(controllers):
+            self._ledger.note_departure(self.id)
         await asyncio.sleep(serve_on_s)
-        await self._tell(controllers, f"/-/Servers.Leave/{self.id}", b"")
+        await self._tell(controllers, self.leave_target, b"")
+        await self.end_idle()
+
+    @property
+    def leave_target(self) -> str:
+        return f"/-/Servers.Leave/{self.id}"
+
+    @property
+    def heartbeat_target(self) -> str:
+        return f"/-/Servers.Heartbeat/{self.id}"
+
+    def has_departed(self) -> None:
+        """Its departure was acknowledged, by whatever way it was told."""
+        self.is_draining = True
+        self._ledger.note_departure(self.id)
+
+    async def end_idle(self) -> None:
+        """Ends once nothing is at work."""
         while self._in_work > 0:
             await asyncio.sleep(0.02)
         await self.stop()
@@ -82,22 +100,24 @@
             await self._heartbeat(controllers)
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
 
-    async def _heartbeat(self, controllers: list[str]) -> None:
+    async def _heartbeat(self, controllers: list[str]) -> bool:
         body = self.heartbeat_body("draining" if self.is_draining else "ready")
-        await self._tell(controllers, f"/-/Servers.Heartbeat/{self.id}", body)
+        return await self._tell(controllers, self.heartbeat_target, body)
 
     def heartbeat_body(self, state: str) -> bytes:
         heartbeat = {"service": self._service, "address": self.address, "zone": self._zone, "generation": "v1",
                      "capacity": self._capacity, "state": state, "coldLeftS": 0, "callSeq": next(self._calls)}
         return json.dumps(heartbeat).encode()
 
-    async def _tell(self, controllers: list[str], target: str, body: bytes) -> None:
+    async def _tell(self, controllers: list[str], target: str, body: bytes) -> bool:
+        """True: acknowledged."""
         for controller in random.sample(controllers, len(controllers)):
             try:
                 if (await http_messages.call(controller, "POST", target, body, 1.0)).status < 300:
-                    return
+                    return True
             except BrokenMessage:
                 continue
+        return False
 
     # ---- requests ----
 
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -78,6 +78,11 @@
             await process.start()
         self._note(Signal.STARTED)
 
+    @property
+    def is_stopping(self) -> bool:
+        """Is it being stopped, or stopped?"""
+        return self._is_stopping
+
     def is_running(self) -> bool:
         return all(process.is_running() for process in self._processes)
 
@@ -222,8 +227,7 @@
                 process.send(number)
 
     def _note(self, what: Signal) -> None:
-        if self.proxy >= 0:
-            self._ledger.note(time.monotonic(), self.proxy, what)
+        self._ledger.note(time.monotonic(), self.proxy, what)
 
 
 class System:
@@ -277,6 +281,13 @@
                     raise TimeoutError(f"proxy {n} is not ready, see {self._work}")
                 await asyncio.sleep(0.1)
 
+    async def call_once(self, controller: int, target: str, body: bytes = b"", limit_s: float = 2.0) -> int:
+        """One call of one controller; its status, 0 if there is none."""
+        try:
+            return (await http_messages.call(self.controllers[controller], "POST", target, body, limit_s)).status
+        except BrokenMessage:
+            return 0
+
     async def amend(self, change: dict, limit_s: float = 30) -> int:
         """Sends a change to the controllers until one gives a clear answer; its status."""
         give_up_at = time.monotonic() + limit_s
@@ -294,6 +305,18 @@
             await asyncio.sleep(0.1)
         return 0
 
+    async def read_back(self) -> list[dict]:
+        """The configuration, as each controller that knows it for certain reads it."""
+        read = []
+        for controller in self.controllers:
+            try:
+                answer = await http_messages.call(controller, "GET", "/-/Config.Read")
+                if answer.status == 200:
+                    read.append(json.loads(answer.body))
+            except BrokenMessage:
+                continue
+        return read
+
     async def order(self, target: str) -> None:
         """Sends an order without a body once to each controller until one takes it."""
         for controller in self.controllers:
