Nothing follows an answer that may have no body

Cause: evhttp states no length in an answer to HEAD and writes the body that it is given all the same, and a page of its own behind the answers that it makes itself. Every local reply was affected, stored answers, the control port, the directory, and the library's 400 at all of these; forwarded answers were right.

Change: send_reply (transport) is the one call of evhttp_send_reply; it leaves the body out for HEAD, 1xx, 204 and 304. What evhttp writes by itself is cut behind a head that states no length.

--- a/packages/controller/api_responder.cpp
+++ b/packages/controller/api_responder.cpp
@@ -3,6 +3,7 @@
 #include "request/headers.hpp"
 #include "transport/counters.hpp"
 #include "transport/event_owners.hpp"
+#include "transport/http_reply.hpp"
 
 namespace dockbend {
 
@@ -40,7 +41,7 @@
   if (response.code == 503) evhttp_add_header(headers, "Retry-After", kRetryAfterSeconds);
   BufferOwner const body(evbuffer_new());
   evbuffer_add(body.get(), response.body.data(), response.body.size());
-  evhttp_send_reply(request, response.code, reason_phrase(response.code), body.get());
+  send_reply(request, response.code, reason_phrase(response.code), body.get());
 }
 
 void ApiResponder::log_if_late_or_failed(evhttp_request* request, int code) {
--- a/packages/controller/http_listener.cpp
+++ b/packages/controller/http_listener.cpp
@@ -2,6 +2,8 @@
 
 #include <stdexcept>
 
+#include "transport/http_reply.hpp"
+
 namespace dockbend {
 
 namespace {
@@ -18,6 +20,7 @@
   evhttp_set_max_headers_size(server_.get(), kMaxHeaderBytes);
   evhttp_set_max_body_size(server_.get(), kMaxBodyBytes);
   evhttp_set_timeout(server_.get(), kTimeoutSeconds);
+  trim_own_replies_of(server_.get());
   if (evhttp_bind_socket(server_.get(), address.ip.c_str(), static_cast<ev_uint16_t>(address.port)) != 0)
     throw std::runtime_error("can't listen at " + address.str());
 }
--- a/packages/proxy/client_connections.cpp
+++ b/packages/proxy/client_connections.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "transport/http_reply.hpp"
+
 namespace dockbend {
 namespace {
 
@@ -39,7 +41,8 @@
   evhttp_set_max_headers_size(server_, limits.head_bytes);
   evhttp_set_max_body_size(server_, limits.body_bytes);
   evhttp_set_timeout(server_, limits.idle_seconds);
-  for (auto const& [connection, open] : open_) {
+  for (auto const& [key, open] : open_) {
+    evhttp_connection* const connection = open->connection;
     apply_sizes(connection, limits);
     bool const is_monitored = callback_argument_of(open->socket) != connection;
     if (is_idle_limit_changed && !is_monitored) evhttp_connection_set_timeout(connection, limits.idle_seconds);
@@ -49,10 +52,16 @@
 Seconds ClientConnections::request_completed(evhttp_request* request) {
   auto const open = open_.find(evhttp_request_get_connection(request));
   if (open == open_.end()) return 0;
+  open->second->has_complete_request = true;
   // No bytes: they came together with the request before, and nobody knows when.
   return std::exchange(open->second->bytes, 0) > 0 ? steady_now() - open->second->first_byte_at : 0;
 }
 
+void ClientConnections::request_answered(evhttp_connection const* connection) {
+  auto const open = open_.find(connection);
+  if (open != open_.end()) open->second->has_complete_request = false;
+}
+
 u32 ClientConnections::open_reads(u64 idle_ticks) const {
   return static_cast<u32>(std::count_if(open_.begin(), open_.end(), [&](auto const& entry) {
     return entry.second->bytes > 0 && ticks_ - entry.second->last_read_tick <= idle_ticks;
@@ -67,6 +76,7 @@
   accepted->owner = self;
   accepted->socket = bufferevent_socket_new(loop, -1, 0);
   accepted->input_callback = evbuffer_add_cb(bufferevent_get_input(accepted->socket), on_input, accepted.get());
+  accepted->output_callback = evbuffer_add_cb(bufferevent_get_output(accepted->socket), on_output, accepted.get());
   self->accepted_.push_back(std::move(accepted));
   event_active(self->accepted_event_.get(), EV_TIMEOUT, 0);
   return self->accepted_.back()->socket;
@@ -80,6 +90,7 @@
   for (std::unique_ptr<OpenConnection>& accepted : std::exchange(accepted_, {})) {
     auto* const connection = static_cast<evhttp_connection*>(callback_argument_of(accepted->socket));
     evhttp_connection_set_closecb(connection, on_closed, this);
+    accepted->connection = connection;
     open_[connection] = std::move(accepted);
   }
 }
@@ -89,6 +100,7 @@
   auto const open = self->open_.find(connection);
   if (open == self->open_.end()) return;
   evbuffer_remove_cb_entry(bufferevent_get_input(open->second->socket), open->second->input_callback);
+  evbuffer_remove_cb_entry(bufferevent_get_output(open->second->socket), open->second->output_callback);
   self->open_.erase(open);
   self->on_ended.emit(connection);
 }
@@ -101,4 +113,9 @@
   open.last_read_tick = open.owner->ticks_;
 }
 
+void ClientConnections::on_output(evbuffer* output, evbuffer_cb_info const* info, void* connection) {
+  if (info->n_added == 0) return;
+  if (!static_cast<OpenConnection*>(connection)->has_complete_request) trim_own_reply(output);
+}
+
 }  // namespace dockbend
--- a/packages/proxy/include/proxy/client_connections.hpp
+++ b/packages/proxy/include/proxy/client_connections.hpp
@@ -50,6 +50,8 @@
   void tick() { ++ticks_; }
   /// The request that was being read is complete. How long ago its first byte came, in seconds; 0: unknown.
   Seconds request_completed(evhttp_request* request);
+  /// The answer to that request has left. What is written before the next one is complete is evhttp's own.
+  void request_answered(evhttp_connection const* connection);
   /// Connections with an incomplete request that were not silent for more than idle_ticks.
   u32 open_reads(u64 idle_ticks) const;
   std::size_t size() const { return open_.size(); }
@@ -57,8 +59,10 @@
  private:
   struct OpenConnection {
     ClientConnections* owner = nullptr;
-    bufferevent* socket = nullptr;  // evhttp's
-    evbuffer_cb_entry* input_callback = nullptr;
+    bufferevent* socket = nullptr;            // evhttp's
+    evhttp_connection* connection = nullptr;  // evhttp's
+    evbuffer_cb_entry *input_callback = nullptr, *output_callback = nullptr;
+    bool has_complete_request = false;  // which is not answered yet
     std::size_t bytes = 0;
     Seconds first_byte_at = 0;
     u64 last_read_tick = 0;
@@ -68,13 +72,14 @@
   static void on_accepted(evutil_socket_t, short, void* connections);
   static void on_closed(evhttp_connection* connection, void* connections);
   static void on_input(evbuffer*, evbuffer_cb_info const* info, void* connection);
+  static void on_output(evbuffer* output, evbuffer_cb_info const* info, void* connection);
   void adopt_accepted();
 
   evhttp* server_ = nullptr;
   ConnectionLimits limits_;
   u64 ticks_ = 0;
   std::vector<std::unique_ptr<OpenConnection>> accepted_;  // in this turn of the loop
-  std::unordered_map<evhttp_connection*, std::unique_ptr<OpenConnection>> open_;
+  std::unordered_map<evhttp_connection const*, std::unique_ptr<OpenConnection>> open_;
   EventOwner accepted_event_;
 };
 
--- a/packages/proxy/include/proxy/front_listener.hpp
+++ b/packages/proxy/include/proxy/front_listener.hpp
@@ -29,6 +29,7 @@
 
   /// A client's connection ends now.
   sigc::signal<void(evhttp_connection const*)>& on_connection_ended() { return connections_.on_ended; }
+  void request_answered(evhttp_connection const* connection) { connections_.request_answered(connection); }
   /// Bodies that have begun to arrive and are not complete; those silent for more than `idle_ticks` don't count.
   u32 open_body_reads(u64 idle_ticks) const { return connections_.open_reads(idle_ticks); }
   void tick() { connections_.tick(); }
--- a/packages/proxy/include/proxy/response_flush_tracker.hpp
+++ b/packages/proxy/include/proxy/response_flush_tracker.hpp
@@ -1,6 +1,7 @@
 /// Which answers have been handed to libevent and are not yet wholly in the hands of the system.
 #pragma once
 #include <event2/http.h>
+#include <sigc++/sigc++.h>
 
 #include <cstddef>
 #include <unordered_set>
@@ -11,6 +12,9 @@
 /// the process or the connection has ended.
 class ResponseFlushTracker {
  public:
+  /// An answer has left the process wholly.
+  sigc::signal<void(evhttp_connection const*)> on_answered;
+
   ResponseFlushTracker() = default;
   ResponseFlushTracker(ResponseFlushTracker const&) = delete;
   /// To be called right before the answer of client_request is handed to libevent.
--- a/packages/proxy/include/proxy/response_writer.hpp
+++ b/packages/proxy/include/proxy/response_writer.hpp
@@ -9,7 +9,7 @@
 
 namespace dockbend {
 
-/// The only place that calls evhttp_send_reply for a client. It does not end requests: callers do that next.
+/// The only place that answers a client's request. It does not end requests: callers do that next.
 class ResponseWriter {
  public:
   ResponseWriter(DrainStatus const& drain, ResponseFlushTracker& flushes) : drain_(drain), flushes_(flushes) {}
--- a/packages/proxy/proxy.cpp
+++ b/packages/proxy/proxy.cpp
@@ -23,6 +23,8 @@
       load_timer_(std::make_unique<PeriodicTimer>(loop, kLoadReportInterval, [this] { load_.report(); })) {
   front_.on_connection_ended().connect(
       [this](evhttp_connection const* connection) { context_.response_flushes.forget(connection); });
+  context_.response_flushes.on_answered.connect(
+      [this](evhttp_connection const* connection) { front_.request_answered(connection); });
 }
 
 void Proxy::tick() {
--- a/packages/proxy/response_flush_tracker.cpp
+++ b/packages/proxy/response_flush_tracker.cpp
@@ -10,7 +10,10 @@
 }
 
 void ResponseFlushTracker::on_flushed(evhttp_request* client_request, void* tracker) {
-  static_cast<ResponseFlushTracker*>(tracker)->connections_.erase(evhttp_request_get_connection(client_request));
+  auto* const self = static_cast<ResponseFlushTracker*>(tracker);
+  evhttp_connection const* const connection = evhttp_request_get_connection(client_request);
+  self->connections_.erase(connection);
+  self->on_answered.emit(connection);
 }
 
 }  // namespace dockbend
--- a/packages/proxy/response_writer.cpp
+++ b/packages/proxy/response_writer.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 
 #include "transport/event_owners.hpp"
+#include "transport/http_reply.hpp"
 
 namespace dockbend {
 
@@ -15,7 +16,7 @@
 
 void ResponseWriter::send(evhttp_request* client_request, int status, char const* reason, evbuffer* body) const {
   flushes_.track(client_request);
-  evhttp_send_reply(client_request, status, reason, body);
+  send_reply(client_request, status, reason, body);
 }
 
 void ResponseWriter::write_local_reply(evhttp_request* client_request, LocalReply const& reply,
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -31,12 +31,13 @@
 tests/golden/control_api.sh $build
 tests/package_list.sh $build
 
-echo "--- attempts at work, clients that leave, acknowledgements, settings, and a short soak, with real processes"
+echo "--- with real processes: attempts at work, clients that leave, acknowledgements, settings, own answers, a short soak"
 tests/soak/judge_test.py
 tests/soak/incident_course.py $build
 tests/soak/client_disconnects.py $build
 tests/soak/after_acknowledgement.py $build
 tests/soak/settings_in_force.py $build
+tests/soak/local_replies.py $build
 tests/soak/soak.py $build --seed 1 --seeds 3 --for 12
 
 echo "--- unit tests"
--- a/tests/rules/mutations.py
+++ b/tests/rules/mutations.py
@@ -4,6 +4,7 @@
 
 COURSE, DISCONNECTS = "tests/soak/incident_course.py", "tests/soak/client_disconnects.py"
 AFTER_ACKNOWLEDGEMENT, SETTINGS_IN_FORCE = "tests/soak/after_acknowledgement.py", "tests/soak/settings_in_force.py"
+LOCAL_REPLIES = "tests/soak/local_replies.py"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,6 +72,14 @@
              (UnitTest("request", "request_table::answer_on_another_connection_belongs_to_no_attempt"),)),
     Mutation("mixed-stored-answer", WRITER, "    if (colon == std::string::npos) continue;", "    continue;",
              (scenario(DISCONNECTS, "at work, keyed"),)),
+    Mutation("mixed-body-of-head", "packages/transport/http_reply.cpp", "method != EVHTTP_REQ_HEAD && ", "",
+             (UnitTest("transport", "http_reply::an_answer_to_head_has_no_body_and_the_next_answer_begins_behind_it"),
+              scenario(LOCAL_REPLIES, "no route (404)"), scenario(LOCAL_REPLIES, "stored answer (200)"))),
+    Mutation("mixed-body-of-204", "packages/transport/http_reply.cpp", " && status != kNoContent && status != kNotModified", "",
+             (UnitTest("transport", "http_reply::statuses_without_content_have_no_body"),)),
+    Mutation("mixed-librarys-page", "packages/transport/http_reply.cpp", "  if (end >= length) return;", "  if (end > 0) return;",
+             (UnitTest("transport", "http_reply::the_librarys_own_answer_to_head_has_no_body"),
+              scenario(LOCAL_REPLIES, "head far over the limit, by the library (400)"))),
     # ---- UNASKED ----
     Mutation("unasked-header-names", HEADERS, "if (!is_token(name) || value.find('\\r') != std::string::npos) return false;", "",
              (SPOILED_REQUESTS,)),
@@ -221,7 +230,7 @@
              (UnitTest("request", "admission::parts_of_a_split_get_their_share"),)),
     # ---- BUDGET ----
     Mutation("budget-retries", "packages/load_balancing/retry_budget.cpp",
-             "if (retries + 1 > share * slack_ + ratio_ * requests) return false;", "",
+             "if (retries + 1 > share * bounds_.slack + bounds_.ratio * requests) return false;", "",
              (UnitTest("load_balancing", "retry_budget::bound_holds_in_every_window"),)),
     Mutation("budget-hedges", MACHINE, "if (!reserve_server() || !spend_budget()) return false;",
              "if (!reserve_server()) return false;",
