--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,7 +20,7 @@
         routes = [stand.route("confirm", "keyed", "/confirm/", "estimator")]
         await lab.start(stand.first_configuration(HOST, routes, [stand.pool("estimator")]),
                         [stand.Server("estimator", zone) for zone in lab.zones])
-        await asyncio.sleep(5)
+        await lab.until_joined()
         return await play(lab)
     finally:
         await lab.stop()
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -19,7 +19,7 @@
         route["actuation"]["homeRegions"] = [HOME]
         await lab.start(stand.first_configuration(HOST, [route], [stand.pool("estimator")]),
                         [stand.Server("estimator", zone) for zone in lab.zones])
-        await asyncio.sleep(6)
+        await lab.until_joined()
         return await play(lab)
     finally:
         await lab.stop()
--- a/review/stand-2/lab.py
+++ b/review/stand-2/lab.py
@@ -261,6 +261,21 @@
                     raise CannotRun(f"{machine.name} is not ready")
                 await asyncio.sleep(0.1)
 
+    async def until_joined(self):
+        """Until each core machine has said where it stands and has all keys, and the agents have heard of it."""
+        give_up_at = time.monotonic() + 20
+        while True:
+            try:
+                members = json.loads((await exchange(self.control[0], "GET", "/-/Member.List"))[2])["members"]
+                if len(members) == len(self.core) and all(m["zone"] and m["state"] == "whole" for m in members):
+                    break
+            except (Broken, ValueError, KeyError):
+                pass
+            if time.monotonic() > give_up_at:
+                raise CannotRun("the core machines have not joined")
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(2.0)
+
     async def is_ready(self, machine):
         try:
             return (await exchange(f"{machine.ip}:8140", "GET", "/-/readiness", limit_s=1.0))[0] == 200
