--- a/review/stand-2/lab.py
+++ b/review/stand-2/lab.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 BUILD = pathlib.Path(os.environ.get("DOCKBEND_BUILD", ROOT / "target"))
@@ -196,9 +197,9 @@
     def __init__(self, case_folder, zones=None, controllers=None, edges=None, settings=(), seeds=3, machines_borne=1):
         self.case_folder = pathlib.Path(case_folder)
         self.record = Record(self.case_folder / "record.txt")
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="dockbend-review-"))
         self.zones = dict(zones or ZONES)
         self._net = free_network()
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="dockbend-review-"))
         names = list(self.zones)
         controller_zones = controllers if controllers is not None else names
         edge_zones = edges if edges is not None else names
@@ -482,15 +483,21 @@
 
 
 def play(case):
-    """Runs the case's coroutine; it returns True if the rule was broken. Exit code 1: broken, 0: held, 2: can't run."""
+    """Runs the case's coroutine; it returns True if the rule was broken. Exit code 1: broken, 0: held, 2: can't run, also
+    for whatever goes wrong in the script itself. A SIGTERM ends the run, and what it started."""
     async def limited():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(LONGEST_S):
             return await case()
 
     try:
         is_broken = asyncio.run(limited())
-    except (CannotRun, TimeoutError) as reason:
-        print(f"can't run: {reason or 'it took too long'}")
+    except (Exception, asyncio.CancelledError) as reason:
+        if not isinstance(reason, (CannotRun, TimeoutError, asyncio.CancelledError)):
+            traceback.print_exc()
+        print(f"can't run: {type(reason).__name__} {reason}")
         sys.exit(2)
     print("the rule was BROKEN" if is_broken else "the rule held")
     sys.exit(1 if is_broken else 0)
