--- a/review/stand-2/lab.py
+++ b/review/stand-2/lab.py
@@ -199,11 +199,11 @@
         self.record = Record(self.case_folder / "record.txt")
         self.zones = dict(zones or ZONES)
         self._net = free_network()
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="dockbend-review-"))
         names = list(self.zones)
         controller_zones = controllers if controllers is not None else names
         edge_zones = edges if edges is not None else names
         self._base_port = free_ports(len(edge_zones))
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="dockbend-review-"))
         self._more, self._machines_borne = list(settings), machines_borne
         self.control = [f"{self._net}.{n + 1}:8146" for n in range(len(controller_zones))]
         self._seeds = self.control[:seeds]
