--- a/review/stand-2/lab.py
+++ b/review/stand-2/lab.py
@@ -173,21 +173,35 @@
             return False
 
 
+def guard(ip, port):
+    """A listening socket, which keeps others away from what stands behind it for as long as it is open; None: taken."""
+    held = socket.socket()
+    try:
+        held.bind((ip, port))
+        held.listen(1)
+        return held
+    except OSError:
+        held.close()
+        return None
+
+
 def free_network():
-    """The first three parts of loopback addresses on which nobody listens."""
+    """The first three parts of loopback addresses on which nobody listens, and the guard of it."""
     for _ in range(50):
         net = f"127.{random.randrange(60, 220)}.{random.randrange(1, 250)}"
-        if all(is_free(f"{net}.{host}", port) for host in (1, 101) for port in (8146, 8144, 7660)):
-            return net
+        held = guard(f"{net}.254", 7659)
+        if held and all(is_free(f"{net}.{host}", port) for host in (1, 101) for port in (8146, 8144, 7660)):
+            return net, held
     raise CannotRun("no free loopback addresses")
 
 
 def free_ports(count):
-    """The first of so many free ports on 127.0.0.1, below the ephemeral ones."""
+    """The first of so many free ports on 127.0.0.1, below the ephemeral ones, and the guard of them."""
     for _ in range(50):
         first = random.randrange(12000, 30000, 40)
-        if all(is_free("127.0.0.1", first + n) for n in range(count)):
-            return first
+        held = guard("127.0.0.1", first + 39)
+        if held and all(is_free("127.0.0.1", first + n) for n in range(count)):
+            return first, held
     raise CannotRun("no free ports")
 
 
@@ -198,11 +212,11 @@
         self.case_folder = pathlib.Path(case_folder)
         self.record = Record(self.case_folder / "record.txt")
         self.zones = dict(zones or ZONES)
-        self._net = free_network()
+        self._net, self._network_guard = free_network()
         names = list(self.zones)
         controller_zones = controllers if controllers is not None else names
         edge_zones = edges if edges is not None else names
-        self._base_port = free_ports(len(edge_zones))
+        self._base_port, self._port_guard = free_ports(len(edge_zones))
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="dockbend-review-"))
         self._more, self._machines_borne = list(settings), machines_borne
         self.control = [f"{self._net}.{n + 1}:8146" for n in range(len(controller_zones))]
