A repeat gets the answer of the holder that binds its key, not any stored under it

Cause: a stored answer was named by its key alone, stayed on its disk until another one was stored there, and the first one that came was repeated. Two hypotheses: the old answers outlive their keys, or the old claims do.

Change: an answer is named by key and holder (AnswerId); a refusing disk names the holder (held_by); an answer is repeated only if its holder alone can have the key on a majority (ClaimQuorum::standing_of); answers are removed by age (StoredAnswers). On the way: the removal of an old answer took a newer one of its key away, and hand_on walked by an index that could point behind its list. Wire: one field at the end of two records; older disks and programs name no holder, and are served as before.

--- a/packages/base/include/base/unmatched_messages.hpp
+++ b/packages/base/include/base/unmatched_messages.hpp
@@ -20,12 +20,13 @@
   late_claim,   ///< a claim whose holder has released the key meanwhile
   term,         ///< a command to an earlier holder of a lease
   owed,         ///< a release that could not be kept for an unreachable disk
+  other_holder  ///< a stored answer of another holder than the one that has the key
 };
-constexpr std::size_t kUnmatchedReasonCount = 9;
+constexpr std::size_t kUnmatchedReasonCount = 10;
 constexpr char const* name_of(UnmatchedReason f) {
-  constexpr char const* n[kUnmatchedReasonCount] = {"noQuestion", "earlierConnection", "otherDisk", "otherRoster",
-                                                    "twice",      "otherKey",          "lateClaim", "earlierTerm",
-                                                    "releaseLost"};
+  constexpr char const* n[kUnmatchedReasonCount] = {"noQuestion",  "earlierConnection", "otherDisk", "otherRoster",
+                                                    "twice",       "otherKey",          "lateClaim", "earlierTerm",
+                                                    "releaseLost", "otherHolder"};
   return n[static_cast<std::size_t>(f)];
 }
 
--- a/packages/controller/idempotency_service.cpp
+++ b/packages/controller/idempotency_service.cpp
@@ -1,6 +1,11 @@
 #include "controller/idempotency_service.hpp"
 
 namespace dockbend {
+namespace {
+int constexpr kAnswersHandedAtOnce = 100;
+std::size_t constexpr kAnswersForgottenAtOnce = 200;
+double constexpr kDefaultDiskMb = 256, kBytesPerMb = 1e6, kShareOfDiskForAnswers = 0.3;
+}  // namespace
 
 IdempotencyService::IdempotencyService(ControllerContext& h, u64 filled)
     : context_(h), ledger_(false), backfill_(filled) {
@@ -93,20 +98,11 @@
 void IdempotencyService::store(std::string_view body, bool relay) {
   StoredAnswer const r = codec::unpack<StoredAnswer>(body);
   if (r.body.size() > kMostStoredBodyBytes) return;
-  context_.disk->submit_lazily({StoreOperation::put_answer(r.key, std::string(body))});
   Seconds const now = steady_now();
-  ret_order_.push_back({r.key, now, body.size()});
-  ret_bytes_ += body.size();
-  std::vector<StoreOperation> old;
-  // Votes are needed for safety, stored answers are not: answers are deleted long before the disk is full.
-  double const most = (context_.settings.diskMb > 0 ? context_.settings.diskMb : 256) * 0.3e6;
-  while (!ret_order_.empty() && (now - ret_order_.front().at > context_.settings.bounds.keyHorizonS * 1.25 + 5 ||
-                                 static_cast<double>(ret_bytes_) > most)) {
-    old.push_back(StoreOperation::delete_answer(ret_order_.front().key));
-    ret_bytes_ -= ret_order_.front().bytes;
-    ret_order_.pop_front();
-  }
-  if (!old.empty()) context_.disk->submit_lazily(std::move(old));
+  AnswerId const id{r.key, r.holder};
+  context_.disk->submit_lazily({StoreOperation::put_answer(id.storage_key(), std::string(body))});
+  answers_.add(id, body.size(), now);
+  forget_old_answers(now);
   if (!relay || !context_.committed) return;
   Member const* best = nullptr;
   for (Member const& m : context_.committed->membership) {
@@ -122,10 +118,8 @@
   Seconds const now = steady_now();
   for (StoredKey const& k : keys)
     ledger_.load(k.key, k.holder, k.sealed, now);
-  for (auto const& [k, n] : rets) {
-    ret_order_.push_back({k, now, n});
-    ret_bytes_ += n;
-  }
+  for (StoredAnswerSize const& answer : rets)
+    answers_.add(AnswerId::of_storage_key(answer.key), answer.bytes, now);
 }
 
 void IdempotencyService::release(ReleaseRequest const& r) {
@@ -135,10 +129,13 @@
 
 void IdempotencyService::fetch(ConnectionPtr const& ch, u32 tag, FetchAnswerRequest const& f) {
   std::weak_ptr<Connection> const w = ch;
-  context_.disk->find_answer(f.key, [w, tag](std::string const& v) {
+  std::vector<u64> holders = f.holders;
+  if (u64 const own = ledger_.holder_of(f.key); holders.empty() && own != KeyTable::kNobody) holders.push_back(own);
+  context_.disk->find_answers(f.key, [w, tag, holders](std::vector<std::string> const& answers) {
     FetchAnswerResponse r;
-    r.found = !v.empty();
-    r.stored_answer = v;
+    std::string const* const answer = choose_answer(answers, holders);
+    r.found = answer != nullptr;
+    if (r.found) r.stored_answer = *answer;
     if (auto const c = w.lock()) c->send(MessageType::fetch_answer_response, tag, r);
   });
 }
@@ -164,21 +161,27 @@
 bool IdempotencyService::hand_on(std::string const& ip) {
   if (handing_ != ip) {
     handing_ = ip;
-    hand_ix_ = ret_order_.size();
+    handed_down_to_ = answers_.end();
   }
-  for (int i = 0; i < 100 && hand_ix_ > 0; ++i) {
-    Kept const& k = ret_order_[--hand_ix_];
-    context_.disk->find_answer(k.key, [this, ip](std::string const& v) {
+  for (int i = 0; i < kAnswersHandedAtOnce; ++i) {
+    auto const next = answers_.newest_before(handed_down_to_);
+    if (!next) return true;
+    auto const& [number, id] = *next;
+    handed_down_to_ = number;
+    std::vector<u64> const holders = id.holder == 0 ? std::vector<u64>() : std::vector<u64>{id.holder};
+    context_.disk->find_answers(id.key, [this, ip, holders](std::vector<std::string> const& answers) {
+      std::string const* const answer = choose_answer(answers, holders);
       auto const it = context_.controllers.find(ip);
-      if (!v.empty() && it != context_.controllers.end() && it->second.link && it->second.link->up())
-        it->second.link->ch()->send(MessageType::store_answer, 0, std::string_view(v));
+      if (answer != nullptr && it != context_.controllers.end() && it->second.link && it->second.link->up())
+        it->second.link->ch()->send(MessageType::store_answer, 0, std::string_view(*answer));
     });
   }
-  return hand_ix_ == 0;
+  return !answers_.newest_before(handed_down_to_);
 }
 
 void IdempotencyService::forget_old(Seconds now) {
-  auto const old = ledger_.forget_older_than(context_.settings.bounds.keyHorizonS * 1.25 + 5, now, 200);
+  forget_old_answers(now);
+  auto const old = ledger_.forget_older_than(horizon(), now, 200);
   if (old.empty()) return;
   std::vector<StoreOperation> ops;
   for (std::string const& k : old)
@@ -186,6 +189,22 @@
   context_.disk->submit_lazily(std::move(ops));
 }
 
+void IdempotencyService::forget_old_answers(Seconds now) {
+  // Votes are needed for safety, stored answers are not: answers are deleted long before the disk is full.
+  double const disk_mb = context_.settings.diskMb > 0 ? context_.settings.diskMb : kDefaultDiskMb;
+  auto const most_bytes = static_cast<std::size_t>(disk_mb * kBytesPerMb * kShareOfDiskForAnswers);
+  auto const old = answers_.remove_old(horizon(), most_bytes, now, kAnswersForgottenAtOnce);
+  if (old.empty()) return;
+  std::vector<StoreOperation> operations;
+  for (AnswerId const& id : old)
+    operations.push_back(StoreOperation::delete_answer(id.storage_key()));
+  context_.disk->submit_lazily(std::move(operations));
+}
+
+Seconds IdempotencyService::horizon() const {
+  return context_.settings.bounds.keyHorizonS * 1.25 + 5;
+}
+
 KeyTable const& IdempotencyService::ledger() const {
   return ledger_;
 }
--- a/packages/controller/include/controller/idempotency_service.hpp
+++ b/packages/controller/include/controller/idempotency_service.hpp
@@ -1,11 +1,9 @@
 /// \file
 /// Idempotency at a controller: this disk's votes on keys, stored answers, and the backfill of a new disk.
 #pragma once
-#include <deque>
-#include <set>
-
 #include "controller/controller_context.hpp"
 #include "idempotency/key_backfill.hpp"
+#include "idempotency/stored_answers.hpp"
 
 namespace dockbend {
 
@@ -48,7 +46,7 @@
   void roster_changed();
   /// Sends our stored answers to that peer, the newest first, at most 100 at each call; true once all are sent.
   bool hand_on(std::string const& ip);
-  /// Drops keys older than the horizon, 1.25 keyHorizonS + 5 s.
+  /// Drops keys and stored answers older than the horizon, 1.25 keyHorizonS + 5 s.
   void forget_old(Seconds now);
   KeyTable const& ledger() const;  ///< this disk's keys
 
@@ -64,22 +62,17 @@
   /// Writes the last keys of a backfill, and then counts the table as complete.
   void complete_backfill(std::vector<StoreOperation> operations);
 
-  /// A stored answer.
-  struct Kept {
-    std::string key;
-    Seconds at = 0;
-    std::size_t bytes = 0;
-  };
+  void forget_old_answers(Seconds now);
+  Seconds horizon() const;
 
   ControllerContext& context_;
   KeyTable ledger_;
   KeyBackfill backfill_;
-  std::deque<Kept> ret_order_;  // oldest first
-  std::size_t ret_bytes_ = 0;   // of all answers in ret_order_
-  bool is_completing_ = false;  // the last keys of a backfill are being written
-  Epoch fit_at_{~0ULL};         // the epoch for which fit() was last called
-  std::string handing_;         // the peer that gets our stored answers
-  std::size_t hand_ix_ = 0;
+  StoredAnswers answers_;
+  bool is_completing_ = false;                // the last keys of a backfill are being written
+  Epoch fit_at_{~0ULL};                       // the epoch for which fit() was last called
+  std::string handing_;                       // the peer that gets our stored answers
+  StoredAnswers::Number handed_down_to_ = 0;  // it has those from this one on
   log4cplus::Logger logger_ = log4cplus::Logger::getInstance("controller");
 };
 
--- a/packages/idempotency/include/idempotency/claim_coordinator.hpp
+++ b/packages/idempotency/include/idempotency/claim_coordinator.hpp
@@ -33,6 +33,7 @@
 ///   the connections that they were asked on;
 /// - a tag names one pending claim, and no other one in the life of a connection: tags repeat after 2^32
 ///   requests, and a claim is pending for seconds;
+/// - a stored answer is repeated only if its holder is the one whose operation binds the key (ClaimQuorum::Standing);
 /// - a key is released only while `run` was not answered, or once the proxy says that its request did
 ///   not run; the holder claims nothing after that.
 template <ClaimPolicy Policy = StrictClaimPolicy>
@@ -83,19 +84,27 @@
   UnmatchedMessages const& unmatched() const { return unmatched_; }
 
  private:
+  /// A stored answer, and whose it is.
+  struct FoundAnswer {
+    u64 holder = 0;
+    bool is_lost = false;
+    std::string encoded;
+  };
   /// A request of the proxy that is not answered yet.
   struct PendingClaim {
     AcquireKeyRequest request;
     u64 asker = 0;  ///< the proxy's connection that it came on
     u32 proxy_tag = 0;
     ClaimQuorum quorum{0, Epoch()};
-    std::set<std::string> may_hold;    ///< every disk that may hold a grant of this holder
-    std::set<std::string> voted;       ///< under the present membership
-    std::map<std::string, u64> asked;  ///< disks in this claim or fetch: over which connection
-    Seconds widen_at = 0;              ///< when all disks are asked
-    Seconds end_at = 0;                ///< when it is answered without a decision
-    bool is_fetching = false;          ///< the key is held; its stored answer is looked for
-    bool is_in_progress = false;       ///< while fetching: the other holder may still be at work
+    std::set<std::string> may_hold;               ///< every disk that may hold a grant of this holder
+    std::set<std::string> voted;                  ///< under the present membership
+    std::map<std::string, u64> asked;             ///< disks in this claim: over which connection
+    std::map<std::string, u64> asked_for_answer;  ///< those that have not said yet: over which connection
+    std::vector<FoundAnswer> answers;             ///< of holders whose standing is open
+    Seconds widen_at = 0;                         ///< when all disks are asked
+    Seconds end_at = 0;                           ///< when it is answered without a decision
+    bool is_fetching = false;                     ///< the key is held; its stored answer is looked for
+    bool is_in_progress = false;                  ///< while fetching: the other holder may still be at work
     bool is_widened = false;
   };
   using PendingClaims = std::unordered_map<u32, PendingClaim>;
@@ -118,7 +127,8 @@
 
   u32 next_tag();
   static Seconds time_for(AcquireKeyRequest const& request);
-  bool is_asked_on(PendingClaim const& claim, std::string const& ip, u64 connection) const;
+  /// asked: disks, and over which connection each.
+  static bool is_asked_on(std::map<std::string, u64> const& asked, std::string const& ip, u64 connection);
   std::optional<UnmatchedReason> why_unmatched(PendingClaim const& claim, std::string const& ip, u64 connection,
                                                ClaimResponse const& response) const;
 
@@ -127,6 +137,7 @@
   void widen(u32 tag, PendingClaim& claim);
   void grant(PendingPlace place, Seconds now);
   void fetch_answer(PendingPlace place, Seconds now);
+  void review_answers(PendingPlace place);
   void end_without_answer(PendingPlace place);
   void end_undecided(PendingPlace place);
   void respond(PendingClaim const& claim, AcquireResult result, std::string stored_answer = "");
@@ -166,11 +177,10 @@
   disks_.disconnect(ip);
   std::vector<u32> unanswerable;
   for (auto& [tag, claim] : pending_claims_) {
-    if (claim.asked.erase(ip) == 0) continue;
-    if (!claim.is_fetching)
-      claim.widen_at = 0;  // at the next tick
-    else if (claim.asked.empty())
-      unanswerable.push_back(tag);
+    bool const was_asked = claim.asked.erase(ip) > 0;
+    if (was_asked && !claim.is_fetching) claim.widen_at = 0;  // at the next tick
+    bool const was_asked_for_answer = claim.asked_for_answer.erase(ip) > 0;
+    if (was_asked_for_answer && claim.asked_for_answer.empty() && claim.answers.empty()) unanswerable.push_back(tag);
   }
   for (u32 const tag : unanswerable)
     end_without_answer(pending_claims_.find(tag));
@@ -276,13 +286,15 @@
 void ClaimCoordinator<Policy>::on_claim_response(std::string const& ip, u64 connection, u32 tag,
                                                  ClaimResponse const& response, Seconds now) {
   auto const place = pending_claims_.find(tag);
-  if (place == pending_claims_.end() || place->second.is_fetching) return unmatched_.drop(UnmatchedReason::no_question);
+  if (place == pending_claims_.end()) return unmatched_.drop(UnmatchedReason::no_question);
   PendingClaim& claim = place->second;
   if (auto const reason = why_unmatched(claim, ip, connection, response)) return unmatched_.drop(*reason);
   std::string const voter = Policy::voter(ip);
   bool const is_vote = response.vote == ClaimVote::granted || response.vote == ClaimVote::held;
   if (is_vote && !claim.voted.insert(voter).second) return unmatched_.drop(UnmatchedReason::twice);
-  switch (claim.quorum.count(voter, response)) {
+  ClaimQuorum::Result const result = claim.quorum.count(voter, response);
+  if (claim.is_fetching) return review_answers(place);
+  switch (result) {
     case ClaimQuorum::Result::granted: return grant(place, now);
     case ClaimQuorum::Result::held:
       claim.is_in_progress = claim.quorum.is_in_progress();
@@ -299,7 +311,7 @@
 std::optional<UnmatchedReason> ClaimCoordinator<Policy>::why_unmatched(PendingClaim const& claim, std::string const& ip,
                                                                        u64 connection,
                                                                        ClaimResponse const& response) const {
-  if (!is_asked_on(claim, ip, connection)) return UnmatchedReason::connection;
+  if (!is_asked_on(claim.asked, ip, connection)) return UnmatchedReason::connection;
   if (!Policy::same_holder(claim.request.holder, response.holder)) return UnmatchedReason::other_key;
   Member const* const member = disks_.member(ip);
   if (member == nullptr || member->incarnation != response.incarnation) return UnmatchedReason::disk_life;
@@ -315,22 +327,38 @@
   if (place == pending_claims_.end() || !place->second.is_fetching)
     return unmatched_.drop(UnmatchedReason::no_question);
   PendingClaim& claim = place->second;
-  if (claim.asked.count(ip) == 0) return unmatched_.drop(UnmatchedReason::twice);
-  if (!is_asked_on(claim, ip, connection)) return unmatched_.drop(UnmatchedReason::connection);
+  if (claim.asked_for_answer.count(ip) == 0) return unmatched_.drop(UnmatchedReason::twice);
+  if (!is_asked_on(claim.asked_for_answer, ip, connection)) return unmatched_.drop(UnmatchedReason::connection);
   if (response.found) {
     StoredAnswer const answer = codec::unpack<StoredAnswer>(response.stored_answer);
     if (answer.key != claim.request.key) return unmatched_.drop(UnmatchedReason::other_key);
-    respond(claim, answer.lost ? AcquireResult::lost : AcquireResult::repeat, response.stored_answer);
-    return end(place);
+    claim.answers.push_back({answer.holder, answer.lost, response.stored_answer});
   }
-  claim.asked.erase(ip);
-  if (claim.asked.empty()) end_without_answer(place);
+  claim.asked_for_answer.erase(ip);
+  review_answers(place);
 }
 
+/// Repeats an answer once it is known to be the binding operation's, and drops those that are not.
 template <ClaimPolicy Policy>
-bool ClaimCoordinator<Policy>::is_asked_on(PendingClaim const& claim, std::string const& ip, u64 connection) const {
-  auto const asked = claim.asked.find(ip);
-  return asked != claim.asked.end() && Policy::same_connection(asked->second, connection);
+void ClaimCoordinator<Policy>::review_answers(PendingPlace place) {
+  PendingClaim& claim = place->second;
+  for (FoundAnswer const& answer : claim.answers)
+    if (claim.quorum.standing_of(answer.holder) == ClaimQuorum::Standing::binding) {
+      respond(claim, answer.is_lost ? AcquireResult::lost : AcquireResult::repeat, answer.encoded);
+      return end(place);
+    }
+  std::size_t const lapsed = std::erase_if(claim.answers, [&](FoundAnswer const& answer) {
+    return claim.quorum.standing_of(answer.holder) == ClaimQuorum::Standing::lapsed;
+  });
+  unmatched_.drop(UnmatchedReason::other_holder, lapsed);
+  if (claim.asked_for_answer.empty() && claim.answers.empty()) end_without_answer(place);
+}
+
+template <ClaimPolicy Policy>
+bool ClaimCoordinator<Policy>::is_asked_on(std::map<std::string, u64> const& asked, std::string const& ip,
+                                           u64 connection) {
+  auto const disk = asked.find(ip);
+  return disk != asked.end() && Policy::same_connection(disk->second, connection);
 }
 
 // ---- time ----------------------------------------------------------------------------
@@ -426,20 +454,20 @@
 void ClaimCoordinator<Policy>::fetch_answer(PendingPlace place, Seconds now) {
   auto& [tag, claim] = *place;
   claim.is_fetching = true;
-  claim.asked.clear();
   Seconds longest = 0;
   for (std::string const& ip : disks_.nearest_first()) {
     if (!disks_.may_carry_body(ip, claim.request.homes)) continue;
     longest = std::max(longest, disks_.round_trip(ip));
-    claim.asked[ip] = disks_.connection(ip);
+    claim.asked_for_answer[ip] = disks_.connection(ip);
     SendFetch action;
     action.to = ip;
     action.tag = tag;
     action.fetch.key = claim.request.key;
+    action.fetch.holders = claim.quorum.holders();
     outgoing_actions_.emplace_back(std::move(action));
   }
   claim.end_at = now + kFetchDelay + kFetchRoundTrips * longest;
-  if (claim.asked.empty()) end_without_answer(place);
+  if (claim.asked_for_answer.empty()) end_without_answer(place);
 }
 
 /// The key is held and no disk has the answer of its first run.
--- a/packages/idempotency/include/idempotency/claim_messages.hpp
+++ b/packages/idempotency/include/idempotency/claim_messages.hpp
@@ -28,10 +28,10 @@
 };
 
 /// A disk's vote. `holder` names whose claim it answers; `in_progress` says that another holder's work time
-/// has not ended yet.
+/// has not ended yet. `held_by`: who has the key, if the vote is `held`; 0: not stated.
 struct ClaimResponse {
   DB_RECORD(ClaimResponse, (ClaimVote, vote, say), (u64, holder), (Epoch, epoch), (Incarnation, incarnation),
-            (bool, in_progress, at_work));
+            (bool, in_progress, at_work), (u64, held_by));
 };
 
 /// Gives a key back. The holder makes no claim after it.
@@ -50,9 +50,13 @@
             (std::vector<std::string>, homes));
 };
 
-/// Asks a disk for the stored answer of a key.
+/// The encoded answer, of those stored for one key, of the first of these holders that has one; of any holder, the last
+/// of the answers, if none is named. Null: there is none.
+std::string const* choose_answer(std::vector<std::string> const& encoded_answers, std::vector<u64> const& holders);
+
+/// Asks a disk for the stored answer of a key. `holders`: whose it may be, the likeliest first; none: anybody's.
 struct FetchAnswerRequest {
-  DB_RECORD(FetchAnswerRequest, (std::string, key));
+  DB_RECORD(FetchAnswerRequest, (std::string, key), (std::vector<u64>, holders));
 };
 
 /// `stored_answer`: an encoded StoredAnswer, if one was found.
--- a/packages/idempotency/include/idempotency/key_table.hpp
+++ b/packages/idempotency/include/idempotency/key_table.hpp
@@ -62,6 +62,8 @@
   /// The keys behind `after` ("": from the first on), until they come to max_bytes; at least one, if there is one.
   Page keys_after(std::string const& after, std::size_t max_bytes) const;
   std::vector<HeldKey> all_keys() const;
+  /// Who has the key; kNobody: nobody, or it isn't known.
+  u64 holder_of(std::string const& key) const;
   std::size_t size() const { return entries_.size(); }
   bool is_complete() const { return is_complete_; }
   void set_complete(bool is_complete = true) { is_complete_ = is_complete; }
--- a/packages/idempotency/key_table.cpp
+++ b/packages/idempotency/key_table.cpp
@@ -29,6 +29,7 @@
   }
   if (entry.holder == request.holder && !entry.is_sealed) return response.vote = ClaimVote::granted;
   response.in_progress = now < entry.work_until;
+  response.held_by = entry.holder;
   return response.vote = ClaimVote::held;
 }
 
@@ -93,6 +94,11 @@
   return forgotten;
 }
 
+u64 KeyTable::holder_of(std::string const& key) const {
+  auto const found = entries_.find(key);
+  return found == entries_.end() ? kNobody : found->second.holder;
+}
+
 KeyTable::Page KeyTable::keys_after(std::string const& after, std::size_t max_bytes) const {
   Page page;
   std::size_t bytes = 0;
--- a/packages/storage/async_store.cpp
+++ b/packages/storage/async_store.cpp
@@ -43,7 +43,7 @@
   has_work_.notify_one();
 }
 
-void AsyncStore::find_answer(std::string const& key, Found found) {
+void AsyncStore::find_answers(std::string const& key, Found found) {
   Task task;
   task.wanted_key = key;
   task.found = std::move(found);
@@ -91,7 +91,7 @@
     writes.push_back(&task);
   store_.commit(writes);
   for (Task& task : tasks)
-    if (!task.wanted_key.empty()) task.answer = store_.answer(task.wanted_key);
+    if (!task.wanted_key.empty()) task.answers = store_.answers(task.wanted_key);
 }
 
 void AsyncStore::hand_back(std::deque<Task> tasks) {
@@ -125,7 +125,7 @@
   }
   for (Task& task : finished) {
     if (task.done) task.done(task.is_written);
-    if (task.found) task.found(task.answer);
+    if (task.found) task.found(task.answers);
   }
 }
 
--- a/packages/storage/disk_store.cpp
+++ b/packages/storage/disk_store.cpp
@@ -17,6 +17,13 @@
 namespace {
 using Kind = StoreOperation::Kind;
 
+/// Behind a key in the name of an answer; keys have none.
+char constexpr kNameSeparator = '\n', kBehindNameSeparator = kNameSeparator + 1;
+
+bool is_name_of(std::string const& answer_name, std::string const& key) {
+  return answer_name.size() == key.size() || answer_name[key.size()] == kNameSeparator;
+}
+
 [[noreturn]] void refuse_newer_layout(unsigned layout) {
   throw SettingsError("dataDir", "register.db is of layout " + std::to_string(layout) + ", this program knows " +
                                      std::to_string(DiskStore::kLayout) + " and below");
@@ -69,12 +76,13 @@
       statements[i] = database.prepare(sql_of(static_cast<Kind>(i)));
     begin = database.prepare("BEGIN IMMEDIATE");
     commit = database.prepare("COMMIT");
-    find_answer = database.prepare("SELECT v FROM ret WHERE k=?");
+    // The names of all answers of one key begin with it.
+    find_answers = database.prepare("SELECT k,v FROM ret WHERE k>=? AND k<?");
     mark.emplace(directory);
   }
   SqliteDatabase database;
   std::array<SqliteStatement, StoreOperation::kKinds> statements;  // by kind
-  SqliteStatement begin, commit, find_answer;
+  SqliteStatement begin, commit, find_answers;
   std::optional<VoteMarkFile> mark;  // opened once the database is known to be ours
 };
 
@@ -156,12 +164,16 @@
   return stored;
 }
 
-std::string DiskStore::answer(std::string const& key) {
-  SqliteStatement& find = handles_->find_answer;
+std::vector<std::string> DiskStore::answers(std::string const& key) {
+  SqliteStatement& find = handles_->find_answers;
+  std::string const behind = key + kBehindNameSeparator;
   find.bind_text(1, key);
-  std::string const answer = find.next_row() ? find.text(0) : "";
+  find.bind_text(2, behind);
+  std::vector<std::string> answers;
+  while (find.next_row())
+    if (is_name_of(find.text(0), key)) answers.push_back(find.text(1));
   find.reset();
-  return answer;
+  return answers;
 }
 
 // ---- writing -----------------------------------------------------------------------------
--- a/packages/storage/include/storage/async_store.hpp
+++ b/packages/storage/include/storage/async_store.hpp
@@ -25,7 +25,7 @@
 class AsyncStore {
  public:
   using Done = std::function<void(bool is_written)>;
-  using Found = std::function<void(std::string const& answer)>;
+  using Found = std::function<void(std::vector<std::string> const& answers)>;
 
   /// Opens (or makes) the file in the directory; throws as DiskStore does. `loop` must outlive this.
   AsyncStore(event_base* loop, std::string const& directory);
@@ -36,8 +36,8 @@
 
   /// Only before the first submit.
   StoredState load() { return store_.load(); }
-  /// Reads a stored answer; empty if there is none. It sees everything submitted before.
-  void find_answer(std::string const& key, Found found);
+  /// Reads the stored answers of that key. It sees everything submitted before.
+  void find_answers(std::string const& key, Found found);
   void submit(std::vector<StoreOperation> operations, Done done);
   void write_vote(VoteWrite vote, Done done);
   /// For what nobody waits for: written with the next commit, or after a moment with one of its own. Stays in order
@@ -47,7 +47,8 @@
  private:
   struct Task : DiskStore::Write {
     Done done;
-    std::string wanted_key, answer;  // a look-up, if wanted_key is not empty
+    std::string wanted_key;  // of a look-up; empty: it is none
+    std::vector<std::string> answers;
     Found found;
   };
   struct FreeEvent {
--- a/packages/storage/include/storage/disk_store.hpp
+++ b/packages/storage/include/storage/disk_store.hpp
@@ -17,7 +17,7 @@
   u64 holder = 0;
   bool sealed = false;  ///< copied, and never granted again
 };
-/// A stored answer, without its bytes: DiskStore::answer() reads them.
+/// A stored answer, without its bytes: DiskStore::answers() reads them. `key`: as AnswerId::storage_key() makes it.
 struct StoredAnswerSize {
   std::string key;
   std::size_t bytes = 0;
@@ -70,8 +70,8 @@
   /// Writes all or none in one transaction, and sets each is_written. A vote whose base the file does not hold is left
   /// out, and its write is not reported as written.
   void commit(std::vector<Write*> const& writes);
-  /// The stored answer of that key; empty if there is none.
-  std::string answer(std::string const& key);
+  /// The stored answers of that key, of any holder.
+  std::vector<std::string> answers(std::string const& key);
 
   /// Durably renames an unreadable file, and then its log: without the log the file would be an older one. Throws
   /// std::runtime_error.
--- a/tests/golden/golden_store_test.cpp
+++ b/tests/golden/golden_store_test.cpp
@@ -143,7 +143,9 @@
   for (std::string const& server : disk.servers)
     file.check("server/" + std::to_string(++number), to_hex(server));
   for (auto const& [key, size] : disk.answers) {
-    file.check("answer/" + key, std::to_string(size) + " " + to_hex(store.answer(key)));
+    std::vector<std::string> const answers = store.answers(key);
+    cr_assert_eq(answers.size(), 1u);
+    file.check("answer/" + key, std::to_string(size) + " " + to_hex(answers[0]));
   }
   file.check("sites", to_hex(disk.sites));
 }
--- a/tests/idempotency/claim_coordinator_test.cpp
+++ b/tests/idempotency/claim_coordinator_test.cpp
@@ -183,3 +183,102 @@
   claims.on_fetch_response(member.ip, 1, tag, found);
   cr_assert(result_of(claims.take_actions()) == AcquireResult::repeat);
 }
+
+namespace {
+u64 constexpr kRepeat = 5, kLapsed = 10, kBinding = 20;
+
+ReplicatedState state_of_disks(int count) {
+  ReplicatedState state;
+  for (int number = 1; number <= count; ++number) {
+    Member& member = state.membership.emplace_back();
+    member.ip = "10.0.0." + std::to_string(number);
+    member.zone = "z";
+    member.region = "r";
+    member.incarnation = Incarnation(static_cast<u64>(number));
+  }
+  return state;
+}
+
+/// A repeat of a key, asked of three disks; each is addressed by its place in the membership.
+struct RepeatAtThreeDisks {
+  RepeatAtThreeDisks() : state(state_of_disks(3)), claims("z", "r", "node") {
+    connect(claims, state);
+    for (std::size_t disk = 1; disk < state.membership.size(); ++disk)
+      claims.on_disk_connected(state.membership[disk].ip, 1);
+    AcquireKeyRequest request;
+    request.key = "k";
+    request.holder = kRepeat;
+    request.work_ms = 4000;
+    claims.acquire(kProxyConnection, 1, request, 1);
+    tag = tag_of_claim(claims.take_actions());
+  }
+
+  /// The disk's vote: the key is this holder's.
+  void vote(std::size_t disk, u64 held_by) {
+    ClaimResponse held;
+    held.vote = ClaimVote::held;
+    held.holder = kRepeat;
+    held.held_by = held_by;
+    held.epoch = state.epoch;
+    held.incarnation = state.membership[disk].incarnation;
+    claims.on_claim_response(state.membership[disk].ip, 1, tag, held, 1.01);
+  }
+
+  /// The disk has the answer of this holder.
+  void answer(std::size_t disk, u64 holder) {
+    StoredAnswer stored;
+    stored.key = "k";
+    stored.holder = holder;
+    FetchAnswerResponse found;
+    found.found = true;
+    found.stored_answer = codec::pack(stored);
+    claims.on_fetch_response(state.membership[disk].ip, 1, tag, found);
+  }
+
+  /// Whose answer the proxy was given; 0: none yet.
+  u64 repeated() {
+    for (ClaimAction const& action : claims.take_actions())
+      if (auto const* const sent = std::get_if<SendAnswer>(&action))
+        if (sent->answer.result == AcquireResult::repeat)
+          return codec::unpack<StoredAnswer>(sent->answer.stored_answer).holder;
+    return 0;
+  }
+
+  ReplicatedState state;
+  ClaimCoordinator<> claims;
+  u32 tag = 0;
+};
+}  // namespace
+
+// Failure: a key was used again after it had lapsed, and repeats got the answer of the operation before.
+Test(claim_coordinator, answer_of_a_lapsed_operation_is_not_repeated_to_a_later_one_with_its_key) {
+  RepeatAtThreeDisks repeat;
+  repeat.vote(0, kBinding);
+  repeat.vote(1, kBinding);
+  repeat.answer(2, kLapsed);
+  cr_assert_eq(repeat.repeated(), 0u);
+  cr_assert_eq(repeat.claims.unmatched().of(UnmatchedReason::other_holder), 1u);
+  repeat.answer(1, kBinding);
+  cr_assert_eq(repeat.repeated(), kBinding);
+}
+
+// A disk that was started again forgets a lapsed key later than the others: who binds the key is decided by a majority.
+Test(claim_coordinator, answer_waits_for_further_votes_where_disks_name_different_holders) {
+  RepeatAtThreeDisks repeat;
+  repeat.vote(0, kLapsed);
+  repeat.vote(1, kBinding);
+  repeat.answer(0, kLapsed);
+  repeat.answer(1, kBinding);
+  cr_assert_eq(repeat.repeated(), 0u);
+  repeat.vote(2, kBinding);
+  cr_assert_eq(repeat.repeated(), kBinding);
+}
+
+// Disks of the release before don't state who holds a key.
+Test(claim_coordinator, answer_is_repeated_where_no_disk_names_the_holder) {
+  RepeatAtThreeDisks repeat;
+  repeat.vote(0, 0);
+  repeat.vote(1, 0);
+  repeat.answer(1, kBinding);
+  cr_assert_eq(repeat.repeated(), kBinding);
+}
--- a/tests/rules/mutations.py
+++ b/tests/rules/mutations.py
@@ -4,7 +4,7 @@
 
 COURSE, DISCONNECTS = "tests/soak/incident_course.py", "tests/soak/client_disconnects.py"
 AFTER_ACKNOWLEDGEMENT, SETTINGS_IN_FORCE = "tests/soak/after_acknowledgement.py", "tests/soak/settings_in_force.py"
-LOCAL_REPLIES = "tests/soak/local_replies.py"
+LOCAL_REPLIES, REPEATS = "tests/soak/local_replies.py", "tests/soak/repeats.py"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,6 +72,13 @@
              (UnitTest("request", "request_table::answer_on_another_connection_belongs_to_no_attempt"),)),
     Mutation("mixed-stored-answer", WRITER, "    if (colon == std::string::npos) continue;", "    continue;",
              (scenario(DISCONNECTS, "at work, keyed"),)),
+    Mutation("mixed-lapsed-answer", "packages/idempotency/include/idempotency/claim_coordinator.hpp",
+             "if (claim.quorum.standing_of(answer.holder) == ClaimQuorum::Standing::binding) {", "if (true) {",
+             (UnitTest("idempotency", "claim_coordinator::answer_of_a_lapsed_operation_is_not_repeated_to_a_later_one_with_its_key"),
+              UnitTest("idempotency", "claim_coordinator::answer_waits_for_further_votes_where_disks_name_different_holders"))),
+    Mutation("mixed-kept-answers", "packages/idempotency/stored_answers.cpp",
+             "if (now - oldest->second.at <= max_age && bytes_ <= max_bytes) break;", "if (bytes_ <= max_bytes) break;",
+             (UnitTest("idempotency", "stored_answers::an_answer_leaves_by_its_own_age_and_takes_no_other_of_its_key"),)),
     Mutation("mixed-body-of-head", "packages/transport/http_reply.cpp", "method != EVHTTP_REQ_HEAD && ", "",
              (UnitTest("transport", "http_reply::an_answer_to_head_has_no_body_and_the_next_answer_begins_behind_it"),
               scenario(LOCAL_REPLIES, "no route (404)"), scenario(LOCAL_REPLIES, "stored answer (200)"))),
--- /dev/null
+++ b/tests/soak/repeats.py
@@ -0,0 +1,98 @@
+#!/usr/bin/env python3
+"""Operations that are repeated: each repeat gets the answer of its own operation, whatever has become of the key and of
+the machines since. Each case is played by a small system of its own, of real processes on loopback, all beside each other.
+
+    tests/soak/repeats.py BUILD [--only NAME]... [--keep DIR]
+
+Prints what clients got, and ends with 1 unless each got what it should.
+"""
+
+import asyncio
+import collections
+import sys
+from collections.abc import Awaitable, Callable
+
+import judge
+from clients import Call
+from ledger import Kind, Request
+from scenarios import Scenario, run
+from stage import FAR, Stage
+
+KEYS, ROUNDS, PROXIES = 8, 2, 3
+TARGET, TIME_S = "/pay/seconds-0.05", 4.0
+# A disk forgets a key after 1.25 times its horizon and 5 s (docs/idempotency.md), and looks a few times in a second.
+KEY_HORIZON_S = 2.0
+FORGOTTEN_AFTER_S = 1.25 * KEY_HORIZON_S + 5 + 1.5
+SETTLE_S = 1.0
+
+
+class Trial:
+    def __init__(self, stage: Stage):
+        self.stage = stage
+
+    async def pay(self, number: int, proxy: int, generation: str = "") -> Request:
+        """generation: tells operations apart that have the same key at different times."""
+        call = Call(Kind.KEYED, TARGET, TIME_S, b"pay " + generation.encode(), f"order-{number}")
+        request = await self.stage.clients.send(call, proxy)
+        request.operation_key += f" {generation}"  # the judge knows an operation by this
+        return request
+
+    async def pay_all(self, first_proxy: int, proxies: int, generation: str = "") -> list[Request]:
+        payments = [self.pay(n, first_proxy + n % proxies, generation) for n in range(KEYS)]
+        return await asyncio.gather(*payments)
+
+    def expect(self, what: str, requests: list[Request], expected: Callable[[Request], bool]) -> None:
+        """The requests are told in the report, and each that is not as expected is a complaint."""
+        statuses = collections.Counter(request.status for request in requests)
+        self.stage.outcomes.append(f"{what}: " + ", ".join(f"{n} x {status}" for status, n in sorted(statuses.items())))
+        wrong = sum(not expected(request) for request in requests)
+        if wrong > 0:
+            self.stage.complaints.append(f"{what}: {wrong} of {len(requests)} are not as they should be")
+
+
+Play = Callable[[Trial], Awaitable[None]]
+
+
+def is_served(request: Request) -> bool:
+    return request.status == 200
+
+
+async def key_used_again(trial: Trial) -> None:
+    """A key that has lapsed names a new operation, in another region; its repeats get the new answer only."""
+    trial.expect("first operations", await trial.pay_all(0, 2, "one"), is_served)
+    await asyncio.sleep(FORGOTTEN_AFTER_S)
+    again = await trial.pay_all(2, 1, "two")
+    trial.expect("new ones with the same keys", again, is_served)
+    await asyncio.sleep(SETTLE_S)
+    for number, new in enumerate(again):
+        repeats = [await trial.pay(number, proxy, "two") for proxy in [*range(PROXIES)] * ROUNDS]
+        trial.expect(f"order-{number}", repeats, lambda repeat, seal=new.seal: repeat.status == 200 and repeat.seal == seal)
+
+
+def scenario(name: str, play: Play, more_settings: tuple[str, ...] = ()) -> Scenario:
+    async def play_on(stage: Stage) -> None:
+        await stage.add_server(type(stage.servers[0]), FAR)
+        await play(Trial(stage))
+
+    return Scenario(name, play_on, controllers=3, proxies=PROXIES, more_settings=more_settings)
+
+
+SCENARIOS = [
+    scenario("a key that is used again after its horizon", key_used_again, (f"bounds.keyHorizonS={KEY_HORIZON_S:g}",)),
+]
+
+
+def check(scenario: Scenario, stage: Stage) -> bool:
+    verdict = judge.judge(stage.ledger)
+    print(f"{scenario.name}: {'; '.join(stage.outcomes)}")
+    for cause, count in verdict.by_cause().items():
+        print(f"    BROKEN {count} x {cause.value}")
+    for finding in verdict.findings[:3]:
+        print(f"        {finding.detail}")
+    for complaint in stage.complaints:
+        print(f"    BROKEN {complaint}")
+    return not verdict.findings and not stage.complaints
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(run("tests/soak/repeats.py", __doc__, SCENARIOS, check)))
--- a/tests/storage/disk_store_test.cpp
+++ b/tests/storage/disk_store_test.cpp
@@ -322,3 +322,18 @@
     cr_assert_gt(syncs, before);
   }
 }
+
+// The answers of one key: one of the release before, whose name states no holder, and those of two holders.
+Test(disk, answers_of_a_key_are_found_whoever_holds_it) {
+  TemporaryDirectory directory;
+  DiskStore store(directory.path);
+  DiskStore::Write write;
+  for (char const* name : {"k", "k\n10", "k\n20", "k2", "k\t3", "j"})
+    write.operations.push_back(StoreOperation::put_answer(name, std::string("answer of ") + name));
+  store.commit({&write});
+  cr_assert(write.is_written);
+  std::vector<std::string> const all{"answer of k", "answer of k\n10", "answer of k\n20"};
+  cr_assert(store.answers("k") == all);
+  cr_assert_eq(store.answers("k2").size(), 1u);
+  cr_assert(store.answers("1").empty());
+}
