--- a/packages/controller/idempotency_service.cpp
+++ b/packages/controller/idempotency_service.cpp
@@ -50,7 +50,7 @@
 void IdempotencyService::store_copied(KeyBackfill::Progress const& progress) {
   std::vector<StoreOperation> operations;
   for (HeldKey const& key : progress.keys_to_store)
-    operations.push_back(StoreOperation::put_key(key.key, key.holder, true));
+    operations.push_back(StoreOperation::put_key(operation_of(key).storage_key(), key.holder, true));
   if (progress.has_majority) return complete_backfill(std::move(operations));
   if (operations.empty()) return;
   context_.disk->submit(std::move(operations), [this](bool is_written) {
@@ -88,9 +88,10 @@
     return;
   }
   std::weak_ptr<Connection> const w = ch;
-  context_.disk->submit({StoreOperation::put_key(c.key, c.holder, false)},
-                        [this, w, tag, r, key = c.key, holder = c.holder](bool ok) {
-                          if (!ledger_.confirm_durable(key, holder, ok)) return;
+  OperationId const operation = operation_of(c);
+  context_.disk->submit({StoreOperation::put_key(operation.storage_key(), c.holder, false)},
+                        [this, w, tag, r, operation, holder = c.holder](bool ok) {
+                          if (!ledger_.confirm_durable(operation, holder, ok)) return;
                           if (auto const cp = w.lock()) cp->send(MessageType::claim_response, tag, r);
                         });
 }
@@ -99,7 +100,7 @@
   StoredAnswer const r = codec::unpack<StoredAnswer>(body);
   if (r.body.size() > kMostStoredBodyBytes) return;
   Seconds const now = steady_now();
-  AnswerId const id{r.key, r.holder};
+  AnswerId const id{operation_of(r), r.holder};
   context_.disk->submit_lazily({StoreOperation::put_answer(id.storage_key(), std::string(body))});
   answers_.add(id, body.size(), now);
   forget_old_answers(now);
@@ -117,23 +118,24 @@
 void IdempotencyService::load(std::vector<StoredKey> const& keys, std::vector<StoredAnswerSize> const& rets) {
   Seconds const now = steady_now();
   for (StoredKey const& k : keys)
-    ledger_.load(k.key, k.holder, k.sealed, now);
+    ledger_.load(OperationId::of_storage_key(k.key), k.holder, k.sealed, now);
   for (StoredAnswerSize const& answer : rets)
     answers_.add(AnswerId::of_storage_key(answer.key), answer.bytes, now);
 }
 
 void IdempotencyService::release(ReleaseRequest const& r) {
   if (!ledger_.release(r)) return;
-  context_.disk->submit_lazily({StoreOperation::delete_key(r.key)});
+  context_.disk->submit_lazily({StoreOperation::delete_key(operation_of(r).storage_key())});
 }
 
 void IdempotencyService::fetch(ConnectionPtr const& ch, u32 tag, FetchAnswerRequest const& f) {
   std::weak_ptr<Connection> const w = ch;
+  OperationId const operation = operation_of(f);
   std::vector<u64> holders = f.holders;
-  if (u64 const own = ledger_.holder_of(f.key); holders.empty() && own != KeyTable::kNobody) holders.push_back(own);
-  context_.disk->find_answers(f.key, [w, tag, holders](std::vector<std::string> const& answers) {
+  if (u64 const own = ledger_.holder_of(operation); holders.empty() && own != KeyTable::kNobody) holders.push_back(own);
+  context_.disk->find_answers(f.key, [w, tag, operation, holders](std::vector<std::string> const& answers) {
     FetchAnswerResponse r;
-    std::string const* const answer = choose_answer(answers, holders);
+    std::string const* const answer = choose_answer(answers, operation, holders);
     r.found = answer != nullptr;
     if (r.found) r.stored_answer = *answer;
     if (auto const c = w.lock()) c->send(MessageType::fetch_answer_response, tag, r);
@@ -158,6 +160,17 @@
   fit(context_.acceptor->state());
 }
 
+void IdempotencyService::send_stored(AnswerId const& id, std::string const& ip) {
+  std::vector<u64> const holders = id.holder == 0 ? std::vector<u64>() : std::vector<u64>{id.holder};
+  context_.disk->find_answers(
+      id.operation.text(), [this, ip, operation = id.operation, holders](std::vector<std::string> const& answers) {
+        std::string const* const answer = choose_answer(answers, operation, holders);
+        auto const it = context_.controllers.find(ip);
+        if (answer != nullptr && it != context_.controllers.end() && it->second.link && it->second.link->up())
+          it->second.link->ch()->send(MessageType::store_answer, 0, std::string_view(*answer));
+      });
+}
+
 bool IdempotencyService::hand_on(std::string const& ip) {
   if (handing_ != ip) {
     handing_ = ip;
@@ -166,15 +179,8 @@
   for (int i = 0; i < kAnswersHandedAtOnce; ++i) {
     auto const next = answers_.newest_before(handed_down_to_);
     if (!next) return true;
-    auto const& [number, id] = *next;
-    handed_down_to_ = number;
-    std::vector<u64> const holders = id.holder == 0 ? std::vector<u64>() : std::vector<u64>{id.holder};
-    context_.disk->find_answers(id.key, [this, ip, holders](std::vector<std::string> const& answers) {
-      std::string const* const answer = choose_answer(answers, holders);
-      auto const it = context_.controllers.find(ip);
-      if (answer != nullptr && it != context_.controllers.end() && it->second.link && it->second.link->up())
-        it->second.link->ch()->send(MessageType::store_answer, 0, std::string_view(*answer));
-    });
+    handed_down_to_ = next->first;
+    send_stored(next->second, ip);
   }
   return !answers_.newest_before(handed_down_to_);
 }
@@ -184,8 +190,8 @@
   auto const old = ledger_.forget_older_than(horizon(), now, 200);
   if (old.empty()) return;
   std::vector<StoreOperation> ops;
-  for (std::string const& k : old)
-    ops.push_back(StoreOperation::delete_key(k));
+  for (OperationId const& operation : old)
+    ops.push_back(StoreOperation::delete_key(operation.storage_key()));
   context_.disk->submit_lazily(std::move(ops));
 }
 
--- a/packages/controller/include/controller/idempotency_service.hpp
+++ b/packages/controller/include/controller/idempotency_service.hpp
@@ -62,6 +62,7 @@
   /// Writes the last keys of a backfill, and then counts the table as complete.
   void complete_backfill(std::vector<StoreOperation> operations);
 
+  void send_stored(AnswerId const& id, std::string const& ip);
   void forget_old_answers(Seconds now);
   Seconds horizon() const;
 
--- a/packages/idempotency/include/idempotency/claim_coordinator.hpp
+++ b/packages/idempotency/include/idempotency/claim_coordinator.hpp
@@ -111,7 +111,7 @@
   using PendingPlace = typename PendingClaims::iterator;
   /// A request that was answered with `run` and whose outcome is not known yet.
   struct GrantedClaim {
-    std::string key;
+    OperationId operation;
     std::set<std::string> may_hold;
     Seconds granted_at = 0;
   };
@@ -142,8 +142,10 @@
   void end_undecided(PendingPlace place);
   void respond(PendingClaim const& claim, AcquireResult result, std::string stored_answer = "");
   void end(PendingPlace place);
-  void release(PendingClaim const& claim) { release(claim.request.key, claim.request.holder, claim.may_hold); }
-  void release(std::string const& key, u64 holder, std::set<std::string> const& ips);
+  void release(PendingClaim const& claim) {
+    release(operation_of(claim.request), claim.request.holder, claim.may_hold);
+  }
+  void release(OperationId const& operation, u64 holder, std::set<std::string> const& ips);
   std::set<std::string> take_granted(u64 holder);
   void store_answer(KeyOutcomeNotice const& notice);
 
@@ -212,7 +214,7 @@
   // Granted requests may be running; only the proxy knows, and it tells us when it comes back.
   if (!Policy::may_release(true)) return;
   for (auto const& [holder, granted] : granted_claims_)
-    release(granted.key, holder, granted.may_hold);
+    release(granted.operation, holder, granted.may_hold);
   granted_claims_.clear();
 }
 
@@ -242,7 +244,7 @@
     return end(place);
   }
   std::set<std::string> const may_hold = take_granted(notice.holder);
-  if (Policy::has_not_run(notice.outcome)) return release(notice.key, notice.holder, may_hold);
+  if (Policy::has_not_run(notice.outcome)) return release(operation_of(notice), notice.holder, may_hold);
   store_answer(notice);
 }
 
@@ -271,7 +273,7 @@
   std::string stored_answer = notice.stored_answer;
   if (notice.outcome != KeyOutcome::returned) {  // lost, or an outcome that we don't know
     StoredAnswer lost;
-    lost.key = notice.key;
+    set_operation(lost, operation_of(notice));
     lost.holder = notice.holder;
     lost.lost = true;
     lost.homes = notice.homes;
@@ -331,7 +333,8 @@
   if (!is_asked_on(claim.asked_for_answer, ip, connection)) return unmatched_.drop(UnmatchedReason::connection);
   if (response.found) {
     StoredAnswer const answer = codec::unpack<StoredAnswer>(response.stored_answer);
-    if (answer.key != claim.request.key) return unmatched_.drop(UnmatchedReason::other_key);
+    if (!operation_of(answer).may_equal(operation_of(claim.request)))
+      return unmatched_.drop(UnmatchedReason::other_key);
     claim.answers.push_back({answer.holder, answer.lost, response.stored_answer});
   }
   claim.asked_for_answer.erase(ip);
@@ -423,7 +426,7 @@
   Member const* const member = disks_.member(ip);
   if (member == nullptr) return;
   ClaimRequest request;
-  request.key = claim.request.key;
+  set_operation(request, operation_of(claim.request));
   request.holder = claim.request.holder;
   request.epoch = epoch_;
   request.incarnation = member->incarnation;
@@ -445,7 +448,7 @@
 void ClaimCoordinator<Policy>::grant(PendingPlace place, Seconds now) {
   PendingClaim& claim = place->second;
   respond(claim, AcquireResult::run);
-  granted_claims_[claim.request.holder] = GrantedClaim{claim.request.key, std::move(claim.may_hold), now};
+  granted_claims_[claim.request.holder] = GrantedClaim{operation_of(claim.request), std::move(claim.may_hold), now};
   end(place);
 }
 
@@ -462,7 +465,7 @@
     SendFetch action;
     action.to = ip;
     action.tag = tag;
-    action.fetch.key = claim.request.key;
+    set_operation(action.fetch, operation_of(claim.request));
     action.fetch.holders = claim.quorum.holders();
     outgoing_actions_.emplace_back(std::move(action));
   }
@@ -506,9 +509,9 @@
 }
 
 template <ClaimPolicy Policy>
-void ClaimCoordinator<Policy>::release(std::string const& key, u64 holder, std::set<std::string> const& ips) {
+void ClaimCoordinator<Policy>::release(OperationId const& operation, u64 holder, std::set<std::string> const& ips) {
   ReleaseRequest release;
-  release.key = key;
+  set_operation(release, operation);
   release.holder = holder;
   for (std::string const& ip : ips) {
     bool const is_connected = disks_.is_connected(ip);
--- a/packages/idempotency/include/idempotency/claim_messages.hpp
+++ b/packages/idempotency/include/idempotency/claim_messages.hpp
@@ -2,6 +2,7 @@
 #include <string>
 #include <vector>
 
+#include "base/operation_id.hpp"
 #include "base/record.hpp"
 #include "wire/codec.hpp"
 
@@ -9,7 +10,7 @@
 /// The records that agents and controllers exchange about idempotency keys.
 ///
 /// Field order and types are fixed, for they are the bytes on the wire; a third element of a field is the
-/// name that it has outside.
+/// name that it has outside. `key` and `split` together name an operation (OperationId).
 
 namespace dockbend {
 
@@ -23,8 +24,8 @@
 
 /// Asks one disk for a key. `work_ms`: for how long the claimant may work on the request, milliseconds.
 struct ClaimRequest {
-  DB_RECORD(ClaimRequest, (std::string, key), (u64, holder), (Epoch, epoch), (Incarnation, incarnation),
-            (u32, work_ms));
+  DB_RECORD(ClaimRequest, (std::string, key), (u64, holder), (Epoch, epoch), (Incarnation, incarnation), (u32, work_ms),
+            (u32, split));
 };
 
 /// A disk's vote. `holder` names whose claim it answers; `in_progress` says that another holder's work time
@@ -36,7 +37,7 @@
 
 /// Gives a key back. The holder makes no claim after it.
 struct ReleaseRequest {
-  DB_RECORD(ReleaseRequest, (std::string, key), (u64, holder));
+  DB_RECORD(ReleaseRequest, (std::string, key), (u64, holder), (u32, split));
 };
 
 /// A longer body is not stored; repeats of its key are told that the answer is lost.
@@ -47,16 +48,18 @@
 struct StoredAnswer {
   DB_RECORD(StoredAnswer, (std::string, key), (u64, holder), (u32, code), (std::string, reason),
             (std::vector<std::string>, headers, heads), (std::string, body), (bool, lost),
-            (std::vector<std::string>, homes));
+            (std::vector<std::string>, homes), (u32, split));
 };
 
-/// The encoded answer, of those stored for one key, of the first of these holders that has one; of any holder, the last
-/// of the answers, if none is named. Null: there is none.
-std::string const* choose_answer(std::vector<std::string> const& encoded_answers, std::vector<u64> const& holders);
+/// Of stored answers, encoded, whose operations share a text, the one that a repeat of this operation gets: that of the
+/// first of these holders that has one. If no holder is named, any holder's; an operation that does not state its
+/// tenant's name then gets the only one there is, if any. Null: there is none.
+std::string const* choose_answer(std::vector<std::string> const& encoded_answers, OperationId const& operation,
+                                 std::vector<u64> const& holders);
 
 /// Asks a disk for the stored answer of a key. `holders`: whose it may be, the likeliest first; none: anybody's.
 struct FetchAnswerRequest {
-  DB_RECORD(FetchAnswerRequest, (std::string, key), (std::vector<u64>, holders));
+  DB_RECORD(FetchAnswerRequest, (std::string, key), (std::vector<u64>, holders), (u32, split));
 };
 
 /// `stored_answer`: an encoded StoredAnswer, if one was found.
@@ -65,15 +68,15 @@
 };
 
 /// A new disk asks another one for keys. `epoch`: of the membership that the new disk knows; `after`: the keys behind
-/// this one in their order, "" for the first; `pages`: at most so many answers, each with the keys behind the one
-/// before. 0 pages: a program of before 2026-12-02, which wants all keys in one answer.
+/// those of this text in their order, "" for the first; `pages`: at most so many answers, each with the keys behind the
+/// one before. 0 pages: a program of before 2026-12-02, which wants all keys in one answer.
 struct KeyCopyRequest {
   DB_RECORD(KeyCopyRequest, (Epoch, epoch), (u32, part), (std::string, after), (u32, pages));
 };
 
 /// A key that a disk has granted, and to whom.
 struct HeldKey {
-  DB_RECORD(HeldKey, (std::string, key), (u64, holder));
+  DB_RECORD(HeldKey, (std::string, key), (u64, holder), (u32, split));
 };
 
 /// A page of the keys of one disk: those that follow `after`; `has_more`: others follow these. `epoch`: of the disk
--- a/packages/idempotency/include/idempotency/key_backfill.hpp
+++ b/packages/idempotency/include/idempotency/key_backfill.hpp
@@ -95,7 +95,7 @@
  private:
   /// How far a disk has been copied in the present membership.
   struct Copy {
-    std::string after;      ///< the last key that was taken
+    std::string after;      ///< the text of the last key that was taken
     u32 pages_awaited = 0;  ///< of those asked for at asked_at
     Seconds asked_at = 0;
     Seconds not_before = 0;  ///< when it may be asked again
--- a/packages/idempotency/include/idempotency/key_table.hpp
+++ b/packages/idempotency/include/idempotency/key_table.hpp
@@ -12,7 +12,8 @@
 
 namespace dockbend {
 
-/// Grants each key to the first holder that claims it.
+/// Grants each key to the first holder that claims it. An operation that an older program names may be any that shares
+/// its text, so each of these excludes it, and it each of these.
 ///
 /// Fencing: claim() refuses a claim of another epoch than the disk's, and one whose holder has released. That the claim
 /// names this disk's incarnation is checked before, by the controller's IdempotencyService::claim. The claimant checks
@@ -38,7 +39,7 @@
   ClaimVote claim(ClaimRequest const& request, Epoch epoch, Seconds now, ClaimResponse& response);
   /// The write of this holder's entry has ended. True if the grant stands and may be sent: the key may have
   /// been released, and granted to another holder, while it was written.
-  bool confirm_durable(std::string const& key, u64 holder, bool was_written);
+  bool confirm_durable(OperationId const& operation, u64 holder, bool was_written);
   /// Frees the key if this holder has it; true if so. The holder is granted nothing from then on, so that a
   /// claim which arrives after its release takes no effect.
   bool release(ReleaseRequest const& request);
@@ -48,22 +49,23 @@
     bool is_changed = false;
   };
   /// Enters a key copied from another disk.
-  SealedEntry seal(std::string const& key, u64 holder, Seconds now);
+  SealedEntry seal(OperationId const& operation, u64 holder, Seconds now);
   /// Enters a key read from our own disk at the start.
-  void load(std::string const& key, u64 holder, bool is_sealed, Seconds now);
+  void load(OperationId const& operation, u64 holder, bool is_sealed, Seconds now);
   /// Drops at most `limit` durable keys that are older than `age` seconds; returns them.
-  std::vector<std::string> forget_older_than(Seconds age, Seconds now, std::size_t limit);
+  std::vector<OperationId> forget_older_than(Seconds age, Seconds now, std::size_t limit);
 
   /// Keys with their holders, in the order of the keys, for a disk that copies them.
   struct Page {
     std::vector<HeldKey> keys;
     bool has_more = false;  ///< others follow
   };
-  /// The keys behind `after` ("": from the first on), until they come to max_bytes; at least one, if there is one.
+  /// The keys behind those of the text `after` ("": from the first on), until they come to max_bytes; at least one, if
+  /// there is one, and all that share the last one's text.
   Page keys_after(std::string const& after, std::size_t max_bytes) const;
   std::vector<HeldKey> all_keys() const;
   /// Who has the key; kNobody: nobody, or it isn't known.
-  u64 holder_of(std::string const& key) const;
+  u64 holder_of(OperationId const& operation);
   std::size_t size() const { return entries_.size(); }
   bool is_complete() const { return is_complete_; }
   void set_complete(bool is_complete = true) { is_complete_ = is_complete; }
@@ -81,9 +83,11 @@
   static std::size_t constexpr kMaxReleasedHolders = 4096;
 
   void remember_released(u64 holder);
+  /// The entry that keeps others from the operation's key: its own, or one that may be the same operation's.
+  Entry* find_holding(OperationId const& operation);
 
   bool is_complete_;
-  std::map<std::string, Entry> entries_;      ///< in an order that lasts, so that it can be copied page by page
+  std::map<OperationId, Entry> entries_;      ///< in an order that lasts, so that it can be copied page by page
   std::unordered_set<u64> released_holders_;  ///< those of released_order_
   std::deque<u64> released_order_;            ///< the newest kMaxReleasedHolders that released, oldest first
   u64 claims_after_release_ = 0;
--- a/packages/idempotency/include/idempotency/proxy_messages.hpp
+++ b/packages/idempotency/include/idempotency/proxy_messages.hpp
@@ -22,7 +22,8 @@
 /// Asks for the key of a request. `holder` names the request, chosen by the proxy and never used twice;
 /// `work_ms`: for how long it may take, milliseconds.
 struct AcquireKeyRequest {
-  DB_RECORD(AcquireKeyRequest, (std::string, key), (u64, holder), (u32, work_ms), (std::vector<std::string>, homes));
+  DB_RECORD(AcquireKeyRequest, (std::string, key), (u64, holder), (u32, work_ms), (std::vector<std::string>, homes),
+            (u32, split));
 };
 
 /// `holder` names whose request this answers: the frame's tag alone may be another's by now.
@@ -41,7 +42,7 @@
 /// `stored_answer`: an encoded StoredAnswer if the outcome is `returned`.
 struct KeyOutcomeNotice {
   DB_RECORD(KeyOutcomeNotice, (std::string, key), (u64, holder), (KeyOutcome, outcome),
-            (std::vector<std::string>, homes), (std::string, stored_answer, ret));
+            (std::vector<std::string>, homes), (std::string, stored_answer, ret), (u32, split));
 };
 
 /// The notice for a request that has this answer: `returned`, or `lost` if it is too long to be stored.
--- a/packages/idempotency/include/idempotency/stored_answers.hpp
+++ b/packages/idempotency/include/idempotency/stored_answers.hpp
@@ -7,20 +7,21 @@
 #include <utility>
 #include <vector>
 
-#include "base/types.hpp"
+#include "base/operation_id.hpp"
 
 /// \file
 /// The index of one disk's stored answers. No I/O.
 
 namespace dockbend {
 
-/// What a stored answer is called: the key, and the holder whose request it answers. A key that is used again after
-/// it has lapsed has another holder, so that the answers of both operations have names of their own.
+/// What a stored answer is called: the operation, and the holder whose request it answers. A key that is used again
+/// after it has lapsed has another holder, so that the answers of both have names of their own.
 struct AnswerId {
-  std::string key;
+  OperationId operation;
   u64 holder = 0;  ///< 0: not stated, as on the disks of releases before 2026-12-08
 
-  /// In one text, for a table of the disk store: no key has a line break.
+  /// In one text, for a table of the disk store. It begins with the operation's text, and a line break follows, unless
+  /// neither a holder nor how the text is to be split is stated.
   std::string storage_key() const;
   static AnswerId of_storage_key(std::string const& storage_key);
 
--- a/packages/idempotency/key_backfill.cpp
+++ b/packages/idempotency/key_backfill.cpp
@@ -81,7 +81,7 @@
   }
   if (copy.pages_awaited > 0) --copy.pages_awaited;
   for (HeldKey const& key : response.keys) {
-    KeyTable::SealedEntry const sealed = table.seal(key.key, key.holder, now);
+    KeyTable::SealedEntry const sealed = table.seal(operation_of(key), key.holder, now);
     if (!sealed.is_changed && !stores_all_) continue;
     HeldKey to_store = key;
     to_store.holder = sealed.holder;
--- a/packages/idempotency/key_table.cpp
+++ b/packages/idempotency/key_table.cpp
@@ -8,6 +8,7 @@
 double constexpr kMillisecondsPerSecond = 1000.0;
 /// What a key takes in a message besides its own bytes, at most.
 std::size_t constexpr kHeldKeyOverheadBytes = 24;
+u32 constexpr kLastSplit = std::numeric_limits<u32>::max();
 }  // namespace
 
 ClaimVote KeyTable::claim(ClaimRequest const& request, Epoch epoch, Seconds now, ClaimResponse& response) {
@@ -19,22 +20,30 @@
     ++claims_after_release_;
     return response.vote = ClaimVote::held;
   }
-  auto const [place, is_new] = entries_.try_emplace(request.key);
-  Entry& entry = place->second;
-  if (is_new) {
-    entry.holder = request.holder;
-    entry.granted_at = now;
-    entry.work_until = now + request.work_ms / kMillisecondsPerSecond;
-    return response.vote = ClaimVote::granted;
+  OperationId const operation = operation_of(request);
+  if (Entry const* const holding = find_holding(operation); holding != nullptr) {
+    if (holding->holder == request.holder && !holding->is_sealed) return response.vote = ClaimVote::granted;
+    response.in_progress = now < holding->work_until;
+    response.held_by = holding->holder;
+    return response.vote = ClaimVote::held;
   }
-  if (entry.holder == request.holder && !entry.is_sealed) return response.vote = ClaimVote::granted;
-  response.in_progress = now < entry.work_until;
-  response.held_by = entry.holder;
-  return response.vote = ClaimVote::held;
+  Entry& entry = entries_[operation];
+  entry.holder = request.holder;
+  entry.granted_at = now;
+  entry.work_until = now + request.work_ms / kMillisecondsPerSecond;
+  return response.vote = ClaimVote::granted;
+}
+
+KeyTable::Entry* KeyTable::find_holding(OperationId const& operation) {
+  if (auto const own = entries_.find(operation); own != entries_.end()) return &own->second;
+  auto candidate = entries_.lower_bound(OperationId::of_text(operation.text(), 0));
+  for (; candidate != entries_.end() && candidate->first.text() == operation.text(); ++candidate)
+    if (candidate->first.may_equal(operation)) return &candidate->second;
+  return nullptr;
 }
 
-bool KeyTable::confirm_durable(std::string const& key, u64 holder, bool was_written) {
-  auto const found = entries_.find(key);
+bool KeyTable::confirm_durable(OperationId const& operation, u64 holder, bool was_written) {
+  auto const found = entries_.find(operation);
   if (found == entries_.end() || found->second.holder != holder) return false;
   if (was_written)
     found->second.is_durable = true;
@@ -46,7 +55,7 @@
 bool KeyTable::release(ReleaseRequest const& request) {
   if (request.holder == kNobody) return false;
   remember_released(request.holder);
-  auto const found = entries_.find(request.key);
+  auto const found = entries_.find(operation_of(request));
   if (found == entries_.end() || found->second.holder != request.holder) return false;
   entries_.erase(found);
   return true;
@@ -60,8 +69,8 @@
   released_order_.pop_front();
 }
 
-KeyTable::SealedEntry KeyTable::seal(std::string const& key, u64 holder, Seconds now) {
-  auto const [place, is_new] = entries_.try_emplace(key);
+KeyTable::SealedEntry KeyTable::seal(OperationId const& operation, u64 holder, Seconds now) {
+  auto const [place, is_new] = entries_.try_emplace(operation);
   Entry& entry = place->second;
   bool is_changed = is_new || !entry.is_sealed;
   if (is_new) {
@@ -76,13 +85,13 @@
   return {entry.holder, is_changed};
 }
 
-void KeyTable::load(std::string const& key, u64 holder, bool is_sealed, Seconds now) {
+void KeyTable::load(OperationId const& operation, u64 holder, bool is_sealed, Seconds now) {
   // How long the process was away is not known, so the age of the key starts anew.
-  entries_[key] = Entry{holder, is_sealed, true, now, now};
+  entries_[operation] = Entry{holder, is_sealed, true, now, now};
 }
 
-std::vector<std::string> KeyTable::forget_older_than(Seconds age, Seconds now, std::size_t limit) {
-  std::vector<std::string> forgotten;
+std::vector<OperationId> KeyTable::forget_older_than(Seconds age, Seconds now, std::size_t limit) {
+  std::vector<OperationId> forgotten;
   for (auto entry = entries_.begin(); entry != entries_.end() && forgotten.size() < limit;) {
     if (entry->second.is_durable && now - entry->second.granted_at > age) {
       forgotten.push_back(entry->first);
@@ -94,22 +103,23 @@
   return forgotten;
 }
 
-u64 KeyTable::holder_of(std::string const& key) const {
-  auto const found = entries_.find(key);
-  return found == entries_.end() ? kNobody : found->second.holder;
+u64 KeyTable::holder_of(OperationId const& operation) {
+  Entry const* const holding = find_holding(operation);
+  return holding == nullptr ? kNobody : holding->holder;
 }
 
 KeyTable::Page KeyTable::keys_after(std::string const& after, std::size_t max_bytes) const {
   Page page;
   std::size_t bytes = 0;
-  for (auto entry = after.empty() ? entries_.begin() : entries_.upper_bound(after); entry != entries_.end(); ++entry) {
-    bytes += entry->first.size() + kHeldKeyOverheadBytes;
-    if (bytes > max_bytes && !page.keys.empty()) {
+  auto const first = after.empty() ? entries_.begin() : entries_.upper_bound(OperationId::of_text(after, kLastSplit));
+  for (auto entry = first; entry != entries_.end(); ++entry) {
+    bytes += entry->first.text().size() + kHeldKeyOverheadBytes;
+    if (bytes > max_bytes && !page.keys.empty() && page.keys.back().key != entry->first.text()) {
       page.has_more = true;
       break;
     }
     HeldKey held;
-    held.key = entry->first;
+    set_operation(held, entry->first);
     held.holder = entry->second.holder;
     page.keys.push_back(std::move(held));
   }
--- a/packages/idempotency/proxy_messages.cpp
+++ b/packages/idempotency/proxy_messages.cpp
@@ -6,7 +6,7 @@
 
 KeyOutcomeNotice notice_of_answer(StoredAnswer const& answer) {
   KeyOutcomeNotice notice;
-  notice.key = answer.key;
+  set_operation(notice, operation_of(answer));
   notice.holder = answer.holder;
   notice.homes = answer.homes;
   bool const is_stored = answer.body.size() <= kMostStoredBodyBytes;
--- a/packages/idempotency/stored_answers.cpp
+++ b/packages/idempotency/stored_answers.cpp
@@ -9,13 +9,15 @@
 }  // namespace
 
 std::string AnswerId::storage_key() const {
-  return holder == 0 ? key : key + kHolderSeparator + std::to_string(holder);
+  bool const is_of_older_release = holder == 0 && !operation.is_exact();
+  return is_of_older_release ? operation.text() : operation.storage_key() + kHolderSeparator + std::to_string(holder);
 }
 
 AnswerId AnswerId::of_storage_key(std::string const& storage_key) {
   std::size_t const separator = storage_key.rfind(kHolderSeparator);
-  if (separator == std::string::npos) return {storage_key, 0};
-  return {storage_key.substr(0, separator), std::strtoull(storage_key.c_str() + separator + 1, nullptr, kDecimal)};
+  if (separator == std::string::npos) return {OperationId::of_storage_key(storage_key), 0};
+  u64 const holder = std::strtoull(storage_key.c_str() + separator + 1, nullptr, kDecimal);
+  return {OperationId::of_storage_key(storage_key.substr(0, separator)), holder};
 }
 
 void StoredAnswers::add(AnswerId const& id, std::size_t bytes, Seconds now) {
--- a/packages/model_checking/idempotency_events.cpp
+++ b/packages/model_checking/idempotency_events.cpp
@@ -191,7 +191,7 @@
   node.accepted = disk.accepted;
   node.key = disk.key;
   node.backfill = KeyBackfill(disk.completed_in);
-  if (disk.key) node.table.load(kKey, disk.key->holder, disk.key->is_sealed, 0);
+  if (disk.key) node.table.load(OperationId::without_tenant(kKey), disk.key->holder, disk.key->is_sealed, 0);
   update_completeness(index);
 }
 
@@ -227,7 +227,7 @@
 ClaimResponse IdempotencyWorld::vote(u32 claimant, u32 index, Member const& member, Epoch view_epoch) {
   Node& node = nodes_[index];
   ClaimRequest request;
-  request.key = kKey;
+  set_operation(request, OperationId::without_tenant(kKey));
   request.holder = holder_of(claimant);
   request.epoch = faults_.ignores_epoch ? node.accepted->epoch : view_epoch;
   request.incarnation = member.incarnation;
@@ -236,7 +236,7 @@
   update_completeness(index);
   if (faults_.votes_before_complete) node.table.set_complete();
   if (node.table.claim(request, node.accepted->epoch, 0, response) == ClaimVote::granted) {
-    node.table.confirm_durable(kKey, request.holder, true);
+    node.table.confirm_durable(OperationId::without_tenant(kKey), request.holder, true);
     node.key = KeyEntry{request.holder, false};
     write(index);
   }
@@ -277,7 +277,7 @@
   if (!claimant.is_over || !(claimant.sent_to >> node & 1)) return false;
   claimant.sent_to &= ~(1U << node);
   ReleaseRequest request;
-  request.key = kKey;
+  set_operation(request, OperationId::without_tenant(kKey));
   request.holder = holder_of(index);
   if (nodes_[node].table.release(request)) nodes_[node].key.reset();  // it is on disk with the next write
   return true;
--- a/packages/proxy/idempotency_client.cpp
+++ b/packages/proxy/idempotency_client.cpp
@@ -17,7 +17,7 @@
   request.key_holder = random64() | 1;
   u32 const tag = context_.requests.open_key_request(request);
   AcquireKeyRequest message;
-  message.key = request.key;
+  set_operation(message, request.operation);
   message.holder = request.key_holder;
   message.work_ms = static_cast<u32>(std::max(0.0, request.deadline() - steady_now()) * 1000);
   message.homes = request.homes;
@@ -54,7 +54,7 @@
 }
 
 void IdempotencyClient::repeat(ProxiedRequest& request, StoredAnswer const& answer) {
-  if (answer.key != request.key) {
+  if (!operation_of(answer).may_equal(request.operation)) {
     context_.requests.filter().count_discard(ResponseRejection::other_key);
     return refuse(request, make_local_reply(502));
   }
--- a/packages/proxy/key_outcome_reporter.cpp
+++ b/packages/proxy/key_outcome_reporter.cpp
@@ -4,7 +4,7 @@
 
 void KeyOutcomeReporter::report(ProxiedRequest const& request, KeyOutcome outcome) {
   KeyOutcomeNotice notice;
-  notice.key = request.key;
+  set_operation(notice, request.operation);
   notice.holder = request.key_holder;
   notice.homes = request.homes;
   notice.outcome = outcome;
--- a/packages/proxy/response_writer.cpp
+++ b/packages/proxy/response_writer.cpp
@@ -66,7 +66,7 @@
 StoredAnswer make_stored_answer(ProxiedRequest const& request, evhttp_request* upstream_request,
                                 UpstreamResponse const& response, evbuffer* body) {
   StoredAnswer answer;
-  answer.key = request.key;
+  set_operation(answer, request.operation);
   answer.holder = request.key_holder;
   answer.homes = request.homes;
   answer.code = static_cast<u32>(response.status);
--- a/packages/request/admission.cpp
+++ b/packages/request/admission.cpp
@@ -148,8 +148,8 @@
   request.is_repeatable = route.kind == RouteKind::idempotent || (is_keyed && service != nullptr && service->dedupes);
   if (is_keyed) {
     if (known.key == nullptr || known.key->empty()) return Refusal{make_local_reply(400)};
-    // Two tenants may use the same key.
-    request.key = request.tenant ? request.tenant->name + "/" + *known.key : *known.key;
+    request.operation = request.tenant ? OperationId::of_tenant(request.tenant->name, *known.key)
+                                       : OperationId::without_tenant(*known.key);
   }
   std::optional<std::vector<std::string>> homes = common_homes(route, request.tenant.get());
   if (!homes) return Refusal{make_local_reply(503, kRetryAfterNoHome), "homes have nothing in common"};
--- a/packages/request/include/request/admission.hpp
+++ b/packages/request/include/request/admission.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/operation_id.hpp"
 #include "configuration/configuration.hpp"
 #include "request/headers.hpp"
 
@@ -25,7 +26,7 @@
   RoutePtr route;
   TenantPtr tenant;                      ///< null: the route needs none, or there are none
   bool has_tenants = false;              ///< the configuration has tenants: the client's credentials are not forwarded
-  std::string key;                       ///< idempotency key, with the tenant's name before it; empty: not keyed
+  OperationId operation;                 ///< empty: not keyed
   std::string const* service = nullptr;  ///< owned by the route
   std::vector<std::string> homes;        ///< regions that may serve it; empty: any
   bool is_repeatable = false;            ///< its route is idempotent, or it is keyed and its service deduplicates
--- a/packages/storage/async_store.cpp
+++ b/packages/storage/async_store.cpp
@@ -43,9 +43,9 @@
   has_work_.notify_one();
 }
 
-void AsyncStore::find_answers(std::string const& key, Found found) {
+void AsyncStore::find_answers(std::string const& text, Found found) {
   Task task;
-  task.wanted_key = key;
+  task.wanted_text = text;
   task.found = std::move(found);
   enqueue(std::move(task));
 }
@@ -91,7 +91,7 @@
     writes.push_back(&task);
   store_.commit(writes);
   for (Task& task : tasks)
-    if (!task.wanted_key.empty()) task.answers = store_.answers(task.wanted_key);
+    if (!task.wanted_text.empty()) task.answers = store_.answers(task.wanted_text);
 }
 
 void AsyncStore::hand_back(std::deque<Task> tasks) {
--- a/packages/storage/disk_store.cpp
+++ b/packages/storage/disk_store.cpp
@@ -17,11 +17,11 @@
 namespace {
 using Kind = StoreOperation::Kind;
 
-/// Behind a key in the name of an answer; keys have none.
+/// In the name of a stored answer behind the text of its operation; texts have none.
 char constexpr kNameSeparator = '\n', kBehindNameSeparator = kNameSeparator + 1;
 
-bool is_name_of(std::string const& answer_name, std::string const& key) {
-  return answer_name.size() == key.size() || answer_name[key.size()] == kNameSeparator;
+bool is_name_of(std::string const& answer_name, std::string const& text) {
+  return answer_name.size() == text.size() || answer_name[text.size()] == kNameSeparator;
 }
 
 [[noreturn]] void refuse_newer_layout(unsigned layout) {
@@ -64,7 +64,7 @@
   database.execute("PRAGMA journal_mode=WAL");
   database.execute("PRAGMA synchronous=FULL");
   database.execute("PRAGMA cache_size=-512");
-  if (layout < DiskStore::kLayout) create_or_migrate(database, DiskStore::kLayout);
+  if (layout < DiskStore::kLayout) create_or_migrate(database, layout, DiskStore::kLayout);
   return database;
 }
 }  // namespace
@@ -76,7 +76,7 @@
       statements[i] = database.prepare(sql_of(static_cast<Kind>(i)));
     begin = database.prepare("BEGIN IMMEDIATE");
     commit = database.prepare("COMMIT");
-    // The names of all answers of one key begin with it.
+    // The names of answers to operations that share a text begin with it, see AnswerId::storage_key().
     find_answers = database.prepare("SELECT k,v FROM ret WHERE k>=? AND k<?");
     mark.emplace(directory);
   }
@@ -164,14 +164,14 @@
   return stored;
 }
 
-std::vector<std::string> DiskStore::answers(std::string const& key) {
+std::vector<std::string> DiskStore::answers(std::string const& text) {
   SqliteStatement& find = handles_->find_answers;
-  std::string const behind = key + kBehindNameSeparator;
-  find.bind_text(1, key);
+  std::string const behind = text + kBehindNameSeparator;
+  find.bind_text(1, text);
   find.bind_text(2, behind);
   std::vector<std::string> answers;
   while (find.next_row())
-    if (is_name_of(find.text(0), key)) answers.push_back(find.text(1));
+    if (is_name_of(find.text(0), text)) answers.push_back(find.text(1));
   find.reset();
   return answers;
 }
--- a/packages/storage/include/storage/async_store.hpp
+++ b/packages/storage/include/storage/async_store.hpp
@@ -36,8 +36,8 @@
 
   /// Only before the first submit.
   StoredState load() { return store_.load(); }
-  /// Reads the stored answers of that key. It sees everything submitted before.
-  void find_answers(std::string const& key, Found found);
+  /// Reads the stored answers of all operations that have that text. It sees everything submitted before.
+  void find_answers(std::string const& text, Found found);
   void submit(std::vector<StoreOperation> operations, Done done);
   void write_vote(VoteWrite vote, Done done);
   /// For what nobody waits for: written with the next commit, or after a moment with one of its own. Stays in order
@@ -47,7 +47,7 @@
  private:
   struct Task : DiskStore::Write {
     Done done;
-    std::string wanted_key;  // of a look-up; empty: it is none
+    std::string wanted_text;  // of a look-up; empty: it is none
     std::vector<std::string> answers;
     Found found;
   };
--- a/packages/storage/include/storage/disk_store.hpp
+++ b/packages/storage/include/storage/disk_store.hpp
@@ -11,7 +11,7 @@
 
 namespace dockbend {
 
-/// A claimed key as it was stored.
+/// A claimed key as it was stored, under the operation's storage key.
 struct StoredKey {
   std::string key;
   u64 holder = 0;
@@ -45,7 +45,7 @@
 class DiskStore {
  public:
   /// The number of the table layout that this program writes.
-  static int constexpr kLayout = 2;
+  static int constexpr kLayout = 3;
 
   /// Operations, and possibly a vote, that are written together.
   struct Write {
@@ -70,8 +70,8 @@
   /// Writes all or none in one transaction, and sets each is_written. A vote whose base the file does not hold is left
   /// out, and its write is not reported as written.
   void commit(std::vector<Write*> const& writes);
-  /// The stored answers of that key, of any holder.
-  std::vector<std::string> answers(std::string const& key);
+  /// The stored answers of all operations that have that text, of any holder.
+  std::vector<std::string> answers(std::string const& text);
 
   /// Durably renames an unreadable file, and then its log: without the log the file would be an older one. Throws
   /// std::runtime_error.
--- a/packages/storage/store_layout.cpp
+++ b/packages/storage/store_layout.cpp
@@ -9,6 +9,8 @@
 
 namespace dockbend {
 namespace {
+int constexpr kFirstLayoutWithValues = 2;
+
 void require_written(bool is_written) {
   if (!is_written) throw std::runtime_error("disk: the old layout could not be taken over");
 }
@@ -71,6 +73,14 @@
     require_written(update.run());
   }
 }
+
+void create_or_migrate_tables(SqliteDatabase& database) {
+  create_tables(database);
+  std::string const incarnation = database.meta("life");
+  if (incarnation.empty()) return;
+  migrate_value(database, Incarnation(to_number(incarnation)));
+  migrate_keys(database);
+}
 }  // namespace
 
 u32 key_check(std::string const& key, u64 holder) {
@@ -81,15 +91,12 @@
   return static_cast<i64>(key_check(key, holder)) << 1 | (is_sealed ? 1 : 0);
 }
 
-void create_or_migrate(SqliteDatabase& database, int layout) {
-  if (database.number("SELECT count(*) FROM sqlite_master WHERE name='value'") != 0)
-    throw StorageCorruption("disk: the layout's number is gone");
+void create_or_migrate(SqliteDatabase& database, int from, int layout) {
+  bool const has_values = database.number("SELECT count(*) FROM sqlite_master WHERE name='value'") != 0;
+  if (has_values != (from == kFirstLayoutWithValues)) throw StorageCorruption("disk: the layout's number is gone");
   database.execute("BEGIN IMMEDIATE");
-  create_tables(database);
-  if (std::string const incarnation = database.meta("life"); !incarnation.empty()) {
-    migrate_value(database, Incarnation(to_number(incarnation)));
-    migrate_keys(database);
-  }
+  // Layout 3 differs from 2 in the keys of operations alone: those of 2 don't state a tenant's name (OperationId).
+  if (!has_values) create_or_migrate_tables(database);
   database.execute("PRAGMA user_version=" + std::to_string(layout));
   database.execute("COMMIT");
 }
--- a/tests/golden/golden_store_test.cpp
+++ b/tests/golden/golden_store_test.cpp
@@ -1,4 +1,4 @@
-// The disk's files as older programs wrote them, against golden files: directories of layouts 1 and 2
+// The disk's files as older programs wrote them, against golden files: directories of layouts 1 to 3
 // are copied, opened and read; a newly written one has the golden schema and rows, byte for byte.
 #include <criterion/criterion.h>
 #include <sqlite3.h>
@@ -7,7 +7,9 @@
 #include <algorithm>
 #include <filesystem>
 
+#include "base/operation_id.hpp"
 #include "consensus/acceptor.hpp"
+#include "idempotency/stored_answers.hpp"
 #include "storage/disk_store.hpp"
 #include "support/golden_fields.hpp"
 #include "support/golden_file.hpp"
@@ -80,15 +82,19 @@
   second.vote->head = later.vote_header();
   second.vote->head.seq = 2;
   second.vote->base = 1;
-  second.operations = {operation(Kind::delete_key, "key-dropped"),
-                       operation(Kind::delete_server, "server-dropped"),
-                       operation(Kind::delete_answer, "key-dropped"),
-                       lease("key-claimed", 0x8123456789abcdefULL, false),
-                       lease("key-sealed", 0x0123456789abcdefULL, true),
-                       operation(Kind::put_server, filled<ServerRecord>().id, codec::pack(filled<ServerRecord>())),
-                       operation(Kind::put_answer, filled<StoredAnswer>().key, codec::pack(filled<StoredAnswer>())),
-                       StoreOperation::put_meta("sites", sites_word()),
-                       StoreOperation::put_meta("whole", DiskStore::complete_keys_word(12))};
+  second.operations = {
+      operation(Kind::delete_key, "key-dropped"),
+      operation(Kind::delete_server, "server-dropped"),
+      operation(Kind::delete_answer, "key-dropped"),
+      lease("key-claimed", 0x8123456789abcdefULL, false),
+      lease("key-sealed", 0x0123456789abcdefULL, true),
+      lease(OperationId::of_tenant("tenant", "key-of-tenant").storage_key(), 11, false),
+      operation(Kind::put_server, filled<ServerRecord>().id, codec::pack(filled<ServerRecord>())),
+      operation(Kind::put_answer,
+                AnswerId{operation_of(filled<StoredAnswer>()), filled<StoredAnswer>().holder}.storage_key(),
+                codec::pack(filled<StoredAnswer>())),
+      StoreOperation::put_meta("sites", sites_word()),
+      StoreOperation::put_meta("whole", DiskStore::complete_keys_word(12))};
   store.commit({&second});
   cr_assert(second.is_written);
 }
@@ -127,6 +133,13 @@
   }
 }
 
+// A key as one line of a golden file.
+std::string one_line(std::string text) {
+  for (std::size_t at = 0; (at = text.find('\n', at)) != std::string::npos; at += 2)
+    text.replace(at, 1, "\\n");
+  return text;
+}
+
 // What the class reads, in the order of the keys.
 void check_loaded(GoldenFile& file, std::string const& directory) {
   DiskStore store(directory);
@@ -137,15 +150,15 @@
   cr_expect(codec::pack(*disk.value) == codec::pack(whole_value()), "the value is not what was written");
   file.check("keys-filled", std::to_string(disk.keys_filled));
   for (StoredKey const& key : disk.keys) {
-    file.check("key/" + key.key, std::to_string(key.holder) + (key.sealed ? " sealed" : " open"));
+    file.check("key/" + one_line(key.key), std::to_string(key.holder) + (key.sealed ? " sealed" : " open"));
   }
   std::size_t number = 0;
   for (std::string const& server : disk.servers)
     file.check("server/" + std::to_string(++number), to_hex(server));
   for (auto const& [key, size] : disk.answers) {
-    std::vector<std::string> const answers = store.answers(key);
+    std::vector<std::string> const answers = store.answers(AnswerId::of_storage_key(key).operation.text());
     cr_assert_eq(answers.size(), 1u);
-    file.check("answer/" + key, std::to_string(size) + " " + to_hex(answers[0]));
+    file.check("answer/" + one_line(key), std::to_string(size) + " " + to_hex(answers[0]));
   }
   file.check("sites", to_hex(disk.sites));
 }
@@ -175,7 +188,7 @@
   for (std::size_t t = 0; t < tables.size(); ++t) {
     std::size_t row = 0;
     each("SELECT * FROM " + tables[t] + " ORDER BY 1", [&](sqlite3_stmt* s) {
-      std::string text = column(s, 0);
+      std::string text = one_line(column(s, 0));
       for (int i = 1; i < sqlite3_column_count(s); ++i) {
         text += " " + (sqlite3_column_type(s, i) == SQLITE_BLOB ? to_hex(column(s, i)) : column(s, i));
       }
@@ -186,8 +199,8 @@
 }
 }  // namespace
 
-Test(golden_store, a_directory_of_layout_2_is_read) {
-  std::string const golden = golden_path("store-layout-2");
+Test(golden_store, a_directory_of_layout_3_is_read) {
+  std::string const golden = golden_path("store-layout-3");
   TemporaryDirectory const directory;
   if (writes_golden()) {
     write_store(directory.path);
@@ -197,6 +210,15 @@
   for (char const* name : kStoreFiles)
     cr_assert(fs::exists(golden + "/" + name), "golden file is missing: %s", name);
   copy_store(golden, directory.path);
+  GoldenFile file("store-layout-3.txt");
+  check_loaded(file, directory.path);
+  file.finish();
+}
+
+// No program writes it any more: the golden directory stays.
+Test(golden_store, a_directory_of_layout_2_is_taken_over) {
+  TemporaryDirectory const directory;
+  copy_store(golden_path("store-layout-2"), directory.path);
   GoldenFile file("store-layout-2.txt");
   check_loaded(file, directory.path);
   file.finish();
@@ -204,10 +226,10 @@
 
 // The golden mark counts: without the log the file is older than the mark says, and is neither read as
 // a value nor taken for a first start.
-Test(golden_store, a_directory_of_layout_2_without_its_log_is_no_value) {
+Test(golden_store, a_directory_of_layout_3_without_its_log_is_no_value) {
   if (writes_golden()) return;
   TemporaryDirectory const directory;
-  copy_store(golden_path("store-layout-2"), directory.path);
+  copy_store(golden_path("store-layout-3"), directory.path);
   fs::remove(directory.path + "/register.db-wal");
   try {
     StoredState const disk = DiskStore(directory.path).load();
--- a/tests/idempotency/claim_simulation.hpp
+++ b/tests/idempotency/claim_simulation.hpp
@@ -347,7 +347,7 @@
     ClaimResponse response;
     response.incarnation = disk.incarnation;
     if (disk.table.claim(claim, disk.epoch, now_, response) == ClaimVote::granted &&
-        !disk.table.confirm_durable(claim.key, claim.holder, true))
+        !disk.table.confirm_durable(operation_of(claim), claim.holder, true))
       return;
     post(FromDisk{x.agent, x.disk, x.connection, action.tag, response});
   }
@@ -470,7 +470,7 @@
     KeyTable copied(false);
     for (int disk = 0; disk < 2; ++disk)
       for (HeldKey const& held : disks_[disk].table.all_keys())
-        copied.seal(held.key, held.holder, now_);
+        copied.seal(operation_of(held), held.holder, now_);
     copied.set_complete();
     disks_[2].table = std::move(copied);
     disks_[2].incarnation = Incarnation(7);
--- a/tests/idempotency/key_backfill_test.cpp
+++ b/tests/idempotency/key_backfill_test.cpp
@@ -23,7 +23,7 @@
 KeyTable table_with(int keys) {
   KeyTable table(true);
   for (int i = 0; i < keys; ++i)
-    table.load("key-" + std::to_string(i), static_cast<u64>(i + 1), false, 0);
+    table.load(OperationId::without_tenant("key-" + std::to_string(i)), static_cast<u64>(i + 1), false, 0);
   return table;
 }
 
@@ -43,7 +43,8 @@
 Test(key_backfill, long_keys_make_pages_of_few_and_none_is_left_out) {
   KeyTable table(true);
   for (int i = 0; i < 40; ++i)
-    table.load(std::string(9000, 'k') + std::to_string(i), static_cast<u64>(i + 1), false, 0);
+    table.load(OperationId::without_tenant(std::string(9000, 'k') + std::to_string(i)), static_cast<u64>(i + 1), false,
+               0);
   KeyCopyRequest request;
   request.epoch = kEpoch;
   request.pages = 1;
@@ -212,7 +213,7 @@
         release.key = key;
         release.holder = static_cast<u64>(number + 1);
         if (source.release(release)) had.erase(key);
-        source.load("new-" + std::to_string(random() % 5000), 77, false, 0);
+        source.load(OperationId::without_tenant("new-" + std::to_string(random() % 5000)), 77, false, 0);
       }
     }
     cr_assert_not(copying.backfill.needs_copy_from("10.0.0.1"));
--- a/tests/idempotency/key_table_test.cpp
+++ b/tests/idempotency/key_table_test.cpp
@@ -12,9 +12,11 @@
 using namespace dockbend;
 
 namespace {
-ClaimRequest claim_of(u64 holder, u64 epoch = 1) {
+OperationId const kOperation = OperationId::of_tenant("t", "k");
+
+ClaimRequest claim_of(u64 holder, u64 epoch = 1, OperationId const& operation = kOperation) {
   ClaimRequest claim{};
-  claim.key = "k";
+  set_operation(claim, operation);
   claim.holder = holder;
   claim.epoch = Epoch(epoch);
   claim.work_ms = 1000;
@@ -22,7 +24,7 @@
 }
 ReleaseRequest release_of(u64 holder) {
   ReleaseRequest release{};
-  release.key = "k";
+  set_operation(release, kOperation);
   release.holder = holder;
   return release;
 }
@@ -31,6 +33,10 @@
   ClaimResponse response{};
   return table.claim(claim_of(holder), Epoch(1), now, response);
 }
+ClaimVote vote_on(KeyTable& table, u64 holder, OperationId const& operation) {
+  ClaimResponse response{};
+  return table.claim(claim_of(holder, 1, operation), Epoch(1), 0, response);
+}
 }  // namespace
 
 Test(key_table, grants_a_key_to_its_first_holder_only) {
@@ -49,25 +55,75 @@
   cr_assert(table.claim(claim_of(9), Epoch(1), 2, response) == ClaimVote::granted);
 }
 
+// Failure: a tenant's operation was taken for another tenant's, for both were joined to one text.
+Test(key_table, operations_that_share_a_text_are_granted_each_by_itself) {
+  OperationId const operations[] = {OperationId::of_tenant("print", "budapest/1"),
+                                    OperationId::of_tenant("print/budapest", "1"),
+                                    OperationId::without_tenant("print/budapest/1")};
+  KeyTable table(true);
+  u64 holder = 0;
+  for (OperationId const& operation : operations) {
+    cr_assert(operation.text() == operations[0].text());
+    cr_assert(vote_on(table, ++holder, operation) == ClaimVote::granted);
+    cr_assert(table.confirm_durable(operation, holder, true));
+  }
+  for (OperationId const& operation : operations)
+    cr_assert(vote_on(table, 100, operation) == ClaimVote::held);
+  ReleaseRequest release{};
+  set_operation(release, operations[1]);
+  release.holder = 2;
+  cr_assert(table.release(release));
+  cr_assert(vote_on(table, 101, operations[1]) == ClaimVote::granted);
+  cr_assert(vote_on(table, 102, operations[0]) == ClaimVote::held);
+}
+
+// During an upgrade: what an older program names may be any operation of its text, so neither runs beside it.
+Test(key_table, an_operation_of_an_older_program_excludes_all_that_share_its_text) {
+  OperationId const exact = OperationId::of_tenant("print", "1"), other = OperationId::of_tenant("print", "2");
+  OperationId const older = OperationId::of_text("print/1", 0);
+  KeyTable first_older(true);
+  cr_assert(vote_on(first_older, 1, older) == ClaimVote::granted);
+  cr_assert(vote_on(first_older, 2, exact) == ClaimVote::held);
+  cr_assert(vote_on(first_older, 3, other) == ClaimVote::granted);
+  KeyTable first_exact(true);
+  cr_assert(vote_on(first_exact, 1, exact) == ClaimVote::granted);
+  cr_assert(vote_on(first_exact, 2, older) == ClaimVote::held);
+}
+
+// A disk that copies pages goes on behind the last one's text: operations that share it are in one page.
+Test(key_table, a_page_ends_behind_all_operations_of_its_last_text) {
+  KeyTable table(true);
+  u64 holder = 0;
+  for (char const* text : {"a/b/c", "a/b/d"})
+    for (u32 split = 0; split <= 5; ++split)
+      table.load(OperationId::of_text(text, split), ++holder, false, 0);
+  KeyTable::Page const first = table.keys_after("", 1);
+  cr_assert_eq(first.keys.size(), 6u);
+  cr_assert(first.has_more);
+  KeyTable::Page const second = table.keys_after(first.keys.back().key, 1);
+  cr_assert_eq(second.keys.size(), 6u);
+  cr_assert_not(second.has_more);
+}
+
 // Claimed twice by one holder; the first write fails, another holder gets the key, and only then the second
 // write ends.
 Test(key_table, grant_is_not_confirmed_once_another_holder_has_the_key) {
   KeyTable table(true);
   vote_on(table, 7);
   vote_on(table, 7);
-  cr_assert_not(table.confirm_durable("k", 7, false));
+  cr_assert_not(table.confirm_durable(kOperation, 7, false));
   cr_assert(vote_on(table, 8) == ClaimVote::granted);
-  cr_assert_not(table.confirm_durable("k", 7, true));
-  cr_assert(table.confirm_durable("k", 8, true));
+  cr_assert_not(table.confirm_durable(kOperation, 7, true));
+  cr_assert(table.confirm_durable(kOperation, 8, true));
 }
 
 Test(key_table, failed_write_grants_nothing_and_leaves_what_is_on_disk) {
   KeyTable table(true);
   vote_on(table, 7);
-  table.confirm_durable("k", 7, false);
+  table.confirm_durable(kOperation, 7, false);
   cr_assert(vote_on(table, 8) == ClaimVote::granted);
-  table.confirm_durable("k", 8, true);
-  table.confirm_durable("k", 8, false);
+  table.confirm_durable(kOperation, 8, true);
+  table.confirm_durable(kOperation, 8, false);
   cr_assert(vote_on(table, 9) == ClaimVote::held, "what is on disk stays");
 }
 
@@ -77,14 +133,14 @@
   cr_assert(complete.claim(claim_of(7, 1), Epoch(2), 0, response) == ClaimVote::epoch);
   KeyTable copied(false);
   cr_assert(vote_on(copied, 7) == ClaimVote::unready);
-  copied.seal("k", 7, 0);
+  copied.seal(kOperation, 7, 0);
   copied.set_complete();
   cr_assert(vote_on(copied, 7) == ClaimVote::held, "a sealed key is not granted, not even to its holder");
 }
 
 Test(key_table, forgets_keys_past_their_age_which_begins_anew_with_a_restart) {
   KeyTable table(true);
-  table.load("k", 7, false, 100);
+  table.load(kOperation, 7, false, 100);
   cr_assert(table.forget_older_than(60, 159, 10).empty());
   cr_assert(vote_on(table, 8, 159) == ClaimVote::held);
   cr_assert_eq(table.forget_older_than(60, 161, 10).size(), 1u);
@@ -97,8 +153,8 @@
   u64 constexpr kRan = 7, kLost = 9;
   for (bool const lost_first : {true, false}) {
     KeyTable table(false);
-    table.seal("k", lost_first ? kLost : kRan, 1);
-    table.seal("k", lost_first ? kRan : kLost, 1);
+    table.seal(kOperation, lost_first ? kLost : kRan, 1);
+    table.seal(kOperation, lost_first ? kRan : kLost, 1);
     table.set_complete();
     for (u64 const holder : {kLost, kRan, KeyTable::kNobody})
       cr_assert_not(table.release(release_of(holder)));
@@ -106,8 +162,8 @@
     cr_assert(table.claim(claim_of(11, 3), Epoch(3), 2, response) == ClaimVote::held);
   }
   KeyTable agreed(false);
-  agreed.seal("k", 5, 1);
-  agreed.seal("k", 5, 1);
+  agreed.seal(kOperation, 5, 1);
+  agreed.seal(kOperation, 5, 1);
   cr_assert(agreed.release(release_of(5)), "with one holder only, its release frees it");
 }
 
@@ -167,7 +223,7 @@
     Disk& disk = disks_[claim.disk];
     ClaimResponse response{};
     if (disk.table.claim(claim_of(claim.holder, claim.epoch), Epoch(disk.epoch), 0, response) == ClaimVote::granted)
-      disk.table.confirm_durable("k", claim.holder, true);
+      disk.table.confirm_durable(kOperation, claim.holder, true);
     ClaimQuorum& quorum = quorums_.at(claim.holder);
     std::string const voter = std::to_string(claim.disk) + "/" + std::to_string(disk.incarnation.v);
     if (quorum.epoch() == Epoch(claim.epoch) && quorum.count(voter, response) == ClaimQuorum::Result::granted)
@@ -184,7 +240,7 @@
     std::shuffle(others.begin(), others.end(), random_);
     for (std::size_t i = 0; i < std::min(majority_, others.size()); ++i)
       for (HeldKey const& held : disks_[others[i]].table.all_keys())
-        disks_[replaced].table.seal(held.key, held.holder, 0);
+        disks_[replaced].table.seal(operation_of(held), held.holder, 0);
     if (others.size() >= majority_) disks_[replaced].table.set_complete();
     claim_again();
     std::shuffle(claims_.begin() + static_cast<long>(at) + 1, claims_.end(), random_);
--- a/tests/idempotency/stored_answers_test.cpp
+++ b/tests/idempotency/stored_answers_test.cpp
@@ -10,9 +10,11 @@
 Seconds constexpr kMaxAge = 80;
 std::size_t constexpr kMaxBytes = 1000, kLimit = 100;
 
+OperationId const kOperation = OperationId::of_tenant("ada", "k");
+
 std::string answer_of(u64 holder) {
   StoredAnswer answer;
-  answer.key = "k";
+  set_operation(answer, kOperation);
   answer.holder = holder;
   return codec::pack(answer);
 }
@@ -21,8 +23,8 @@
 // Failure: an old answer stayed until another one was stored, and took the newer one of its key away when it left.
 Test(stored_answers, an_answer_leaves_by_its_own_age_and_takes_no_other_of_its_key) {
   StoredAnswers answers;
-  answers.add({"k", 10}, 5, 1);
-  answers.add({"k", 20}, 6, 60);
+  answers.add({kOperation, 10}, 5, 1);
+  answers.add({kOperation, 20}, 6, 60);
   cr_assert(answers.remove_old(kMaxAge, kMaxBytes, 81, kLimit).empty());
   std::vector<AnswerId> const old = answers.remove_old(kMaxAge, kMaxBytes, 81.5, kLimit);
   cr_assert(old.size() == 1 && old[0].holder == 10);
@@ -32,8 +34,8 @@
 
 Test(stored_answers, the_age_of_an_answer_that_comes_again_counts_from_the_first_time) {
   StoredAnswers answers;
-  answers.add({"k", 10}, 5, 1);
-  answers.add({"k", 10}, 7, 70);
+  answers.add({kOperation, 10}, 5, 1);
+  answers.add({kOperation, 10}, 7, 70);
   cr_assert_eq(answers.bytes(), 7u);
   cr_assert_eq(answers.remove_old(kMaxAge, kMaxBytes, 82, kLimit).size(), 1u);
   cr_assert_eq(answers.bytes(), 0u);
@@ -42,9 +44,9 @@
 Test(stored_answers, the_oldest_leave_when_all_take_too_much) {
   StoredAnswers answers;
   for (u64 holder = 1; holder <= 4; ++holder)
-    answers.add({"k" + std::to_string(holder), holder}, 300, 1);
+    answers.add({OperationId::without_tenant("k" + std::to_string(holder)), holder}, 300, 1);
   std::vector<AnswerId> const old = answers.remove_old(kMaxAge, kMaxBytes, 1, kLimit);
-  cr_assert(old.size() == 1 && old[0].key == "k1");
+  cr_assert(old.size() == 1 && old[0].operation == OperationId::without_tenant("k1"));
   cr_assert_eq(answers.remove_old(kMaxAge, 0, 1, 2).size(), 2u, "at most as many as asked for");
 }
 
@@ -52,7 +54,7 @@
 Test(stored_answers, a_walk_from_the_newest_on_bears_answers_that_leave_meanwhile) {
   StoredAnswers answers;
   for (u64 holder = 1; holder <= 5; ++holder)
-    answers.add({"k", holder}, 1, static_cast<Seconds>(holder));
+    answers.add({kOperation, holder}, 1, static_cast<Seconds>(holder));
   auto next = answers.newest_before(answers.end());
   cr_assert(next && next->second.holder == 5);
   cr_assert_eq(answers.remove_old(1, kMaxBytes, 4.5, kLimit).size(), 3u);
@@ -62,15 +64,21 @@
 }
 
 Test(stored_answers, a_name_is_read_as_it_was_written) {
-  for (AnswerId const& id : {AnswerId{"k", 10}, AnswerId{"a/b", 0}, AnswerId{"", 7}, AnswerId{"k", ~0ULL}})
-    cr_assert(AnswerId::of_storage_key(id.storage_key()) == id);
+  std::vector<OperationId> const operations{kOperation, OperationId::without_tenant("k"),
+                                            OperationId::of_text("a/b", 0)};
+  for (OperationId const& operation : operations)
+    for (u64 const holder : {u64{0}, u64{10}, ~u64{0}}) {
+      AnswerId const id{operation, holder};
+      cr_assert(AnswerId::of_storage_key(id.storage_key()) == id);
+    }
+  cr_assert(AnswerId::of_storage_key("a/b") == AnswerId({OperationId::of_text("a/b", 0), 0}), "of the release before");
 }
 
 Test(stored_answers, the_answer_of_the_first_holder_that_has_one_is_chosen) {
   std::vector<std::string> const encoded{answer_of(10), answer_of(20), "not an answer"};
   std::vector<u64> const likeliest_first{30, 20, 10}, without_answer{30}, nobody;
-  cr_assert(choose_answer(encoded, likeliest_first) == &encoded[1]);
-  cr_assert(choose_answer(encoded, without_answer) == nullptr);
-  cr_assert(choose_answer(encoded, nobody) != nullptr, "a program of before names nobody");
-  cr_assert(choose_answer({}, nobody) == nullptr);
+  cr_assert(choose_answer(encoded, kOperation, likeliest_first) == &encoded[1]);
+  cr_assert(choose_answer(encoded, kOperation, without_answer) == nullptr);
+  cr_assert(choose_answer(encoded, kOperation, nobody) != nullptr, "a program of before names nobody");
+  cr_assert(choose_answer({}, kOperation, nobody) == nullptr);
 }
--- a/tests/planning/evacuation_forecast_test.cpp
+++ b/tests/planning/evacuation_forecast_test.cpp
@@ -126,7 +126,7 @@
       for (std::size_t d = 0; d < disks.size() && end == ClaimQuorum::Result::open; ++d) {
         ClaimResponse r;
         disks[d].claim(c, Epoch(1), e.at, r);
-        disks[d].confirm_durable(c.key, c.holder, true);
+        disks[d].confirm_durable(operation_of(c), c.holder, true);
         end = quorum.count(std::to_string(d), r);
       }
       if (end != ClaimQuorum::Result::granted) {
--- a/tests/request/admission_test.cpp
+++ b/tests/request/admission_test.cpp
@@ -43,13 +43,13 @@
 Test(admission, a_good_request_has_its_route_key_homes_and_time) {
   AdmissionResult const a = play();
   cr_assert(a.request.has_value());
-  cr_assert(a.attempt_id == "a1" && a.request->route->name == "r2" && a.request->key == "k" &&
-            *a.request->service == "s1");
+  cr_assert(a.attempt_id == "a1" && a.request->route->name == "r2" &&
+            a.request->operation == OperationId::without_tenant("k") && *a.request->service == "s1");
   cr_assert(a.request->homes == std::vector<std::string>{"north"});
   cr_assert_not(a.request->is_repeatable || a.request->is_upload);
   cr_assert_float_eq(a.request->time_left, 0.7, 1e-9);
   AdmissionResult const b = play([](Call& c) { c.target = "/p/x"; });
-  cr_assert(b.request && b.request->is_repeatable && b.request->key.empty() && *b.request->service == "s2",
+  cr_assert(b.request && b.request->is_repeatable && b.request->operation.is_empty() && *b.request->service == "s2",
             "the draw picks the second");
 }
 
@@ -136,8 +136,8 @@
 }
 
 Test(admission, key_of_an_operation_is_its_tenants_own) {
-  cr_assert(ask_as("Token key-ada", "/open/x").request->key == "ada/k");
-  cr_assert(ask_as("Token key-bob", "/open/x").request->key == "bob/k");
+  cr_assert(ask_as("Token key-ada", "/open/x").request->operation == OperationId::of_tenant("ada", "k"));
+  cr_assert(ask_as("Token key-bob", "/open/x").request->operation == OperationId::of_tenant("bob", "k"));
 }
 
 Test(admission, parts_of_a_split_get_their_share) {
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -46,6 +46,10 @@
     def is_running(self) -> bool:
         return self._child is not None and self._child.returncode is None
 
+    def use_build(self, build: pathlib.Path) -> None:
+        """From the next start on, the program of that build."""
+        self._command[0] = str(build / pathlib.Path(self._command[0]).name)
+
     def send(self, number: signal.Signals) -> None:
         is_loading = number is signal.SIGHUP and time.monotonic() - self._started_at < LOADING_S
         if self.is_running() and not is_loading:
@@ -128,6 +132,12 @@
         if took_s > limit_s + self._ledger.observer_lag(began_at, time.monotonic()):
             self._ledger.slow_ends.append(f"{self.settings.stem}: {took_s:.1f} s")
 
+    async def exchange(self, build: pathlib.Path) -> None:
+        """A restart with the programs of another build."""
+        for process in self._processes:
+            process.use_build(build)
+        await self.restart()
+
     async def kill(self) -> None:
         """SIGKILL for all its processes, and a new start."""
         async def stop() -> None:
--- /dev/null
+++ b/tests/soak/upgrade.py
@@ -0,0 +1,107 @@
+#!/usr/bin/env python3
+"""A rolling upgrade of a system of real processes, machine by machine, while keys are in their window: a key that was
+answered is repeated whichever releases are beside each other, none runs again, and no tenant gets another's answer.
+By hand, for it needs the programs of an older build.
+
+    tests/soak/upgrade.py OLD_BUILD NEW_BUILD [--keep DIR]
+
+Ends with 1 if a rule was broken.
+"""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+import tempfile
+
+import judge
+from clients import Call
+from ledger import Kind
+from stage import Stage
+from stand_in_server import StandInServer
+
+CONTROLLERS, PROXIES = 3, 3
+TENANTS = ("ada", "print", "print/budapest")
+OPERATIONS = (("ada", "1"), ("ada", "a/b"), ("print", "plain"), ("print/budapest", "plain"))
+TARGET, TIME_S, SETTLE_S = "/signed/seconds-0.05", 3.0, 2.0
+# Programs before 2026-12-08 took these for one: asked for once none of them takes part any more.
+SHARING_OPERATIONS = (("print", "budapest/odd"), ("print/budapest", "odd"))
+
+
+class Upgrade:
+    def __init__(self, stage: Stage, new_build: pathlib.Path):
+        self._stage, self._new_build = stage, new_build
+        self._number = 0
+        self.wrong: list[str] = []
+
+    async def play(self) -> None:
+        await self._add_tenants()
+        await self._ask_all("before", OPERATIONS)
+        machines = self._stage.system.proxy_machines + self._stage.system.controller_machines
+        for number, machine in enumerate(machines):
+            await machine.exchange(self._new_build)
+            await asyncio.sleep(SETTLE_S)
+            await self._stage.system.wait_until_ready()
+            await self._ask_all(f"after {number + 1} of {len(machines)}", OPERATIONS)
+        await self._ask_all("at the end", OPERATIONS + SHARING_OPERATIONS)
+
+    async def _add_tenants(self) -> None:
+        version = "00000002"
+        tenants = [{"name": name, "keys": [f"key-{name}"], "rank": 1, "generation": version} for name in TENANTS]
+        policy = {"name": "signed", "kind": "keyed", "setpointS": 1.0, "rank": 1, "generation": version,
+                  "selector": {"pathPrefix": "/signed/"},
+                  "actuation": {"service": "estimator", "deadlineS": 5, "maxTries": 2, "homeRegions": []}}
+        change = {"upsert": {"customers": tenants, "sockets": [{"host": "record.example", "policy": [policy]}]}}
+        if await self._stage.system.amend(change) != 200:
+            raise RuntimeError("the tenants were not taken")
+        await asyncio.sleep(SETTLE_S)
+
+    async def _ask_all(self, when: str, operations: tuple[tuple[str, str], ...]) -> None:
+        """Each operation at each proxy; what was answered once is answered so again."""
+        outcomes = []
+        for tenant, key in operations:
+            for proxy in range(PROXIES):
+                outcomes.append(await self._ask(tenant, key, proxy, when))
+        print(f"{when}: {sum(outcome == 200 for outcome in outcomes)} of {len(outcomes)} served")
+
+    async def _ask(self, tenant: str, key: str, proxy: int, when: str) -> int:
+        call = Call(Kind.KEYED, TARGET, TIME_S, b"pay", key, headers={"Authorization": f"Token key-{tenant}"})
+        request = await self._stage.clients.send(call, proxy)
+        if request is None:
+            return 0
+        # The judge knows an operation by its key alone.
+        request.operation_key = f"{len(tenant)} {tenant} {key}"
+        if request.status != 200:
+            self.wrong.append(f"{when}: {tenant} {key} at proxy {proxy}: {request.status}")
+        return request.status
+
+
+async def play(old_build: pathlib.Path, new_build: pathlib.Path, work: pathlib.Path) -> bool:
+    stage = Stage(old_build, work / "upgrade", slot=0, controllers=CONTROLLERS, proxies=PROXIES)
+    try:
+        await stage.start(StandInServer)
+        upgrade = Upgrade(stage, new_build)
+        await upgrade.play()
+    finally:
+        await stage.stop()
+    verdict = judge.judge(stage.ledger)
+    for finding in verdict.findings:
+        print(f"    BROKEN {finding.cause.value}\n        {finding.detail}")
+    for wrong in upgrade.wrong:
+        print(f"    BROKEN {wrong}")
+    return not verdict.findings and not upgrade.wrong
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("old_build", type=pathlib.Path)
+    parser.add_argument("new_build", type=pathlib.Path)
+    parser.add_argument("--keep", type=pathlib.Path, help="a new folder for settings and logs")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        work = options.keep or pathlib.Path(folder)
+        return 0 if asyncio.run(play(options.old_build.resolve(), options.new_build.resolve(), work)) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/storage/disk_store_test.cpp
+++ b/tests/storage/disk_store_test.cpp
@@ -290,7 +290,7 @@
   }
   std::fstream f(directory.path + "/register.db", std::ios::in | std::ios::out | std::ios::binary);
   f.seekp(63);
-  f.put(3);
+  f.put(DiskStore::kLayout + 1);
   f.close();
   auto bytes = [&] {
     std::map<std::string, std::string> m;
@@ -305,7 +305,7 @@
   try {
     DiskStore s(directory.path);
   } catch (SettingsError const& e) {
-    refused = std::string(e.what()).find("layout 3") != std::string::npos;
+    refused = std::string(e.what()).find("layout " + std::to_string(DiskStore::kLayout + 1)) != std::string::npos;
   }
   cr_assert(refused);
   cr_assert(was == bytes());
