A repeat is told "at work" only where that is known; answers outlast the loss of their homes

Cause: an answer that no disk of its homes could take was dropped without a word, and 409 was given whenever no answer was found in the first run's time: "nobody could be asked" counted as "there is none". Hypotheses were that the answer is stored nowhere, or stored and not found; the six disks after the case tell: four hold the claims, none an answer. With changed homes it is the second.

Change: the agent holds such an answer in memory, repeats it, stores it once a disk of its homes is connected, and tells the disks that hold the key that its request has ended (AnswerDelivery). 409 needs that no answer can be missed: fewer than two disks unheard, and a home heard (AnswerSearch); else 503. An answer is looked for at all disks reached directly, and waited for as long as the claim may take.

The test body_with_home_regions_is_never_sent_through_a_relay asked that nothing at all is stored through a relay. The notice that a request has ended has no body and has to go there; the test now looks for the body in all that is sent, and that the notice has none.

--- a/packages/base/include/base/unmatched_messages.hpp
+++ b/packages/base/include/base/unmatched_messages.hpp
@@ -20,13 +20,14 @@
   late_claim,   ///< a claim whose holder has released the key meanwhile
   term,         ///< a command to an earlier holder of a lease
   owed,         ///< a release that could not be kept for an unreachable disk
-  other_holder  ///< a stored answer of another holder than the one that has the key
+  other_holder,  ///< a stored answer of another holder than the one that has the key
+  undelivered    ///< an answer that could not be kept until a disk of its home regions can be reached
 };
-constexpr std::size_t kUnmatchedReasonCount = 10;
+constexpr std::size_t kUnmatchedReasonCount = 11;
 constexpr char const* name_of(UnmatchedReason f) {
   constexpr char const* n[kUnmatchedReasonCount] = {"noQuestion",  "earlierConnection", "otherDisk", "otherRoster",
                                                     "twice",       "otherKey",          "lateClaim", "earlierTerm",
-                                                    "releaseLost", "otherHolder"};
+                                                    "releaseLost", "otherHolder", "answerLost"};
   return n[static_cast<std::size_t>(f)];
 }
 
--- a/packages/controller/idempotency_service.cpp
+++ b/packages/controller/idempotency_service.cpp
@@ -101,6 +101,7 @@
   if (r.body.size() > kMostStoredBodyBytes) return;
   Seconds const now = steady_now();
   AnswerId const id{operation_of(r), r.holder};
+  ledger_.end_work(id.operation, id.holder);
   context_.disk->submit_lazily({StoreOperation::put_answer(id.storage_key(), std::string(body))});
   answers_.add(id, body.size(), now);
   forget_old_answers(now);
--- a/packages/idempotency/claim_disks.cpp
+++ b/packages/idempotency/claim_disks.cpp
@@ -27,11 +27,20 @@
   return found == members_.end() ? nullptr : &*found;
 }
 
-bool ClaimDisks::may_carry_body(std::string const& ip, std::vector<std::string> const& homes) const {
-  Member const* const disk = member(ip);
-  if (disk == nullptr) return false;
-  if (homes.empty()) return true;
-  return std::find(homes.begin(), homes.end(), disk->region) != homes.end() && !link(ip).is_relayed;
+bool ClaimDisks::may_store_body(std::string const& ip, std::vector<std::string> const& homes) const {
+  if (!may_send_body(ip, homes)) return false;
+  return homes.empty() || std::find(homes.begin(), homes.end(), member(ip)->region) != homes.end();
+}
+
+bool ClaimDisks::may_send_body(std::string const& ip, std::vector<std::string> const& homes) const {
+  if (member(ip) == nullptr) return false;
+  return homes.empty() || !link(ip).is_relayed;
+}
+
+std::string ClaimDisks::nearest_that_may_store(std::vector<std::string> const& homes) const {
+  auto const disk = std::find_if(nearest_first_.begin(), nearest_first_.end(),
+                                 [&](std::string const& ip) { return may_store_body(ip, homes); });
+  return disk == nearest_first_.end() ? "" : *disk;
 }
 
 ClaimDisks::Link ClaimDisks::link(std::string const& ip) const {
--- a/packages/idempotency/include/idempotency/claim_coordinator.hpp
+++ b/packages/idempotency/include/idempotency/claim_coordinator.hpp
@@ -9,10 +9,11 @@
 #include <vector>
 
 #include "base/unmatched_messages.hpp"
+#include "idempotency/answer_delivery.hpp"
 #include "idempotency/claim_actions.hpp"
 #include "idempotency/claim_disks.hpp"
 #include "idempotency/claim_policy.hpp"
-#include "idempotency/claim_quorum.hpp"
+#include "idempotency/pending_claim.hpp"
 #include "idempotency/unconfirmed_releases.hpp"
 
 /// \file
@@ -42,6 +43,7 @@
   /// Where the agent runs; see ClaimDisks.
   ClaimCoordinator(std::string zone, std::string region, std::string node)
       : disks_(std::move(zone), std::move(region), std::move(node)) {}
+  ClaimCoordinator(ClaimCoordinator const&) = delete;
 
   /// \name Disks
   /// \{
@@ -84,37 +86,8 @@
   UnmatchedMessages const& unmatched() const { return unmatched_; }
 
  private:
-  /// A stored answer, and whose it is.
-  struct FoundAnswer {
-    u64 holder = 0;
-    bool is_lost = false;
-    std::string encoded;
-  };
-  /// A request of the proxy that is not answered yet.
-  struct PendingClaim {
-    AcquireKeyRequest request;
-    u64 asker = 0;  ///< the proxy's connection that it came on
-    u32 proxy_tag = 0;
-    ClaimQuorum quorum{0, Epoch()};
-    std::set<std::string> may_hold;               ///< every disk that may hold a grant of this holder
-    std::set<std::string> voted;                  ///< under the present membership
-    std::map<std::string, u64> asked;             ///< disks in this claim: over which connection
-    std::map<std::string, u64> asked_for_answer;  ///< those that have not said yet: over which connection
-    std::vector<FoundAnswer> answers;             ///< of holders whose standing is open
-    Seconds widen_at = 0;                         ///< when all disks are asked
-    Seconds end_at = 0;                           ///< when it is answered without a decision
-    bool is_fetching = false;                     ///< the key is held; its stored answer is looked for
-    bool is_in_progress = false;                  ///< while fetching: the other holder may still be at work
-    bool is_widened = false;
-  };
   using PendingClaims = std::unordered_map<u32, PendingClaim>;
   using PendingPlace = typename PendingClaims::iterator;
-  /// A request that was answered with `run` and whose outcome is not known yet.
-  struct GrantedClaim {
-    OperationId operation;
-    std::set<std::string> may_hold;
-    Seconds granted_at = 0;
-  };
 
   static Seconds constexpr kMaxPendingTime = 2.0;
   static double constexpr kMaxShareOfWorkTime = 0.7;  ///< of a request's time that its claim may take
@@ -138,6 +111,8 @@
   void grant(PendingPlace place, Seconds now);
   void fetch_answer(PendingPlace place, Seconds now);
   void review_answers(PendingPlace place);
+  bool is_due(PendingClaim const& claim, Seconds now) const;
+  bool may_miss_answer(PendingClaim const& claim) const;
   void end_without_answer(PendingPlace place);
   void end_undecided(PendingPlace place);
   void respond(PendingClaim const& claim, AcquireResult result, std::string stored_answer = "");
@@ -147,9 +122,9 @@
   }
   void release(OperationId const& operation, u64 holder, std::set<std::string> const& ips);
   std::set<std::string> take_granted(u64 holder);
-  void store_answer(KeyOutcomeNotice const& notice);
 
   ClaimDisks disks_;
+  AnswerDelivery answers_{disks_};
   Epoch epoch_;
   bool has_membership_ = false;
   PendingClaims pending_claims_;                          ///< by our tag, which the disks answer with
@@ -172,20 +147,20 @@
     outgoing_actions_.emplace_back(SendRelease{ip, std::move(release)});
   for (auto& [tag, claim] : pending_claims_)
     if (!claim.is_fetching && claim.is_widened && claim.asked.count(ip) == 0) send_claim(tag, claim, ip);
+  answers_.send_held(outgoing_actions_);
 }
 
 template <ClaimPolicy Policy>
 void ClaimCoordinator<Policy>::on_disk_disconnected(std::string const& ip) {
   disks_.disconnect(ip);
-  std::vector<u32> unanswerable;
+  std::vector<u32> concerned;
   for (auto& [tag, claim] : pending_claims_) {
     bool const was_asked = claim.asked.erase(ip) > 0;
     if (was_asked && !claim.is_fetching) claim.widen_at = 0;  // at the next tick
-    bool const was_asked_for_answer = claim.asked_for_answer.erase(ip) > 0;
-    if (was_asked_for_answer && claim.asked_for_answer.empty() && claim.answers.empty()) unanswerable.push_back(tag);
+    if (claim.search.on_disconnected(ip)) concerned.push_back(tag);
   }
-  for (u32 const tag : unanswerable)
-    end_without_answer(pending_claims_.find(tag));
+  for (u32 const tag : concerned)
+    review_answers(pending_claims_.find(tag));
 }
 
 template <ClaimPolicy Policy>
@@ -195,6 +170,7 @@
   epoch_ = state.epoch;
   unconfirmed_releases_.keep_members(state);
   disks_.set_members(state.membership);
+  answers_.send_held(outgoing_actions_);
   if (!is_new) return;
   for (auto& [tag, claim] : pending_claims_)
     if (!claim.is_fetching) begin(tag, claim, now);
@@ -245,7 +221,7 @@
   }
   std::set<std::string> const may_hold = take_granted(notice.holder);
   if (Policy::has_not_run(notice.outcome)) return release(operation_of(notice), notice.holder, may_hold);
-  store_answer(notice);
+  if (!answers_.store(notice, may_hold, last_tick_, outgoing_actions_)) unmatched_.drop(UnmatchedReason::undelivered);
 }
 
 /// The disks that may hold a granted key of this holder; all members if we know nothing of it, as after a
@@ -263,25 +239,6 @@
   return may_hold;
 }
 
-/// Sends the answer, or that it is lost, to the nearest disk that may have it; that disk makes the second copy.
-template <ClaimPolicy Policy>
-void ClaimCoordinator<Policy>::store_answer(KeyOutcomeNotice const& notice) {
-  auto const& nearest = disks_.nearest_first();
-  auto const disk = std::find_if(nearest.begin(), nearest.end(),
-                                 [&](std::string const& ip) { return disks_.may_carry_body(ip, notice.homes); });
-  if (disk == nearest.end()) return;
-  std::string stored_answer = notice.stored_answer;
-  if (notice.outcome != KeyOutcome::returned) {  // lost, or an outcome that we don't know
-    StoredAnswer lost;
-    set_operation(lost, operation_of(notice));
-    lost.holder = notice.holder;
-    lost.lost = true;
-    lost.homes = notice.homes;
-    stored_answer = codec::pack(lost);
-  }
-  outgoing_actions_.emplace_back(SendStore{*disk, std::move(stored_answer)});
-}
-
 // ---- responses of disks --------------------------------------------------------------
 
 template <ClaimPolicy Policy>
@@ -329,15 +286,16 @@
   if (place == pending_claims_.end() || !place->second.is_fetching)
     return unmatched_.drop(UnmatchedReason::no_question);
   PendingClaim& claim = place->second;
-  if (claim.asked_for_answer.count(ip) == 0) return unmatched_.drop(UnmatchedReason::twice);
-  if (!is_asked_on(claim.asked_for_answer, ip, connection)) return unmatched_.drop(UnmatchedReason::connection);
+  if (claim.search.asked().count(ip) == 0) return unmatched_.drop(UnmatchedReason::twice);
+  if (!is_asked_on(claim.search.asked(), ip, connection)) return unmatched_.drop(UnmatchedReason::connection);
   if (response.found) {
     StoredAnswer const answer = codec::unpack<StoredAnswer>(response.stored_answer);
     if (!operation_of(answer).may_equal(operation_of(claim.request)))
       return unmatched_.drop(UnmatchedReason::other_key);
-    claim.answers.push_back({answer.holder, answer.lost, response.stored_answer});
+    claim.search.on_found(ip, {answer.holder, answer.lost, response.stored_answer});
+  } else {
+    claim.search.on_none(ip);
   }
-  claim.asked_for_answer.erase(ip);
   review_answers(place);
 }
 
@@ -345,16 +303,14 @@
 template <ClaimPolicy Policy>
 void ClaimCoordinator<Policy>::review_answers(PendingPlace place) {
   PendingClaim& claim = place->second;
-  for (FoundAnswer const& answer : claim.answers)
-    if (claim.quorum.standing_of(answer.holder) == ClaimQuorum::Standing::binding) {
-      respond(claim, answer.is_lost ? AcquireResult::lost : AcquireResult::repeat, answer.encoded);
-      return end(place);
-    }
-  std::size_t const lapsed = std::erase_if(claim.answers, [&](FoundAnswer const& answer) {
-    return claim.quorum.standing_of(answer.holder) == ClaimQuorum::Standing::lapsed;
-  });
-  unmatched_.drop(UnmatchedReason::other_holder, lapsed);
-  if (claim.asked_for_answer.empty() && claim.answers.empty()) end_without_answer(place);
+  unmatched_.drop(UnmatchedReason::other_holder, claim.search.drop_lapsed(claim.quorum));
+  FoundAnswer const* const binding = claim.search.binding(claim.quorum);
+  if (binding != nullptr && !binding->is_lost) {
+    respond(claim, AcquireResult::repeat, binding->encoded);
+    return end(place);
+  }
+  bool const waits_for_votes = claim.search.has_answers() && binding == nullptr;
+  if (claim.search.asked().empty() && !waits_for_votes) end_without_answer(place);
 }
 
 template <ClaimPolicy Policy>
@@ -366,12 +322,19 @@
 
 // ---- time ----------------------------------------------------------------------------
 
+template <ClaimPolicy Policy>
+bool ClaimCoordinator<Policy>::is_due(PendingClaim const& claim, Seconds now) const {
+  if (now > claim.end_at) return true;
+  if (claim.is_fetching) return now > claim.answers_due_at && !may_miss_answer(claim);
+  return !claim.is_widened && now > claim.widen_at;
+}
+
 template <ClaimPolicy Policy>
 void ClaimCoordinator<Policy>::tick(Seconds now) {
   last_tick_ = now;
   std::vector<u32> due;
   for (auto const& [tag, claim] : pending_claims_)
-    if (now > claim.end_at || (!claim.is_fetching && !claim.is_widened && now > claim.widen_at)) due.push_back(tag);
+    if (is_due(claim, now)) due.push_back(tag);
   for (u32 const tag : due) {
     auto const place = pending_claims_.find(tag);
     if (place->second.is_fetching)
@@ -386,6 +349,7 @@
   unconfirmed_releases_.drop_received(now, [this](std::string const& ip) { return disks_.is_connected(ip); });
   // The disks keep the key of a request whose outcome we never hear of.
   std::erase_if(granted_claims_, [&](auto const& entry) { return now - entry.second.granted_at > kGrantKept; });
+  answers_.drop_old(now);
 }
 
 // ---- steps of one claim --------------------------------------------------------------
@@ -457,37 +421,49 @@
 void ClaimCoordinator<Policy>::fetch_answer(PendingPlace place, Seconds now) {
   auto& [tag, claim] = *place;
   claim.is_fetching = true;
+  OperationId const operation = operation_of(claim.request);
+  if (UndeliveredAnswers::Answer const* const held = answers_.find_held(operation))
+    claim.search.add({held->holder, false, held->encoded});
+  if (claim.search.binding(claim.quorum) != nullptr) return review_answers(place);
   Seconds longest = 0;
   for (std::string const& ip : disks_.nearest_first()) {
-    if (!disks_.may_carry_body(ip, claim.request.homes)) continue;
+    if (!disks_.may_send_body(ip, claim.request.homes)) continue;
     longest = std::max(longest, disks_.round_trip(ip));
-    claim.asked_for_answer[ip] = disks_.connection(ip);
+    claim.search.ask(ip, disks_.connection(ip));
     SendFetch action;
     action.to = ip;
     action.tag = tag;
-    set_operation(action.fetch, operation_of(claim.request));
+    set_operation(action.fetch, operation);
     action.fetch.holders = claim.quorum.holders();
     outgoing_actions_.emplace_back(std::move(action));
   }
-  claim.end_at = now + kFetchDelay + kFetchRoundTrips * longest;
-  if (claim.asked_for_answer.empty()) end_without_answer(place);
+  claim.answers_due_at = now + kFetchDelay + kFetchRoundTrips * longest;
+  claim.end_at = std::max(claim.end_at, claim.answers_due_at);
+  review_answers(place);
+}
+
+/// Whether the answer may be at a disk that has not said, or among those of disputed standing.
+template <ClaimPolicy Policy>
+bool ClaimCoordinator<Policy>::may_miss_answer(PendingClaim const& claim) const {
+  bool const is_disputed = claim.search.has_answers() && claim.search.binding(claim.quorum) == nullptr;
+  return is_disputed || claim.search.may_be_missed(disks_.members(), claim.request.homes);
 }
 
-/// The key is held and no disk has the answer of its first run.
+/// The key is held and its first run's answer was not found: it is at work, or lost, as far as that is known.
 template <ClaimPolicy Policy>
 void ClaimCoordinator<Policy>::end_without_answer(PendingPlace place) {
-  respond(place->second, place->second.is_in_progress ? AcquireResult::at_work : AcquireResult::lost);
+  PendingClaim const& claim = place->second;
+  bool const has_ended = claim.search.has_answers() || !claim.is_in_progress;
+  AcquireResult const known = has_ended ? AcquireResult::lost : AcquireResult::at_work;
+  respond(claim, may_miss_answer(claim) ? AcquireResult::unavailable : known);
   end(place);
 }
 
 /// Too few disks have voted in time.
 template <ClaimPolicy Policy>
 void ClaimCoordinator<Policy>::end_undecided(PendingPlace place) {
-  PendingClaim const& claim = place->second;
-  release(claim);
-  bool const only_refusals = claim.quorum.refusals() > 0 && claim.quorum.grants() == 0;
-  bool const is_in_progress = only_refusals && claim.quorum.is_in_progress();
-  respond(claim, is_in_progress ? AcquireResult::at_work : AcquireResult::unavailable);
+  release(place->second);
+  respond(place->second, AcquireResult::unavailable);
   end(place);
 }
 
--- a/packages/idempotency/include/idempotency/claim_disks.hpp
+++ b/packages/idempotency/include/idempotency/claim_disks.hpp
@@ -35,9 +35,14 @@
   bool is_connected(std::string const& ip) const { return connection(ip) != 0; }
   /// Seconds; a guess if it was not measured yet.
   Seconds round_trip(std::string const& ip) const { return link(ip).round_trip; }
-  /// Whether the body of an answer may go to that disk or come from it: it is in one of the home regions, and
-  /// no relay, which may stand in any region, is on the way. No homes: every member may.
-  bool may_carry_body(std::string const& ip, std::vector<std::string> const& homes) const;
+  /// Whether the body of an answer may go to that disk: it is in one of the home regions, and no relay, which may
+  /// stand in any region, is on the way. No homes: every member may.
+  bool may_store_body(std::string const& ip, std::vector<std::string> const& homes) const;
+  /// Whether the body of an answer may come from that disk: no relay is on the way. The disk may be outside the homes
+  /// that are in force now: it was inside when the answer was stored.
+  bool may_send_body(std::string const& ip, std::vector<std::string> const& homes) const;
+  /// The nearest connected disk that may store the body; empty: there is none.
+  std::string nearest_that_may_store(std::vector<std::string> const& homes) const;
 
  private:
   struct Link {
--- a/packages/idempotency/include/idempotency/key_table.hpp
+++ b/packages/idempotency/include/idempotency/key_table.hpp
@@ -40,6 +40,8 @@
   /// The write of this holder's entry has ended. True if the grant stands and may be sent: the key may have
   /// been released, and granted to another holder, while it was written.
   bool confirm_durable(OperationId const& operation, u64 holder, bool was_written);
+  /// The holder's request has ended; it goes on having the key.
+  void end_work(OperationId const& operation, u64 holder);
   /// Frees the key if this holder has it; true if so. The holder is granted nothing from then on, so that a
   /// claim which arrives after its release takes no effect.
   bool release(ReleaseRequest const& request);
--- a/packages/idempotency/include/idempotency/proxy_messages.hpp
+++ b/packages/idempotency/include/idempotency/proxy_messages.hpp
@@ -48,6 +48,9 @@
 /// The notice for a request that has this answer: `returned`, or `lost` if it is too long to be stored.
 KeyOutcomeNotice notice_of_answer(StoredAnswer const& answer);
 
+/// What is stored in place of an answer that is not known, or may not be stored there: that the request has ended.
+StoredAnswer lost_answer_of(KeyOutcomeNotice const& notice);
+
 /// A proxy's regular report to its agent. `front`: the address that it serves clients on.
 struct ProxyLoadReport {
   DB_RECORD(ProxyLoadReport, (bool, ready), (double, load), (bool, draining), (std::string, front),
--- a/packages/idempotency/key_table.cpp
+++ b/packages/idempotency/key_table.cpp
@@ -52,6 +52,11 @@
   return was_written;
 }
 
+void KeyTable::end_work(OperationId const& operation, u64 holder) {
+  Entry* const holding = find_holding(operation);
+  if (holding != nullptr && holding->holder == holder) holding->work_until = 0;
+}
+
 bool KeyTable::release(ReleaseRequest const& request) {
   if (request.holder == kNobody) return false;
   remember_released(request.holder);
--- a/packages/idempotency/proxy_messages.cpp
+++ b/packages/idempotency/proxy_messages.cpp
@@ -15,4 +15,13 @@
   return notice;
 }
 
+StoredAnswer lost_answer_of(KeyOutcomeNotice const& notice) {
+  StoredAnswer lost;
+  set_operation(lost, operation_of(notice));
+  lost.holder = notice.holder;
+  lost.lost = true;
+  lost.homes = notice.homes;
+  return lost;
+}
+
 }  // namespace dockbend
--- a/tests/idempotency/claim_coordinator_test.cpp
+++ b/tests/idempotency/claim_coordinator_test.cpp
@@ -131,10 +131,15 @@
       claims.on_outcome(notice);
 
       auto const actions = claims.take_actions();
-      bool const is_stored = std::any_of(actions.begin(), actions.end(), [](ClaimAction const& action) {
-        return std::holds_alternative<SendStore>(action);
-      });
-      cr_assert_eq(is_stored, !(is_relayed && has_homes), "relayed %d, homes %d", is_relayed, has_homes);
+      std::vector<std::string> stored;
+      for (ClaimAction const& action : actions)
+        if (auto const* const store = std::get_if<SendStore>(&action)) stored.push_back(store->answer);
+      bool const is_body_sent = std::find(stored.begin(), stored.end(), notice.stored_answer) != stored.end();
+      cr_assert_eq(is_body_sent, !(is_relayed && has_homes), "relayed %d, homes %d", is_relayed, has_homes);
+      cr_assert_eq(stored.size(), 1u);
+      if (is_body_sent) continue;
+      StoredAnswer const ended = codec::unpack<StoredAnswer>(stored[0]);
+      cr_assert(ended.lost && ended.body.empty() && ended.headers.empty(), "only that the request has ended");
     }
 }
 
@@ -282,3 +287,158 @@
   repeat.answer(1, kBinding);
   cr_assert_eq(repeat.repeated(), kBinding);
 }
+
+namespace {
+char constexpr kHome[] = "far";
+u64 constexpr kRunner = 30;
+u32 constexpr kWorkMs = 12000;
+
+/// Four disks, of which the last two stand in the home region.
+struct HomesElsewhere {
+  HomesElsewhere() : state(state_of_disks(4)), claims("z", "r", "node") {
+    state.membership[2].region = state.membership[3].region = kHome;
+    connect(claims, state);
+    for (std::size_t disk = 1; disk < state.membership.size(); ++disk)
+      connect_disk(disk);
+  }
+
+  std::string const& ip(std::size_t disk) const { return state.membership[disk].ip; }
+  void connect_disk(std::size_t disk) { claims.on_disk_connected(ip(disk), 1); }
+  void lose_home() {
+    claims.on_disk_disconnected(ip(2));
+    claims.on_disk_disconnected(ip(3));
+  }
+
+  /// A request of that holder; its claim's tag.
+  u32 acquire(u64 holder, std::vector<std::string> homes = {kHome}) {
+    claims.take_actions();
+    AcquireKeyRequest request;
+    request.key = "k";
+    request.holder = holder;
+    request.work_ms = kWorkMs;
+    request.homes = std::move(homes);
+    claims.acquire(kProxyConnection, static_cast<u32>(holder), request, now);
+    return tag_of_claim(claims.take_actions());
+  }
+
+  /// The disks refuse the repeat's claim: the first run is in its time.
+  void refuse(u32 tag, u64 holder, std::vector<std::size_t> const& disks) {
+    for (std::size_t const disk : disks) {
+      ClaimResponse held;
+      held.vote = ClaimVote::held;
+      held.holder = holder;
+      held.held_by = kRunner;
+      held.in_progress = true;
+      held.epoch = state.epoch;
+      held.incarnation = state.membership[disk].incarnation;
+      claims.on_claim_response(ip(disk), 1, tag, held, now);
+    }
+  }
+
+  /// The disk has no answer, or that of the first run.
+  void say(std::size_t disk, u32 tag, bool has_answer) {
+    FetchAnswerResponse response;
+    response.found = has_answer;
+    if (has_answer) response.stored_answer = encoded_answer();
+    claims.on_fetch_response(ip(disk), 1, tag, response);
+  }
+
+  /// The first run was answered at this agent.
+  void end_first_run() {
+    KeyOutcomeNotice notice;
+    notice.key = "k";
+    notice.holder = kRunner;
+    notice.homes = {kHome};
+    notice.outcome = KeyOutcome::returned;
+    notice.stored_answer = encoded_answer();
+    claims.on_outcome(notice);
+  }
+
+  static std::string encoded_answer() {
+    StoredAnswer answer;
+    answer.key = "k";
+    answer.holder = kRunner;
+    answer.body = "first";
+    answer.homes = {kHome};
+    return codec::pack(answer);
+  }
+
+  ReplicatedState state;
+  ClaimCoordinator<> claims;
+  Seconds now = 1;
+};
+
+/// Where answers were sent to, with a body or without one.
+std::vector<std::string> stores_in(std::vector<ClaimAction> const& actions, bool has_body) {
+  std::vector<std::string> disks;
+  for (ClaimAction const& action : actions)
+    if (auto const* const store = std::get_if<SendStore>(&action))
+      if (codec::unpack<StoredAnswer>(store->answer).body.empty() != has_body) disks.push_back(store->to);
+  return disks;
+}
+}  // namespace
+
+// Failure: with all disks of its home region away an answer was dropped, and its key's repeats got 409, also
+// afterwards.
+Test(claim_coordinator, answer_whose_home_disks_are_away_is_repeated_here_and_stored_once_one_is_back) {
+  HomesElsewhere trial;
+  trial.lose_home();
+  trial.claims.take_actions();
+  trial.end_first_run();
+  std::vector<ClaimAction> actions = trial.claims.take_actions();
+  cr_assert(stores_in(actions, true).empty(), "its body goes to no other region");
+  cr_assert_eq(stores_in(actions, false).size(), 2u, "the disks that can be reached learn that the request has ended");
+
+  u32 const tag = trial.acquire(kRepeat);
+  trial.refuse(tag, kRepeat, {0, 1});
+  cr_assert(result_of(trial.claims.take_actions()) == AcquireResult::repeat);
+
+  trial.connect_disk(3);
+  std::vector<std::string> const stored = stores_in(trial.claims.take_actions(), true);
+  cr_assert(stored.size() == 1 && stored[0] == trial.ip(3));
+  trial.connect_disk(2);
+  cr_assert(stores_in(trial.claims.take_actions(), true).empty(), "once");
+}
+
+// Failure: a repeat got 409, which says that its key is at work, where the disks that may have its answer were away.
+Test(claim_coordinator, repeat_is_not_told_that_its_key_is_at_work_while_home_disks_are_away) {
+  HomesElsewhere trial;
+  trial.lose_home();
+  u32 const tag = trial.acquire(kRepeat);
+  trial.refuse(tag, kRepeat, {0, 1});
+  for (std::size_t const disk : {0, 1})
+    trial.say(disk, tag, false);
+  cr_assert(result_of(trial.claims.take_actions()) == AcquireResult::unavailable);
+}
+
+Test(claim_coordinator, repeat_is_told_that_its_key_is_at_work_once_all_disks_have_no_answer) {
+  HomesElsewhere trial;
+  u32 const tag = trial.acquire(kRepeat);
+  trial.refuse(tag, kRepeat, {0, 1, 2});
+  for (std::size_t const disk : {0, 1, 2})
+    trial.say(disk, tag, false);
+  cr_assert_not(result_of(trial.claims.take_actions()).has_value(), "one may still have it");
+  trial.claims.tick(trial.now + 0.5);
+  cr_assert(result_of(trial.claims.take_actions()) == AcquireResult::at_work, "it can't be the only one");
+}
+
+// Failure: once its route's homes were others, an answer was looked for in these alone, and its repeats got 409.
+Test(claim_coordinator, answer_is_found_in_the_homes_that_its_route_had_when_it_was_stored) {
+  HomesElsewhere trial;
+  u32 const tag = trial.acquire(kRepeat, {"r"});
+  trial.refuse(tag, kRepeat, {0, 1, 2});
+  trial.say(0, tag, false);
+  trial.say(1, tag, false);
+  trial.say(3, tag, true);
+  cr_assert(result_of(trial.claims.take_actions()) == AcquireResult::repeat);
+}
+
+// One disk's vote can't say that a key is at work: its holder may be one that lost to another and has yet to release
+// it.
+Test(claim_coordinator, undecided_claim_is_not_told_to_be_at_work) {
+  HomesElsewhere trial;
+  u32 const tag = trial.acquire(kRepeat);
+  trial.refuse(tag, kRepeat, {0});
+  trial.claims.tick(trial.now + 3);
+  cr_assert(result_of(trial.claims.take_actions()) == AcquireResult::unavailable);
+}
--- a/tests/idempotency/key_table_test.cpp
+++ b/tests/idempotency/key_table_test.cpp
@@ -268,3 +268,18 @@
   for (unsigned seed = 1; seed <= 3000; ++seed)
     cr_assert(TwoHolders(seed).run() <= 1, "seed %u: both hold the key", seed);
 }
+
+Test(key_table, request_that_has_ended_is_not_at_work_and_keeps_its_key) {
+  KeyTable table(true);
+  vote_on(table, 7);
+  ClaimResponse response{};
+  OperationId const operation = operation_of(claim_of(7));
+  table.end_work(operation, 8);
+  table.claim(claim_of(8), Epoch(1), 0.5, response);
+  cr_assert(response.in_progress, "another's end is not its own");
+  table.end_work(operation, 7);
+  response = {};
+  cr_assert(table.claim(claim_of(8), Epoch(1), 0.5, response) == ClaimVote::held);
+  cr_assert_not(response.in_progress);
+  cr_assert_eq(response.held_by, 7u);
+}
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -16,7 +16,8 @@
 from clients import Call
 from ledger import Kind, Request
 from scenarios import Scenario, run
-from stage import FAR, Stage
+from stage import FAR, HOST, Stage, route
+from system import ZONES
 
 KEYS, ROUNDS, PROXIES = 8, 2, 3
 TARGET, TIME_S = "/pay/seconds-0.05", 4.0
@@ -24,11 +25,15 @@
 KEY_HORIZON_S = 2.0
 FORGOTTEN_AFTER_S = 1.25 * KEY_HORIZON_S + 5 + 1.5
 SETTLE_S = 1.0
+APPLY_BOUND_S, QUIET_S = 2.5, 4.0
+HOME, OTHER_HOME = ZONES[FAR], "east"
+HOME_CONTROLLER = list(ZONES).index(FAR)  # its only core machine
 
 
 class Trial:
     def __init__(self, stage: Stage):
         self.stage = stage
+        self._generation = 1
 
     async def pay(self, number: int, proxy: int, generation: str = "") -> Request:
         """generation: tells operations apart that have the same key at different times."""
@@ -38,8 +43,21 @@
         return request
 
     async def pay_all(self, first_proxy: int, proxies: int, generation: str = "") -> list[Request]:
-        payments = [self.pay(n, first_proxy + n % proxies, generation) for n in range(KEYS)]
-        return await asyncio.gather(*payments)
+        """One after the other: far proxies have a small part of a server's capacity."""
+        return [await self.pay(n, first_proxy + n % proxies, generation) for n in range(KEYS)]
+
+    async def repeat_everywhere(self) -> list[Request]:
+        """Each operation at each proxy."""
+        return await asyncio.gather(*(self.pay(n, proxy) for n in range(KEYS) for proxy in range(PROXIES)))
+
+    async def set_homes(self, homes: list[str]) -> None:
+        self._generation += 1
+        policy = route("pay", Kind.KEYED, "/pay/", self._generation)
+        policy["actuation"]["homeRegions"] = homes
+        status = await self.stage.system.amend({"upsert": {"sockets": [{"host": HOST, "policy": [policy]}]}})
+        if status != 200:
+            self.stage.complaints.append(f"the homes {homes} were answered with {status}")
+        await asyncio.sleep(APPLY_BOUND_S)
 
     def expect(self, what: str, requests: list[Request], expected: Callable[[Request], bool]) -> None:
         """The requests are told in the report, and each that is not as expected is a complaint."""
@@ -69,6 +87,30 @@
         trial.expect(f"order-{number}", repeats, lambda repeat, seal=new.seal: repeat.status == 200 and repeat.seal == seal)
 
 
+async def home_core_away(trial: Trial) -> None:
+    """Operations run while no core machine of their home region is there; their repeats get the answer where they were
+    answered, are never told elsewhere that they are at work, and get the answer everywhere once the machine is back."""
+    await trial.set_homes([HOME])
+    machine = trial.stage.system.controller_machines[HOME_CONTROLLER]
+    machine.kill_now()
+    await asyncio.sleep(QUIET_S)
+    trial.expect("first operations", await trial.pay_all(0, PROXIES), is_served)
+    await asyncio.sleep(SETTLE_S)
+    trial.expect("repeats at the same proxies", await trial.pay_all(0, PROXIES), is_served)
+    trial.expect("repeats elsewhere", await trial.repeat_everywhere(), lambda request: request.status in (200, 503))
+    await machine.start_again()
+    await asyncio.sleep(QUIET_S)
+    trial.expect("once it is back", await trial.repeat_everywhere(), is_served)
+
+
+async def homes_changed(trial: Trial) -> None:
+    """Operations that were answered in one home region are repeated after their route was given another one."""
+    await trial.set_homes([HOME])
+    trial.expect("first operations", await trial.pay_all(0, PROXIES), is_served)
+    await trial.set_homes([OTHER_HOME])
+    trial.expect("repeats under other homes", await trial.repeat_everywhere(), is_served)
+
+
 def scenario(name: str, play: Play, more_settings: tuple[str, ...] = ()) -> Scenario:
     async def play_on(stage: Stage) -> None:
         await stage.add_server(type(stage.servers[0]), FAR)
@@ -79,6 +121,8 @@
 
 SCENARIOS = [
     scenario("a key that is used again after its horizon", key_used_again, (f"bounds.keyHorizonS={KEY_HORIZON_S:g}",)),
+    scenario("all core machines of the home region are away", home_core_away),
+    scenario("a route is given other home regions", homes_changed),
 ]
 
 
