--- a/packages/base/include/base/unmatched_messages.hpp
+++ b/packages/base/include/base/unmatched_messages.hpp
@@ -11,15 +11,15 @@
 
 /// Why a message was ignored.
 enum class UnmatchedReason : u8 {
-  no_question,  ///< no open request waits for it: the request timed out or was answered
-  connection,   ///< it answers a request that was sent over an earlier connection
-  disk_life,    ///< its incarnation is not the one that the membership names
-  epoch,        ///< its membership epoch is not the one of the request
-  twice,        ///< this member has answered before
-  other_key,    ///< it answers another request
-  late_claim,   ///< a claim whose holder has released the key meanwhile
-  term,         ///< a command to an earlier holder of a lease
-  owed,         ///< a release that could not be kept for an unreachable disk
+  no_question,   ///< no open request waits for it: the request timed out or was answered
+  connection,    ///< it answers a request that was sent over an earlier connection
+  disk_life,     ///< its incarnation is not the one that the membership names
+  epoch,         ///< its membership epoch is not the one of the request
+  twice,         ///< this member has answered before
+  other_key,     ///< it answers another request
+  late_claim,    ///< a claim whose holder has released the key meanwhile
+  term,          ///< a command to an earlier holder of a lease
+  owed,          ///< a release that could not be kept for an unreachable disk
   other_holder,  ///< a stored answer of another holder than the one that has the key
   undelivered    ///< an answer that could not be kept until a disk of its home regions can be reached
 };
@@ -27,7 +27,7 @@
 constexpr char const* name_of(UnmatchedReason f) {
   constexpr char const* n[kUnmatchedReasonCount] = {"noQuestion",  "earlierConnection", "otherDisk", "otherRoster",
                                                     "twice",       "otherKey",          "lateClaim", "earlierTerm",
-                                                    "releaseLost", "otherHolder", "answerLost"};
+                                                    "releaseLost", "otherHolder",       "answerLost"};
   return n[static_cast<std::size_t>(f)];
 }
 
