JSON numbers are read to the last digit

Cause: the JSON library's default reader is off by one unit in the last place for some numbers of 17 digits; its writer is exact. Change: full precision in both places that parse. Red before: json_numbers::a_number_is_read_back_to_the_last_digit fails at 100 / 3; now it passes over 100,000 random doubles.

--- a/packages/configuration/config_item.cpp
+++ b/packages/configuration/config_item.cpp
@@ -31,7 +31,7 @@
 // The body without its version, whose hexadecimal digits may be in either case.
 rapidjson::Document without_version(std::string const& body) {
   rapidjson::Document document;
-  document.Parse(body.data(), body.size());
+  document.Parse<rapidjson::kParseFullPrecisionFlag>(body.data(), body.size());
   rapidjson::Value* item = &document;
   if (document.IsObject() && document.HasMember("policy")) item = &document["policy"];
   if (item->IsObject()) item->EraseMember("generation");
--- a/packages/configuration/json.cpp
+++ b/packages/configuration/json.cpp
@@ -87,7 +87,8 @@
 rapidjson::Document parse(std::string_view text) {
   check_text(text);
   rapidjson::Document document;
-  document.Parse<rapidjson::kParseValidateEncodingFlag>(text.data(), text.size());
+  // Full precision: what is read back is what was sent, to the last digit.
+  document.Parse<rapidjson::kParseValidateEncodingFlag | rapidjson::kParseFullPrecisionFlag>(text.data(), text.size());
   if (document.HasParseError()) throw Fault("", "can't be read whole");
   if (!document.IsObject()) throw Fault("", "wants an object");
   return document;
