--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -24,6 +24,7 @@
 KEY_HORIZON_S = 2.0
 FORGOTTEN_AFTER_S = 1.25 * KEY_HORIZON_S + 5 + 1.5
 SETTLE_S = 1.0
+CUSTOMER = "ivy"  # without a limit
 APPLY_BOUND_S, QUIET_S = 2.5, 4.0
 HOME, OTHER_HOME = ZONES[FAR], "east"
 HOME_CONTROLLER = list(ZONES).index(FAR)  # its only core machine
@@ -32,11 +33,12 @@
 class Trial:
     def __init__(self, stage: Stage):
         self.stage = stage
+        self.headers: dict[str, str] = {}  # of all requests
         self._generation = 1
 
     async def pay(self, number: int, proxy: int, generation: str = "") -> Request:
         """generation: tells operations apart that have the same key at different times."""
-        call = Call(Kind.KEYED, TARGET, TIME_S, b"pay " + generation.encode(), f"order-{number}")
+        call = Call(Kind.KEYED, TARGET, TIME_S, b"pay " + generation.encode(), f"order-{number}", headers=self.headers)
         request = await self.stage.clients.send(call, proxy)
         request.operation_key += f" {generation}"  # the judge knows an operation by this
         return request
@@ -58,6 +60,15 @@
             self.stage.complaints.append(f"the homes {homes} were answered with {status}")
         await asyncio.sleep(APPLY_BOUND_S)
 
+    async def set_key(self, tenant: str, key: str) -> None:
+        """In place of those that the tenant had."""
+        self._generation += 1
+        customer = {"name": tenant, "keys": [key], "rank": 1, "generation": f"{self._generation:08x}"}
+        status = await self.stage.system.amend({"upsert": {"customers": [customer]}})
+        if status != 200:
+            self.stage.complaints.append(f"the key of {tenant} was answered with {status}")
+        await asyncio.sleep(APPLY_BOUND_S)
+
     def expect(self, what: str, requests: list[Request], expected: Callable[[Request], bool]) -> None:
         """The requests are told in the report, and each that is not as expected is a complaint."""
         statuses = collections.Counter(request.status for request in requests)
@@ -110,6 +121,17 @@
     trial.expect("repeats under other homes", await trial.repeat_everywhere(), is_served)
 
 
+async def key_taken_away(trial: Trial) -> None:
+    """The route needs no key of a client; its requests bear one, which is taken away between two tries."""
+    await trial.set_key(CUSTOMER, "key")
+    trial.headers = {"Authorization": "Token key"}
+    first = await trial.pay_all(0, PROXIES)
+    trial.expect("first operations", first, is_served)
+    await trial.set_key(CUSTOMER, "another")
+    seals = [request.seal for request in first]
+    trial.expect("with the key taken away", await trial.pay_all(0, PROXIES), lambda request: request.seal in seals)
+
+
 def scenario(name: str, play: Play, more_settings: tuple[str, ...] = ()) -> Scenario:
     async def play_on(stage: Stage) -> None:
         await stage.add_server(type(stage.servers[0]), FAR)
@@ -122,6 +144,7 @@
     scenario("a key that is used again after its horizon", key_used_again, (f"bounds.keyHorizonS={KEY_HORIZON_S:g}",)),
     scenario("all core machines of the home region are away", home_core_away),
     scenario("a route is given other home regions", homes_changed),
+    scenario("a customer's key is taken away", key_taken_away),
 ]
 
 
