--- a/tests/soak/after_acknowledgement.py
+++ b/tests/soak/after_acknowledgement.py
@@ -277,8 +277,10 @@
     async def play(stage: Stage) -> None:
         trial = Trial(stage)
         await trial.begin()
-        if not await is_acknowledged(trial, order):
-            stage.complaints.append("the order was not acknowledged")
+        began_at = time.monotonic()
+        if (status := await give(trial, order)) != 200:
+            what = f"{status or 'no answer'} after {time.monotonic() - began_at:.1f} s"
+            stage.complaints.append(f"the order was not acknowledged: {what}")
         await fault(trial)
         await expect_known(stage, order)
         await finish(trial)
@@ -286,13 +288,14 @@
     return play
 
 
-async def is_acknowledged(trial: Trial, order: Order) -> bool:
+async def give(trial: Trial, order: Order) -> int:
+    """The status of the answer; 0: there is none."""
     try:
         call = http_messages.call(trial.acknowledging_controller, "POST", order.target, order.body(trial.stage),
                                   ORDER_LIMIT_S)
-        return (await call).status == 200
+        return (await call).status
     except BrokenMessage:
-        return False
+        return 0
 
 
 async def expect_known(stage: Stage, order: Order) -> None:
