A controller that shuts down takes no departures of servers for ever

Hypotheses: (1) its end waits for departures, and new ones keep coming; (2) it waits for consensus, leases or its membership; (3) it is over, and its process ends late. It looks every 0.6 s, and a departure is under way most of the time while servers leave one after the other, so that on a slower machine it may miss each look. Nobody lost anything by it; a shutdown lasted up to the grace period.

Change: departures are taken for 0.4 s after the SIGTERM; later ones get 503, as all orders of operators do, and the server asks another controller. What a majority holds already is acknowledged as before. The log says what the end waited for, and when it came.

Test registry_service::departures_do_not_prolong_a_shutdown failed before ("the server asks another controller").

--- a/packages/controller/controller.cpp
+++ b/packages/controller/controller.cpp
@@ -215,11 +215,28 @@
 void Controller::end_if_left(Seconds now) {
   if (context_.leaving_since == 0) return;
   Seconds const leaving_for = now - context_.leaving_since;
-  bool const has_nothing_left = consensus_.is_idle() && registry_.departures().is_idle() &&
-                                !leases_.is_handing_over() && !membership_.is_leave_pending(now);
-  if ((has_nothing_left && leaving_for > kMinLeaveSeconds) ||
-      leaving_for > context_.settings.bounds.gracePeriodS - kLeaveReserveSeconds)
-    event_base_loopbreak(context_.loop);
+  if (leaving_for <= kMinLeaveSeconds) return;
+  std::string const unfinished = unfinished_work(now);
+  bool const has_no_time_left = leaving_for > context_.settings.bounds.gracePeriodS - kLeaveReserveSeconds;
+  bool const ends = unfinished.empty() || has_no_time_left;
+  LOG4CPLUS_INFO(logger_, (ends ? "Shut down after " : "Shutting down for ")
+                              << leaving_for << " s. Unfinished: " << (unfinished.empty() ? "nothing" : unfinished)
+                              << ".");
+  if (ends) event_base_loopbreak(context_.loop);
+}
+
+std::string Controller::unfinished_work(Seconds now) const {
+  std::string unfinished;
+  auto const add_if = [&unfinished](bool is_unfinished, char const* work) {
+    if (!is_unfinished) return;
+    if (!unfinished.empty()) unfinished += ", ";
+    unfinished += work;
+  };
+  add_if(!consensus_.is_idle(), "rounds of consensus");
+  add_if(!registry_.departures().is_idle(), "departures of servers");
+  add_if(leases_.is_handing_over(), "leases to hand over");
+  add_if(membership_.is_leave_pending(now), "its place in the membership");
+  return unfinished;
 }
 
 }  // namespace dockbend
--- a/packages/controller/departure_replicator.cpp
+++ b/packages/controller/departure_replicator.cpp
@@ -6,6 +6,7 @@
 
 constexpr Seconds kBatchDelaySeconds = 0.01;
 constexpr Seconds kPatienceSeconds = 0.8;  // a server waits a second for its acknowledgement
+constexpr Seconds kTakenWhileLeavingSeconds = 0.4;
 
 }  // namespace
 
@@ -13,10 +14,15 @@
   Seconds const now = steady_now();
   std::optional<ServerRecord> const record = registry_.find(id, now);
   if (!record || registry_.is_durable(id)) return done(record.has_value());
+  if (is_ending(now)) return done(false);
   bool const is_first_of_batch = batches_.add({*record, now + kPatienceSeconds, std::move(done)});
   if (is_first_of_batch) after(context_.loop, kBatchDelaySeconds, [this] { send_batch(); });
 }
 
+bool DepartureReplicator::is_ending(Seconds now) const {
+  return context_.leaving_since > 0 && now - context_.leaving_since > kTakenWhileLeavingSeconds;
+}
+
 void DepartureReplicator::send_batch() {
   std::optional<u32> const tag = batches_.close_batch();
   if (!tag) return;
--- a/packages/controller/include/controller/controller.hpp
+++ b/packages/controller/include/controller/controller.hpp
@@ -48,6 +48,8 @@
   void warn_of_few_members(Seconds now);
   void log_counters(Seconds now);
   void end_if_left(Seconds now);
+  /// What the end after a SIGTERM still waits for, in words; empty: nothing.
+  std::string unfinished_work(Seconds now) const;
 
   // Services hold references to those above them: the order matters.
   ControllerContext context_;
--- a/packages/controller/include/controller/departure_replicator.hpp
+++ b/packages/controller/include/controller/departure_replicator.hpp
@@ -16,7 +16,8 @@
   DepartureReplicator(ControllerContext& context, ServerRegistry& registry) : context_(context), registry_(registry) {}
 
   /// Calls `done` once a majority holds what the registry knows of this server, which drains or has left, or when that
-  /// took too long; at once if a majority is known to hold it.
+  /// took too long; at once if a majority is known to hold it, or if this controller has been shutting down for a
+  /// while: its end waits for all departures that it has taken.
   void replicate(std::string const& id, Done done);
   /// The peer holds the batch of that tag.
   void on_response(std::string const& ip, u32 tag, StoreDeparturesResponse const& response);
@@ -30,6 +31,7 @@
   void store(std::vector<ServerRecord> const& departures, std::function<void()> stored);
 
  private:
+  bool is_ending(Seconds now) const;
   void send_batch();
   void finish_durable();
   bool is_majority(DepartureBatches::Disks const& disks) const;
--- a/packages/controller/include/controller/registry_service.hpp
+++ b/packages/controller/include/controller/registry_service.hpp
@@ -54,6 +54,7 @@
   /// Forgets servers that have been gone for long, on disk too.
   void forget_gone(Seconds now);
   DepartureReplicator& departures() { return departures_; }
+  DepartureReplicator const& departures() const { return departures_; }
   ServerRegistry& roll();
   ServerRegistry const& roll() const;
   u64 told_digest() const;  ///< of the registry as it was last sent to others
--- a/packages/controller/registry_service.cpp
+++ b/packages/controller/registry_service.cpp
@@ -102,7 +102,7 @@
 void RegistryService::acknowledge_departure(std::string const& id, ApiResponse const& acknowledgement,
                                             Respond const& respond) {
   departures_.replicate(id, [acknowledgement, respond](bool is_durable) {
-    respond(is_durable ? acknowledgement : error_response(503, "no majority of disks in time"));
+    respond(is_durable ? acknowledgement : error_response(503, "not held by a majority of disks"));
   });
 }
 
--- a/tests/controller/registry_service_test.cpp
+++ b/tests/controller/registry_service_test.cpp
@@ -179,6 +179,26 @@
   cr_assert(stored_servers().empty());
 }
 
+// Failure: a controller that shut down went on taking departures of servers, for each of which its end waited.
+Test(registry_service, departures_do_not_prolong_a_shutdown) {
+  Fixture fixture(3);
+  fixture.come_into_contact();
+  fixture.heartbeat("ready", 1);
+  fixture.context.leaving_since = steady_now();
+  fixture.heartbeat("draining", 2);
+  fixture.run_loop();
+  fixture.confirm(2, kFirstTag);
+  cr_assert_eq(fixture.answer, 200, "what comes at the beginning is taken");
+
+  fixture.context.leaving_since -= 0.5;
+  fixture.heartbeat("draining", 3);
+  cr_assert_eq(fixture.answer, 200, "a majority holds it already");
+  fixture.leave();
+  cr_assert_eq(fixture.answer, 503, "the server asks another controller");
+  cr_assert(fixture.registry.departures().is_idle());
+  cr_assert(fixture.known_state() == ServerState::gone, "it is taken note of all the same");
+}
+
 Test(registry_service, a_peers_departure_is_confirmed_once_it_is_on_disk) {
   Fixture fixture(3);
   ServerRecord record;
--- a/tests/soak/after_acknowledgement.py
+++ b/tests/soak/after_acknowledgement.py
@@ -210,6 +210,7 @@
             break
         await trial.leave(server)
         await asyncio.sleep(LEAVE_PAUSE_S)
+    stage.outcomes.append(f"{len(trial.acknowledged)} departures acknowledged during the shutdown")
     if not 0 < len(trial.acknowledged) < LEAVING_SERVERS:
         stage.complaints.append(f"{len(trial.acknowledged)} departures were acknowledged during the shutdown")
     trial.note_unsettled()
