--- a/packages/proxy/response_receiver.cpp
+++ b/packages/proxy/response_receiver.cpp
@@ -58,7 +58,7 @@
   count_bytes(response, connection.server);
   ResponseCheck const check = request->machine.check_response(response);
   if (check.rejection) context_.requests.filter().count_discard(*check.rejection);
-  if (check.rejection == ResponseRejection::other_id &&
+  if (check.rejection == ResponseRejection::other_id && !ends_with_connection(response) &&
       context_.connections.await_next_response(connection, request->method))
     return;
   std::optional<Attempt> const hedged = request->take_hedged_attempt(&connection);
@@ -122,8 +122,8 @@
 
 void ResponseReceiver::release_connection(UpstreamConnection& connection, UpstreamResponse const& response,
                                           bool has_surplus, Seconds now) {
-  bool const may_be_kept =
-      !has_surplus && !connection.had_stray_response && !says_close(response) && !context_.drain.is_shutting_down();
+  bool const may_be_kept = !has_surplus && !connection.had_stray_response && !says_close(response) &&
+                           !ends_with_connection(response) && !context_.drain.is_shutting_down();
   if (may_be_kept)
     context_.connections.release_idle(connection, idle_limit_of(response), now);
   else
--- a/packages/request/headers.cpp
+++ b/packages/request/headers.cpp
@@ -34,13 +34,15 @@
   return true;
 }
 
+bool has_no_body(UpstreamResponse const& response) {
+  return response.status == 204 || response.status == 304 || response.answers_head_request;
+}
+
 bool has_sound_frame(UpstreamResponse const& response) {
   u64 length = 0;
   BodyFraming const framing = body_framing(response.headers, length);
-  bool const has_no_body = response.status == 204 || response.status == 304 || response.answers_head_request;
   if (framing == BodyFraming::ambiguous) return false;
-  if (framing == BodyFraming::none && !has_no_body) return false;
-  if (framing == BodyFraming::length && !has_no_body && length != response.body_bytes) return false;
+  if (framing == BodyFraming::length && !has_no_body(response) && length != response.body_bytes) return false;
   return response.status >= 200 && response.status <= 599;
 }
 
@@ -86,6 +88,11 @@
   return read_length(*length_text, length) ? BodyFraming::length : BodyFraming::ambiguous;
 }
 
+bool ends_with_connection(UpstreamResponse const& response) {
+  u64 length = 0;
+  return !has_no_body(response) && body_framing(response.headers, length) == BodyFraming::none;
+}
+
 bool are_well_formed(Headers const& headers) {
   std::size_t attempt_ids = 0;
   for (auto const& [name, value] : headers) {
--- a/packages/request/include/request/headers.hpp
+++ b/packages/request/include/request/headers.hpp
@@ -56,6 +56,9 @@
   std::size_t body_bytes = 0;
   bool answers_head_request = false;  ///< it names a length and has no body
 };
+/// Does its body end with its connection, for want of a length and a coding (RFC 9112, 6.3)? A response that was taken
+/// for complete was then closed in order: a reset is a failed exchange.
+bool ends_with_connection(UpstreamResponse const& response);
 struct ResponseCheck {
   AttemptResult result = AttemptResult::broken;
   std::optional<ResponseRejection> rejection;  ///< why it was not taken for the response to this request
--- a/packages/upstream/connection_pool.cpp
+++ b/packages/upstream/connection_pool.cpp
@@ -46,6 +46,18 @@
     ++connection->pool->late_responses;
 }
 
+// libevent refuses a response without a length that says its connection stays open, though its body ends with the
+// connection whatever that header says (RFC 9112, 6.3).
+int on_headers(evhttp_request* response, void*) {
+  evkeyvalq* const headers = evhttp_request_get_input_headers(response);
+  char const* const persistence = evhttp_find_header(headers, "Connection");
+  bool const has_framing = evhttp_find_header(headers, "Content-Length") != nullptr ||
+                           evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
+  if (!has_framing && persistence != nullptr && evutil_ascii_strcasecmp(persistence, "close") != 0)
+    evhttp_remove_header(headers, "Connection");
+  return 0;
+}
+
 // libevent calls this before on_done, while the socket's error is still at hand.
 void on_exchange_failed(evhttp_request_error error, void* argument) {
   auto* const connection = static_cast<UpstreamConnection*>(argument);
@@ -109,6 +121,7 @@
 evhttp_request* ConnectionPool::new_request(UpstreamConnection& connection) {
   evhttp_request* const request = evhttp_request_new(on_done, &connection);
   evhttp_request_set_error_cb(request, on_exchange_failed);
+  evhttp_request_set_header_cb(request, on_headers);
   return request;
 }
 
--- a/tests/proxy/attempt_at_work_test.cpp
+++ b/tests/proxy/attempt_at_work_test.cpp
@@ -23,6 +23,20 @@
   auto const end = bytes.find(end_of_head);
   return end == std::string::npos ? "" : bytes.substr(end + end_of_head.size());
 }
+
+/// So much of an answer that states no length has been sent when its connection ends.
+std::size_t constexpr kSizesBeforeEnd[] = {0, 1000, 5 << 20};
+
+/// The server's whole answer to the open request: a body of that size, without a length. Its connection is still open.
+void send_without_length(ProxyFixture& fixture, ScriptedServer& server, std::size_t size,
+                         std::string const& header = "") {
+  fixture.until([&] { return server.received() > 0; });
+  server.forget_received();
+  server.answer_without_length("a1", std::string(size, 'x'), header);
+  fixture.until([&] { return server.has_written_all(); });
+  fixture.run_for(0.02);
+  cr_assert_not(fixture.is_answered, "its body goes on until its connection ends");
+}
 }  // namespace
 
 // The server is at work on the second request when the answer to the first one comes once more. It was broken off then,
@@ -167,3 +181,82 @@
   server.answer("a2", kBody);
   fixture.expect_answer();
 }
+
+// Failure: answers that state no length and end with their connection were never delivered. Uploads got 502 though they
+// had run; requests that may be repeated ran again and again.
+Test(attempt_at_work, answer_that_ends_with_its_connection_is_delivered_whole) {
+  for (bool const is_upload : {false, true}) {
+    for (std::size_t const size : kSizesBeforeEnd) {
+      for (char const* const header : {"", "Connection: close", "Connection: keep-alive"}) {
+        ProxyFixture fixture;
+        ScriptedServer server(fixture.loop);
+        fixture.add_server("i-1", server.port);
+        fixture.ask(is_upload ? EVHTTP_REQ_POST : EVHTTP_REQ_GET, is_upload ? "/u/x" : "/p/x", is_upload ? "body" : "");
+        send_without_length(fixture, server, size, header);
+        server.close();
+        fixture.until([&] { return fixture.is_answered; });
+        cr_assert_eq(fixture.status, 200, "%zu bytes, '%s': %d", size, header, fixture.status);
+        cr_assert(fixture.body == std::string(size, 'x'), "%zu of %zu bytes", fixture.body.size(), size);
+        Endpoint const& endpoint = fixture.context.load_balancer.endpoint(ServerIndex{0});
+        cr_assert_eq(endpoint.idle_connections, 0);
+        cr_assert_eq(endpoint.in_flight, 0);
+      }
+    }
+  }
+}
+
+// A reset cuts the answer short: where it may be repeated it is, and an upload is not passed for answered.
+Test(attempt_at_work, answer_without_a_length_that_is_reset_is_not_whole) {
+  for (std::size_t const size : kSizesBeforeEnd) {
+    ProxyFixture fixture;
+    ScriptedServer server(fixture.loop);
+    fixture.add_server("i-1", server.port);
+    fixture.ask();
+    send_without_length(fixture, server, size);
+    fixture.add_server("i-2", fixture.second.port);
+    server.reset();
+    fixture.until([&] { return !fixture.second.requests.empty(); });
+    fixture.second.answer();
+    fixture.expect_answer();
+  }
+  for (std::size_t const size : kSizesBeforeEnd) {
+    ProxyFixture fixture;
+    ScriptedServer server(fixture.loop);
+    fixture.add_server("i-1", server.port);
+    fixture.ask(EVHTTP_REQ_POST, "/u/x", "body");
+    send_without_length(fixture, server, size);
+    server.reset();
+    fixture.until([&] { return fixture.is_answered; });
+    cr_assert_eq(fixture.status, 502);
+  }
+}
+
+// The answer to a HEAD has no body, whatever its head says: its connection need not end, and may carry another request.
+Test(attempt_at_work, answer_to_a_head_request_needs_no_length) {
+  ProxyFixture fixture;
+  ScriptedServer server(fixture.loop);
+  fixture.add_server("i-1", server.port);
+  for (int i = 0; i < 2; ++i) {
+    fixture.ask(EVHTTP_REQ_HEAD);
+    fixture.until([&] { return server.received() > 0; });
+    server.forget_received();
+    server.answer_without_length("a1", "");
+    fixture.until([&] { return fixture.is_answered; });
+    cr_assert_eq(fixture.status, 200);
+  }
+  cr_assert_eq(server.accepted.size(), 1u);
+}
+
+// A body in chunks ends with its last chunk: a close before that cuts it short.
+Test(attempt_at_work, answer_in_chunks_does_not_end_with_its_connection) {
+  ProxyFixture fixture;
+  ScriptedServer server(fixture.loop);
+  fixture.add_server("i-1", server.port);
+  fixture.ask(EVHTTP_REQ_POST, "/u/x", "body");
+  fixture.until([&] { return server.received() > 0; });
+  server.answer_without_length("a1", "5\r\nchunk\r\n", "Transfer-Encoding: chunked\r\nConnection: close");
+  fixture.until([&] { return server.has_written_all(); });
+  server.close();
+  fixture.until([&] { return fixture.is_answered; });
+  cr_assert_eq(fixture.status, 502);
+}
--- a/tests/soak/special_servers.py
+++ b/tests/soak/special_servers.py
@@ -6,6 +6,7 @@
 import time
 
 import http_messages
+from clients import NO_LINGER
 from http_messages import Message
 from ledger import RunEnd
 from stand_in_server import AT_CAPACITY, StandInServer
@@ -82,6 +83,37 @@
         return True
 
 
+class UnframedServer(StandInServer):
+    """Its answers state no length, and end with their connection."""
+
+    async def _run(self, request, run, reader, writer, headers) -> bool:
+        await asyncio.sleep(self._work_of(request).seconds)
+        run.end, run.seal = RunEnd.FINISHED, f"{self.id}.{next(self._seals)}"
+        run.body = run.seal.encode()
+        self._write_head(writer, headers, run.seal)
+        writer.write(run.body)
+        await writer.drain()
+        return False
+
+    @staticmethod
+    def _write_head(writer: asyncio.StreamWriter, headers: dict[str, str], seal: str) -> None:
+        lines = ["HTTP/1.1 200 OK"] + [f"{name}: {value}" for name, value in {**headers, "X-Server-Seal": seal}.items()]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+
+
+class CutShortServer(UnframedServer):
+    """The same, but that each connection is reset behind the first bytes of the body."""
+
+    async def _run(self, request, run, reader, writer, headers) -> bool:
+        self._write_head(writer, headers, "cut short")
+        writer.write(b"the first bytes")
+        await asyncio.sleep(0.1)
+        run.end = RunEnd.BROKE_OFF
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        writer.transport.abort()
+        return False
+
+
 class OtherIdServer(StandInServer):
     """Answers with the id of another request."""
 
