--- a/packages/configuration/compiled_configuration.cpp
+++ b/packages/configuration/compiled_configuration.cpp
@@ -93,6 +93,8 @@
   if (!is_new && item.gen <= version->second) return;  // a version has one body
   version->second = item.gen;
   remove(item.key);
+  if (item.key[0] == item_key::kTenant) has_had_tenants_ = true;
+  if (holds_former_keys(item)) return add_former_keys(item);
   if (item.gone) return;
   try {
     set(item);
@@ -143,9 +145,17 @@
   tenants_[key] = tenant;
 }
 
+void CompiledConfiguration::add_former_keys(ConfigItem const& item) {
+  auto const tenant = std::make_shared<FormerTenant const>(FormerTenant{read_former_keys(item), item.gen});
+  for (std::string const& api_key : tenant->former.keys)
+    insert_newest_first(former_tenants_by_api_key_[api_key], tenant);
+  former_tenants_[item.key] = tenant;
+}
+
 void CompiledConfiguration::remove(std::string const& key) {
   remove_route(key);
   remove_tenant(key);
+  remove_former_keys(key);
   if (key[0] == item_key::kService) pools_.erase(key.substr(kKeyPrefixLength));
 }
 
@@ -170,6 +180,15 @@
   tenants_.erase(found);
 }
 
+void CompiledConfiguration::remove_former_keys(std::string const& key) {
+  auto const found = former_tenants_.find(key);
+  if (found == former_tenants_.end()) return;
+  FormerTenantPtr const tenant = found->second;
+  for (std::string const& api_key : tenant->former.keys)
+    erase_entry(former_tenants_by_api_key_, api_key, tenant);
+  former_tenants_.erase(found);
+}
+
 RoutePtr CompiledConfiguration::find_inexact(std::string_view host, std::string_view path) const {
   auto const list = inexact_.find(host);
   if (list == inexact_.end()) return nullptr;
@@ -201,6 +220,11 @@
   return list == tenants_by_api_key_.end() ? nullptr : list->second.front();
 }
 
+std::string const* CompiledConfiguration::former_tenant_of(std::string_view key) const {
+  auto const list = former_tenants_by_api_key_.find(key);
+  return list == former_tenants_by_api_key_.end() ? nullptr : &list->second.front()->former.tenant;
+}
+
 TenantPtr CompiledConfiguration::tenant(std::string_view name) const {
   auto const found = tenants_.find(item_key::tenant(std::string(name)));
   return found == tenants_.end() ? nullptr : found->second;
--- a/packages/configuration/config_item.cpp
+++ b/packages/configuration/config_item.cpp
@@ -5,6 +5,9 @@
 namespace dockbend {
 namespace item_key {
 namespace {
+/// In no name that an operator gives, for it is a control character.
+std::string const kFormerKeysMark = "\x1f";
+
 std::string key_of(char kind, std::string const& name) {
   return std::string(1, kind) + "/" + name;
 }
@@ -25,6 +28,10 @@
 std::string tenant(std::string const& name) {
   return key_of(kTenant, name);
 }
+
+std::string former_keys(std::string const& tenant) {
+  return key_of(kTenant, kFormerKeysMark + tenant);
+}
 }  // namespace item_key
 
 namespace {
--- a/packages/configuration/include/configuration/compiled_configuration.hpp
+++ b/packages/configuration/include/configuration/compiled_configuration.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "configuration/config_item.hpp"
+#include "configuration/former_keys.hpp"
 #include "configuration/schema.hpp"
 
 namespace dockbend {
@@ -77,7 +78,11 @@
   /// Null if there is none of that name.
   TenantPtr tenant(std::string_view name) const;
   std::vector<TenantPtr> tenants() const;
-  bool has_tenants() const { return !tenants_.empty(); }
+  /// Was a tenant ever set? Requests need a key from then on, though the last tenant may have been removed since.
+  bool has_tenants() const { return has_had_tenants_; }
+  /// The name of the tenant that this API key was taken away from; null if there is none. Of several the one holds
+  /// whose item is newest.
+  std::string const* former_tenant_of(std::string_view key) const;
 
   /// The service of that name, valid until the next put(); null if there is none.
   ServiceConfig const* pool(std::string const& name) const;
@@ -99,22 +104,34 @@
   template <class T>
   using Index = std::unordered_map<std::string, std::vector<T>, StringHash, std::equal_to<>>;
 
+  /// A tenant and the API keys that it no longer has.
+  struct FormerTenant {
+    FormerKeys former;
+    Generation gen;  // the item's version
+  };
+  using FormerTenantPtr = std::shared_ptr<FormerTenant const>;
+
   void set(ConfigItem const& item);
   void set_limits(schema::Limits const& limits);
   void add_route(std::string const& key, RoutePtr const& route);
   void add_tenant(std::string const& key, TenantPtr const& tenant);
+  void add_former_keys(ConfigItem const& item);
   void remove(std::string const& key);
   void remove_route(std::string const& key);
   void remove_tenant(std::string const& key);
+  void remove_former_keys(std::string const& key);
   RoutePtr find_inexact(std::string_view host, std::string_view path) const;
 
   std::map<std::string, Generation> versions_;  // newest of every key put, also of removed items
   std::map<std::string, RoutePtr> routes_;      // by item key
   std::map<std::string, TenantPtr> tenants_;    // by item key
   // Each route is in exactly one of these two; within a list the first that fits holds.
-  Index<RoutePtr> exact_;                       // by host + prefix; prefixes that end with a slash; newest first
-  Index<RoutePtr> inexact_;                     // by host; the other prefixes; longest first, then newest
-  Index<TenantPtr> tenants_by_api_key_;         // newest first
+  Index<RoutePtr> exact_;                // by host + prefix; prefixes that end with a slash; newest first
+  Index<RoutePtr> inexact_;              // by host; the other prefixes; longest first, then newest
+  Index<TenantPtr> tenants_by_api_key_;  // newest first
+  std::map<std::string, FormerTenantPtr> former_tenants_;  // by item key
+  Index<FormerTenantPtr> former_tenants_by_api_key_;       // newest first
+  bool has_had_tenants_ = false;
   std::map<std::string, ServiceConfig> pools_;  // by the name in the item key
   std::map<u32, std::size_t> routes_by_rank_;   // how many routes have each rank; no zeros
   LimitsConfig limits_;
--- a/packages/configuration/include/configuration/config_item.hpp
+++ b/packages/configuration/include/configuration/config_item.hpp
@@ -21,12 +21,14 @@
 std::string route(std::string const& name);
 std::string service(std::string const& name);
 std::string tenant(std::string const& name);
+/// The key of the item that holds the former API keys of the tenant of that name, see former_keys.hpp.
+std::string former_keys(std::string const& tenant);
 }  // namespace item_key
 
 /// One item: its key (see item_key); its version, given by the operator; whether it was removed at that version; and
-/// its body, empty if removed and otherwise JSON as the operator sent it, a route's with its host beside it.
-/// Invariants: of two items with one key the one with the higher version holds; two different bodies never have the
-/// same key and version.
+/// its body, empty if removed and otherwise JSON as the operator sent it, a route's with its host beside it. Former API
+/// keys are kept in items too, which no operator sends (see former_keys.hpp). Invariants: of two items with one key the
+/// one with the higher version holds; two different bodies never have the same key and version.
 struct ConfigItem {
   DB_RECORD(ConfigItem, (std::string, key), (Generation, gen), (bool, gone), (std::string, body));
   friend bool operator==(ConfigItem const& a, ConfigItem const& b) {
--- a/packages/configuration/include/configuration/configuration.hpp
+++ b/packages/configuration/include/configuration/configuration.hpp
@@ -3,6 +3,7 @@
 #include "configuration/compiled_configuration.hpp"
 #include "configuration/config_change.hpp"
 #include "configuration/config_item.hpp"
+#include "configuration/former_keys.hpp"
 #include "configuration/json.hpp"
 #include "configuration/merge.hpp"
 #include "configuration/rendering.hpp"
--- a/packages/configuration/include/configuration/merge.hpp
+++ b/packages/configuration/include/configuration/merge.hpp
@@ -17,7 +17,8 @@
 };
 
 /// Merges `change` into `items`, which are by key and change only if the result is `changed`. A change that was merged
-/// once gives `changed` or `same` ever after, whatever was merged in between.
+/// once gives `changed` or `same` ever after, whatever was merged in between. Keys that it takes away from tenants are
+/// kept as former ones.
 /// @param field set to the key (clash) or the path in the call (unknown_service) that was wrong
 MergeResult join(std::map<std::string, ConfigItem>& items, ConfigChange const& change, std::string& field);
 
--- a/packages/configuration/merge.cpp
+++ b/packages/configuration/merge.cpp
@@ -1,7 +1,11 @@
 #include "configuration/merge.hpp"
 
+#include <optional>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
+
+#include "configuration/former_keys.hpp"
 
 namespace dockbend {
 namespace {
@@ -18,6 +22,21 @@
   // removed since. A service that nobody ever set is unknown in any case.
   return known || (newer.count(reference.key) == 0 && current != items.end());
 }
+
+ConfigItem const* find_item(ItemMap const& items, std::string const& key) {
+  auto const found = items.find(key);
+  return found == items.end() ? nullptr : &found->second;
+}
+
+void replace_item(ItemMap& items, ConfigItem const& newer) {
+  if (newer.key[0] == item_key::kTenant) {
+    std::string const tenant = newer.key.substr(item_key::tenant("").size());
+    ConfigItem const* const former = find_item(items, item_key::former_keys(tenant));
+    if (std::optional<ConfigItem> changed = former_keys_after(former, find_item(items, newer.key), newer))
+      items[changed->key] = std::move(*changed);
+  }
+  items[newer.key] = newer;
+}
 }  // namespace
 
 MergeResult join(ItemMap& items, ConfigChange const& change, std::string& field) {
@@ -38,7 +57,7 @@
   }
   if (newer.empty()) return MergeResult::same;
   for (auto const& [key, item] : newer)
-    items[item->key] = *item;
+    replace_item(items, *item);
   return MergeResult::changed;
 }
 
--- a/packages/controller/status_report.cpp
+++ b/packages/controller/status_report.cpp
@@ -64,12 +64,14 @@
 void StatusReport::write_items(JsonWriter& json) const {
   write_array(json, "items", [&] {
     if (!context_.committed) return;
-    for (ConfigItem const& item : context_.committed->items)
+    for (ConfigItem const& item : context_.committed->items) {
+      if (holds_former_keys(item)) continue;
       write_object(json, [&] {
         write_member(json, "key", item.key);
         write_member(json, "generation", json::gen_str(item.gen));
         write_member(json, "dropped", item.gone);
       });
+    }
   });
 }
 
--- a/packages/request/admission.cpp
+++ b/packages/request/admission.cpp
@@ -4,6 +4,8 @@
 #include <cctype>
 #include <cstdlib>
 
+#include "request/client_identity.hpp"
+
 namespace dockbend {
 namespace {
 
@@ -49,18 +51,6 @@
   return false;
 }
 
-/// The tenant's key in `Authorization: Token KEY`; empty: there is none.
-std::string_view tenant_key_of(std::string_view authorization) {
-  auto const space = authorization.find(' ');
-  if (space == std::string_view::npos || !same_header_name(authorization.substr(0, space), "Token")) return {};
-  authorization.remove_prefix(space);
-  while (!authorization.empty() && authorization.front() == ' ')
-    authorization.remove_prefix(1);
-  while (!authorization.empty() && authorization.back() == ' ')
-    authorization.remove_suffix(1);
-  return authorization;
-}
-
 /// The host without its port, in lower case.
 std::string host_name_of(std::string_view host) {
   std::string name(host.substr(0, host.find(':')));
@@ -112,18 +102,6 @@
   return std::nullopt;
 }
 
-/// Sets the request's tenant; refuses a client without one where the route needs one.
-std::optional<Refusal> find_tenant(AdmittedRequest& request, KnownHeaders const& known,
-                                   CompiledConfiguration const& configuration) {
-  request.has_tenants = configuration.has_tenants();
-  if (!request.has_tenants) return std::nullopt;
-  if (known.authorization != nullptr)
-    if (std::string_view const key = tenant_key_of(*known.authorization); !key.empty())
-      request.tenant = configuration.tenant_of(key);
-  if (!request.tenant && !request.route->keyless) return Refusal{make_local_reply(401)};
-  return std::nullopt;
-}
-
 /// The client's time runs from its request's first byte, the route's from its last one.
 Seconds time_left_of(Route const& route, KnownHeaders const& known, Seconds reading_time) {
   if (known.time_left != nullptr)
@@ -140,7 +118,10 @@
   request.is_upload = route.kind == RouteKind::inflow || incoming.body_bytes > kUploadBytes;
   if (is_draining && (is_keyed || request.is_upload))
     return Refusal{make_local_reply(503, kRetryAfterDraining, true), "draining"};
-  if (std::optional<Refusal> refusal = find_tenant(request, known, configuration)) return refusal;
+  ClientIdentity const client = identify_client(known.authorization, route, configuration);
+  if (!client.is_admitted) return Refusal{make_local_reply(401)};
+  request.tenant = client.tenant;
+  request.has_tenants = configuration.has_tenants();
   request.rank = request.tenant && request.tenant->rank ? *request.tenant->rank : route.rank;
   request.time_left = time_left_of(route, known, incoming.reading_time);
   request.service = pick_service(route, draw);
@@ -148,8 +129,7 @@
   request.is_repeatable = route.kind == RouteKind::idempotent || (is_keyed && service != nullptr && service->dedupes);
   if (is_keyed) {
     if (known.key == nullptr || known.key->empty()) return Refusal{make_local_reply(400)};
-    request.operation = request.tenant ? OperationId::of_tenant(request.tenant->name, *known.key)
-                                       : OperationId::without_tenant(*known.key);
+    request.operation = operation_of_client(client, *known.key);
   }
   std::optional<std::vector<std::string>> homes = common_homes(route, request.tenant.get());
   if (!homes) return Refusal{make_local_reply(503, kRetryAfterNoHome), "homes have nothing in common"};
--- a/tests/rules/mutations.py
+++ b/tests/rules/mutations.py
@@ -45,6 +45,7 @@
 
 MACHINE, HEADERS = "packages/request/include/request/request_machine.hpp", "packages/request/headers.cpp"
 RETRY, ADMISSION = "packages/request/include/request/retry_state.hpp", "packages/request/admission.cpp"
+IDENTITY = "packages/request/client_identity.cpp"
 BALANCER, RECEIVER = "packages/load_balancing/load_balancer.cpp", "packages/proxy/response_receiver.cpp"
 SENDER, WRITER = "packages/proxy/upstream_sender.cpp", "packages/proxy/response_writer.cpp"
 KEY_TABLE, ACCEPTOR = "packages/idempotency/key_table.cpp", "packages/consensus/acceptor.cpp"
@@ -156,8 +157,11 @@
     Mutation("route-misdirected", HEADERS, "if (response.status == 421) return", "if (false) return", (SPOILED_RESPONSES,)),
     Mutation("route-longest-prefix", CONFIGURATION, "for (std::size_t end = key.size(); end > host.size(); --end) {",
              "for (std::size_t end = host.size() + 1; end <= key.size(); ++end) {", (UnitTest("configuration", "configuration::the_longest_prefix_of_the_host_wins"),)),
-    Mutation("route-unknown-key", ADMISSION, "if (!request.tenant && !request.route->keyless)", "if (false)",
+    Mutation("route-unknown-key", IDENTITY, "client.tenant != nullptr || route.keyless || !configuration.has_tenants()", "true",
              (UnitTest("request", "admission::request_without_a_known_key_is_refused_where_its_route_wants_a_tenant"),)),
+    Mutation("route-last-tenant", "packages/configuration/include/configuration/compiled_configuration.hpp",
+             "return has_had_tenants_;", "return !tenants_.empty();",
+             (UnitTest("request", "client_identity::once_the_last_tenant_is_removed_requests_still_need_a_key"),)),
     # ---- DRAIN ----
     Mutation("drain-server", BALANCER, "return endpoint.ready && !endpoint.is_misdirected", "return !endpoint.is_misdirected",
              (UnitTest("load_balancing", "load_balancer::server_that_drains_gets_nothing_more_while_it_ends_what_it_has"),)),
@@ -300,9 +304,12 @@
     Mutation("home-server", BALANCER, " && is_home(query, endpoint);", ";", (HOMES,)),
     Mutation("home-tenant", ADMISSION, "if (tenant == nullptr || tenant->homes.empty()) return route.homes;",
              "return route.homes;", (UnitTest("request", "admission::homes_of_route_and_tenant_both_bind"),)),
-    Mutation("mixed-tenants-key", ADMISSION, "OperationId::of_tenant(request.tenant->name, *known.key)",
-             "OperationId::without_tenant(*known.key)",
+    Mutation("mixed-tenants-key", IDENTITY, "return client.operation_tenant.empty()", "return true",
              (UnitTest("request", "admission::key_of_an_operation_is_its_tenants_own"),)),
+    Mutation("twice-key-taken-away", IDENTITY, "former = configuration.former_tenant_of(api_key);", "former = nullptr;",
+             (UnitTest("request", "client_identity::operations_of_a_key_that_was_taken_away_stay_its_tenants"),)),
+    Mutation("twice-former-keys", "packages/configuration/merge.cpp", "if (newer.key[0] == item_key::kTenant) {", "if (false) {",
+             (UnitTest("configuration", "former_keys::random_changes_keep_whose_keys_were"),)),
     Mutation("mixed-shared-text", "packages/base/include/base/operation_id.hpp",
              "split_ == other.split_ || !is_exact() || !other.is_exact()", "true",
              (UnitTest("base", "operation_id::no_two_pairs_are_one_operation"),
--- a/tests/soak/local_replies.py
+++ b/tests/soak/local_replies.py
@@ -249,6 +249,17 @@
     await trial.twice(429, lambda method: message(method, "/limited/quick", more=more, time_left_s=0.5))
 
 
+async def last_tenant_dropped(trial: Trial) -> None:
+    """Routes that need a key go on needing one."""
+    removals = [{"name": name, "generation": "00000002"} for name in TENANTS]
+    await trial.stage.system.amend({"remove": {"customers": removals}})
+    await asyncio.sleep(APPLY_S)
+    for key in (f"key-{TENANTS[0]}", "key-of-nobody"):
+        more = (f"Authorization: Token {key}",)
+        await trial.twice(401, lambda method, more=more: message(method, "/limited/quick", more=more))
+    await trial.twice(401, lambda method: message(method, "/limited/quick"))
+
+
 async def stored(trial: Trial) -> None:
     """Repeats get the first answer, which a POST had; HEAD gets its head."""
     more = ("X-Operation-Key: stored",)
@@ -305,6 +316,7 @@
     scenario("no route (404)", proxy_replies(404, "/nothing/x")),
     scenario("no host that is known (404)", proxy_replies(404, "/read/quick", host="other.example")),
     scenario("no tenant's key (401)", proxy_replies(401, "/limited/quick")),
+    scenario("no tenant's key, the last tenant has been dropped (401)", last_tenant_dropped),
     scenario("no attempt id (400)", proxy_replies(400, "/read/quick", has_id=False)),
     scenario("no operation key (400)", proxy_replies(400, "/pay/quick")),
     scenario("two hosts (400)", proxy_replies(400, "/read/quick", more=("Host: other.example",))),
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -16,7 +16,7 @@
 from ledger import Kind, Request
 from scenarios import Scenario, check_rules_and_complaints, run
 from special_servers import CutShortServer, UnframedServer
-from stage import FAR, HOST, Stage, route
+from stage import FAR, HOST, TENANTS, Stage, route
 from stand_in_server import StandInServer
 from system import ZONES
 
@@ -71,6 +71,14 @@
             self.stage.complaints.append(f"the key of {tenant} was answered with {status}")
         await asyncio.sleep(APPLY_BOUND_S)
 
+    async def drop_tenants(self, names: list[str]) -> None:
+        self._generation += 1
+        removals = [{"name": name, "generation": f"{self._generation:08x}"} for name in names]
+        status = await self.stage.system.amend({"remove": {"customers": removals}})
+        if status != 200:
+            self.stage.complaints.append(f"the removal of {names} was answered with {status}")
+        await asyncio.sleep(APPLY_BOUND_S)
+
     def expect(self, what: str, requests: list[Request], expected: Callable[[Request], bool]) -> None:
         """The requests are told in the report, and each that is not as expected is a complaint."""
         statuses = collections.Counter(request.status for request in requests)
@@ -154,6 +162,24 @@
     trial.expect("repeats", await trial.repeat_everywhere(), is_lost)
 
 
+async def key_taken_away_before_restart(trial: Trial) -> None:
+    """The same; then all customers are dropped, and all machines are started again."""
+    await trial.set_key(CUSTOMER, "key")
+    trial.headers = {"Authorization": "Token key"}
+    first = await trial.pay_all(0, PROXIES)
+    trial.expect("first operations", first, is_served)
+    await trial.set_key(CUSTOMER, "another")
+    await trial.drop_tenants([CUSTOMER, *TENANTS])
+    machines = trial.stage.system.controller_machines + trial.stage.system.proxy_machines
+    for machine in machines:
+        machine.kill_now()
+    await asyncio.sleep(SETTLE_S)
+    await asyncio.gather(*(machine.start_again() for machine in machines))
+    await asyncio.sleep(QUIET_S)
+    seals = [request.seal for request in first]
+    trial.expect("after the restart", await trial.pay_all(0, PROXIES), lambda request: request.seal in seals)
+
+
 def scenario(name: str, play: Play, more_settings: tuple[str, ...] = (),
              server: type[StandInServer] = StandInServer) -> Scenario:
     async def play_on(stage: Stage) -> None:
@@ -168,6 +194,7 @@
     scenario("all core machines of the home region are away", home_core_away),
     scenario("a route is given other home regions", homes_changed),
     scenario("a customer's key is taken away", key_taken_away),
+    scenario("a customer's key is taken away, all are dropped, and all machines are started again", key_taken_away_before_restart),
     scenario("answers without a length", without_length, server=UnframedServer),
     scenario("answers without a length that are cut short", cut_short, server=CutShortServer),
 ]
