--- a/packages/configuration/config_item.cpp
+++ b/packages/configuration/config_item.cpp
@@ -44,8 +44,37 @@
   if (item->IsObject()) item->EraseMember("generation");
   return document;
 }
+
+/// Null if it is no object, or has no such member.
+rapidjson::Value const* member_of(rapidjson::Value const& object, char const* name) {
+  if (!object.IsObject()) return nullptr;
+  auto const member = object.FindMember(name);
+  return member == object.MemberEnd() ? nullptr : &member->value;
+}
+
+/// The member `service` of that object, if it has one.
+void append_service(std::vector<std::string>& services, rapidjson::Value const& object) {
+  rapidjson::Value const* const service = member_of(object, "service");
+  if (service != nullptr && service->IsString())
+    services.emplace_back(service->GetString(), service->GetStringLength());
+}
 }  // namespace
 
+std::vector<std::string> services_named_by(ConfigItem const& route) {
+  std::vector<std::string> services;
+  rapidjson::Document document;
+  document.Parse(route.body.data(), route.body.size());
+  rapidjson::Value const* const policy = member_of(document, "policy");
+  rapidjson::Value const* const actuation = policy == nullptr ? nullptr : member_of(*policy, "actuation");
+  if (actuation == nullptr) return services;
+  append_service(services, *actuation);
+  rapidjson::Value const* const split = member_of(*actuation, "split");
+  if (split != nullptr && split->IsArray())
+    for (rapidjson::Value const& share : split->GetArray())
+      append_service(services, share);
+  return services;
+}
+
 bool same_item(ConfigItem const& a, ConfigItem const& b) {
   if (a.key != b.key || a.gen != b.gen || a.gone != b.gone) return false;
   if (a.body == b.body) return true;
--- a/packages/configuration/include/configuration/config_item.hpp
+++ b/packages/configuration/include/configuration/config_item.hpp
@@ -1,6 +1,7 @@
 /// One named item of the configuration, as the replicated state and the disks keep it.
 #pragma once
 #include <string>
+#include <vector>
 
 #include "base/record.hpp"
 #include "base/types.hpp"
@@ -41,6 +42,9 @@
   DB_RECORD(Evacuation, (std::string, zone), (u64, counter), (bool, on));
 };
 
+/// The services that a route's item names; none of an item that is removed or can't be read.
+std::vector<std::string> services_named_by(ConfigItem const& route);
+
 /// Do both mean the same, however their bodies are spelled (order of members, blanks, 1.0 for 1)?
 bool same_item(ConfigItem const& a, ConfigItem const& b);
 
--- a/packages/configuration/include/configuration/merge.hpp
+++ b/packages/configuration/include/configuration/merge.hpp
@@ -14,12 +14,14 @@
   same,             // the items in force already are as new as the change
   clash,            // the change has another body for a version in force
   unknown_service,  // a route names a service that does not exist
+  service_in_use,   // a service is removed that a route in force names
 };
 
 /// Merges `change` into `items`, which are by key and change only if the result is `changed`. A change that was merged
 /// once gives `changed` or `same` ever after, whatever was merged in between. Keys that it takes away from tenants are
 /// kept as former ones.
-/// @param field set to the key (clash) or the path in the call (unknown_service) that was wrong
+/// @param field set to the key (clash), the path in the call (unknown_service), or the service and the route
+/// (service_in_use) that was wrong
 MergeResult join(std::map<std::string, ConfigItem>& items, ConfigChange const& change, std::string& field);
 
 /// Would merging `change` into `items` set anything? Makes no copies.
--- a/packages/configuration/merge.cpp
+++ b/packages/configuration/merge.cpp
@@ -1,6 +1,7 @@
 #include "configuration/merge.hpp"
 
 #include <optional>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -12,6 +13,11 @@
 using ItemMap = std::map<std::string, ConfigItem>;
 using NewerItems = std::map<std::string_view, ConfigItem const*>;
 
+/// A route names a service.
+struct ServiceUse {
+  std::string service, route_key;
+};
+
 // Is the service that a route names in force after the change?
 bool is_known_service(ItemMap const& items, NewerItems const& newer, ServiceReference const& reference) {
   std::string const key = item_key::service(reference.service);
@@ -23,6 +29,34 @@
   return known || (newer.count(reference.key) == 0 && current != items.end());
 }
 
+/// The services that the change takes out of force.
+std::set<std::string> removed_services(ItemMap const& items, NewerItems const& newer) {
+  std::set<std::string> removed;
+  for (auto const& [key, item] : newer) {
+    if (key[0] != item_key::kService || !item->gone) continue;
+    auto const current = items.find(item->key);
+    if (current != items.end() && !current->second.gone) removed.insert(item->key);
+  }
+  return removed;
+}
+
+/// The first route in force after the change that names one of these services, and that service.
+std::optional<ServiceUse> find_use(ItemMap const& items, NewerItems const& newer,
+                                   std::set<std::string> const& services) {
+  auto const use_in = [&services](ConfigItem const& item) -> std::optional<ServiceUse> {
+    if (item.key[0] != item_key::kRoute || item.gone) return std::nullopt;
+    for (std::string const& service : services_named_by(item))
+      if (services.count(item_key::service(service)) > 0) return ServiceUse{service, item.key};
+    return std::nullopt;
+  };
+  for (auto const& [key, item] : items)
+    if (newer.count(key) == 0)
+      if (auto use = use_in(item)) return use;
+  for (auto const& [key, item] : newer)
+    if (auto use = use_in(*item)) return use;
+  return std::nullopt;
+}
+
 ConfigItem const* find_item(ItemMap const& items, std::string const& key) {
   auto const found = items.find(key);
   return found == items.end() ? nullptr : &found->second;
@@ -55,6 +89,11 @@
     field = reference.field;
     return MergeResult::unknown_service;
   }
+  if (std::set<std::string> const removed = removed_services(items, newer); !removed.empty())
+    if (std::optional<ServiceUse> const use = find_use(items, newer, removed)) {
+      field = "service '" + use->service + "': named by " + use->route_key;
+      return MergeResult::service_in_use;
+    }
   if (newer.empty()) return MergeResult::same;
   for (auto const& [key, item] : newer)
     replace_item(items, *item);
--- a/packages/operator_commands/amend_configuration.cpp
+++ b/packages/operator_commands/amend_configuration.cpp
@@ -8,9 +8,20 @@
 std::string service_key(ServiceReference const& reference) {
   return "s/" + reference.service;
 }
+
+std::map<std::string, Generation> versions_of_routes(ReplicatedState const* state) {
+  std::map<std::string, Generation> versions;
+  if (state == nullptr) return versions;
+  for (ConfigItem const& item : state->items)
+    if (item.key[0] == item_key::kRoute) versions.emplace(item.key, item.gen);
+  return versions;
+}
 }  // namespace
 
 AmendConfiguration::AmendConfiguration(ConfigChange change, ReplicatedState const* known) : change_(std::move(change)) {
+  removes_service_ = std::any_of(change_.items.begin(), change_.items.end(),
+                                 [](ConfigItem const& item) { return item.key[0] == item_key::kService && item.gone; });
+  if (removes_service_) known_routes_ = versions_of_routes(known);
   if (known == nullptr || known->items.empty()) return;
   for (ConfigItem const& item : change_.items)
     known_versions_.emplace(item.key, Generation());
@@ -28,8 +39,9 @@
 
 /// Whether another controller may have refused the call at some moment since it came in, though it is allowed
 /// now. merged: the configuration with the change in it.
-bool AmendConfiguration::may_have_been_refused(std::map<std::string, ConfigItem> const& merged) const {
-  return has_item_overtaken(merged) || has_service_changed(merged);
+bool AmendConfiguration::may_have_been_refused(ReplicatedState const& state,
+                                               std::map<std::string, ConfigItem> const& merged) const {
+  return has_item_overtaken(merged) || has_service_changed(merged) || has_route_changed(state);
 }
 
 /// An item of this version may have stood with another body, and has been overtaken since.
@@ -54,6 +66,12 @@
   });
 }
 
+/// A service that it removes may have been named by a route then. Routes are not looked at one by one: such changes are
+/// rare, and a caller sends an undecided one again.
+bool AmendConfiguration::has_route_changed(ReplicatedState const& state) const {
+  return removes_service_ && versions_of_routes(&state) != known_routes_;
+}
+
 CommandResult AmendConfiguration::apply(ReplicatedState& state) const {
   auto merged = state.by_key();
   std::string field;
@@ -63,9 +81,10 @@
       return CommandResult::refused(CommandStatus::conflict, field + ": another body stands under this generation");
     case MergeResult::unknown_service:
       return CommandResult::refused(CommandStatus::invalid, field + ": unknown service");
+    case MergeResult::service_in_use: return CommandResult::refused(CommandStatus::invalid, field);
     case MergeResult::changed: break;
   }
-  if (may_have_been_refused(merged)) return CommandResult::undecided("other changes came between");
+  if (may_have_been_refused(state, merged)) return CommandResult::undecided("other changes came between");
   state.items.clear();
   for (auto& [key, item] : merged)
     state.items.push_back(std::move(item));
--- a/packages/operator_commands/include/operator_commands/amend_configuration.hpp
+++ b/packages/operator_commands/include/operator_commands/amend_configuration.hpp
@@ -22,13 +22,16 @@
 
  private:
   Generation known_version(std::string const& key) const;
-  bool may_have_been_refused(std::map<std::string, ConfigItem> const& merged) const;
+  bool may_have_been_refused(ReplicatedState const& state, std::map<std::string, ConfigItem> const& merged) const;
   bool has_item_overtaken(std::map<std::string, ConfigItem> const& merged) const;
   bool has_service_changed(std::map<std::string, ConfigItem> const& merged) const;
+  bool has_route_changed(ReplicatedState const& state) const;
 
   ConfigChange change_;
   /// What was known of its items and of the services that they name, by key.
   std::unordered_map<std::string, Generation> known_versions_;
+  bool removes_service_ = false;
+  std::map<std::string, Generation> known_routes_;  // by key; only if it removes a service
 };
 
 }  // namespace dockbend
