Soak: the scenario scripts change the configuration by one method of the stage

names, repeats, unlike_routes, settings_in_force and local_replies each sent changes and counted versions in their own way; Stage.change does it for all, and a refusal is a complaint everywhere (local_replies and settings_in_force did not say so, or ended). upgrade.py changes a client's key between releases, reads it back from all controllers, and repeats an operation whose client's key was taken away at the end.

--- a/tests/soak/local_replies.py
+++ b/tests/soak/local_replies.py
@@ -27,7 +27,6 @@
 ANSWER_LIMIT_S, CLOSE_LIMIT_S = 20.0, 2.0
 # Nothing more comes within this time behind an answer on a connection that stays open.
 QUIET_LIMIT_S = 0.2
-APPLY_S = 2.5
 # A directory names nobody for so long after its first proxy has registered.
 DIRECTORY_START_S = 2.0
 # The library lets no other method to this port.
@@ -176,16 +175,14 @@
 
 async def large_bodies(trial: Trial) -> None:
     """Refused by the library, by their stated length."""
-    await trial.stage.system.amend({"upsert": {"limits": {**limits(15, generation=2), "bodyBytes": SMALL_LIMIT}}})
-    await asyncio.sleep(APPLY_S)
+    await trial.stage.change({"limits": {**limits(15), "bodyBytes": SMALL_LIMIT}})
     methods = ("GET", *WITH_BODY)
     await trial.twice(413, lambda method: message(method, "/read/quick", body=b"u" * LARGE_BODY), methods)
 
 
 async def stated_body_of_head_request(trial: Trial) -> None:
     """A HEAD that states a body, over the limit."""
-    await trial.stage.system.amend({"upsert": {"limits": {**limits(15, generation=2), "bodyBytes": SMALL_LIMIT}}})
-    await asyncio.sleep(APPLY_S)
+    await trial.stage.change({"limits": {**limits(15), "bodyBytes": SMALL_LIMIT}})
     await trial.twice(400, lambda method: message(method, "/read/quick", body=b"u" * LARGE_BODY), ("HEAD",))
 
 
@@ -238,10 +235,10 @@
 
 async def over_quota(trial: Trial) -> None:
     """Of a tenant that may send nothing for now."""
-    tenant = {"name": TENANTS[0], "keys": [f"key-{TENANTS[0]}"], "rank": 1, "generation": "00000002",
-              "allowance": {"rate": 0.001, "burst": 1}}
-    await trial.stage.system.amend({"upsert": {"customers": [tenant]}})
-    await asyncio.sleep(APPLY_S + 4.0)
+    allowance = {"rate": 0.001, "burst": 1}
+    await trial.stage.change({"customers": [
+        {"name": TENANTS[0], "keys": [f"key-{TENANTS[0]}"], "rank": 1, "allowance": allowance}]})
+    await asyncio.sleep(4.0)
     more = (f"Authorization: Token key-{TENANTS[0]}",)
     wire = await Wire.open(trial.front)  # takes what token there is
     wire.send(message("GET", "/limited/quick", more=more))
@@ -251,9 +248,7 @@
 
 async def last_tenant_dropped(trial: Trial) -> None:
     """Routes that need a key go on needing one."""
-    removals = [{"name": name, "generation": "00000002"} for name in TENANTS]
-    await trial.stage.system.amend({"remove": {"customers": removals}})
-    await asyncio.sleep(APPLY_S)
+    await trial.stage.change(removed_customers=TENANTS)
     for key in (f"key-{TENANTS[0]}", "key-of-nobody"):
         more = (f"Authorization: Token {key}",)
         await trial.twice(401, lambda method, more=more: message(method, "/limited/quick", more=more))
--- a/tests/soak/names.py
+++ b/tests/soak/names.py
@@ -8,16 +8,14 @@
 """
 
 import asyncio
-import itertools
 import sys
 from collections.abc import Awaitable, Callable
 
 from clients import Call
 from ledger import Kind, Request
 from scenarios import Scenario, check_rules_and_complaints, run
-from stage import HOST, SERVICE, Stage
+from stage import SERVICE, Stage, routes_of_host
 
-APPLY_BOUND_S = 2.5
 SEPARATORS = ("/", "|", "%", "@", ":", ",", "%2F", "//")
 KEYED_TARGET, TIME_S = "/signed/seconds-0.05", 3.0
 PARTS = ("print", "budapest", "1")
@@ -26,26 +24,11 @@
 class Trial:
     def __init__(self, stage: Stage):
         self.stage = stage
-        self._generations = itertools.count(2)
-
-    async def set_items(self, upsert: dict) -> int:
-        """Sets items under a new version, and waits until they have to be in force."""
-        version = f"{next(self._generations):08x}"
-        for tenant in upsert.get("customers", []):
-            tenant["generation"] = version
-        for socket in upsert.get("sockets", []):
-            for policy in socket["policy"]:
-                policy["generation"] = version
-        status = await self.stage.system.amend({"upsert": upsert})
-        await asyncio.sleep(APPLY_BOUND_S)
-        return status
 
     async def set_tenants(self, names: list[str]) -> None:
         tenants = [{"name": name, "keys": [token_of(name)], "rank": 1} for name in names]
-        status = await self.set_items({"customers": tenants, "sockets": [
-            {"host": HOST, "policy": [keyed_route("signed", "/signed/"), keyed_route("open", "/open/", is_keyless=True)]}]})
-        if status != 200:
-            self.stage.complaints.append(f"the tenants were answered with {status}")
+        routes = routes_of_host(keyed_route("signed", "/signed/"), keyed_route("open", "/open/", is_keyless=True))
+        await self.stage.change({"customers": tenants, **routes})
 
     async def pay(self, tenant: str | None, key: str) -> Request:
         headers = {"Authorization": f"Token {token_of(tenant)}"} if tenant is not None else {}
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -13,10 +13,10 @@
 from collections.abc import Awaitable, Callable
 
 from clients import Call
-from ledger import Kind, Request
+from ledger import QUIET_S, Kind, Request
 from scenarios import Scenario, check_rules_and_complaints, run
 from special_servers import CutShortServer, UnframedServer
-from stage import FAR, HOST, TENANTS, Stage, route
+from stage import FAR, TENANTS, Stage, route, routes_of_host
 from stand_in_server import StandInServer
 from system import ZONES
 
@@ -27,7 +27,6 @@
 FORGOTTEN_AFTER_S = 1.25 * KEY_HORIZON_S + 5 + 1.5
 SETTLE_S = 1.0
 CUSTOMER = "ivy"  # without a limit
-APPLY_BOUND_S, QUIET_S = 2.5, 4.0
 HOME, OTHER_HOME = ZONES[FAR], "east"
 HOME_CONTROLLER = list(ZONES).index(FAR)  # its only core machine
 
@@ -36,7 +35,6 @@
     def __init__(self, stage: Stage):
         self.stage = stage
         self.headers: dict[str, str] = {}  # of all requests
-        self._generation = 1
 
     async def pay(self, number: int, proxy: int, generation: str = "") -> Request:
         """generation: tells operations apart that have the same key at different times."""
@@ -54,30 +52,13 @@
         return await asyncio.gather(*(self.pay(n, proxy) for n in range(KEYS) for proxy in range(PROXIES)))
 
     async def set_homes(self, homes: list[str]) -> None:
-        self._generation += 1
-        policy = route("pay", Kind.KEYED, "/pay/", self._generation)
+        policy = route("pay", Kind.KEYED, "/pay/")
         policy["actuation"]["homeRegions"] = homes
-        status = await self.stage.system.amend({"upsert": {"sockets": [{"host": HOST, "policy": [policy]}]}})
-        if status != 200:
-            self.stage.complaints.append(f"the homes {homes} were answered with {status}")
-        await asyncio.sleep(APPLY_BOUND_S)
+        await self.stage.change(routes_of_host(policy))
 
     async def set_key(self, tenant: str, key: str) -> None:
         """In place of those that the tenant had."""
-        self._generation += 1
-        customer = {"name": tenant, "keys": [key], "rank": 1, "generation": f"{self._generation:08x}"}
-        status = await self.stage.system.amend({"upsert": {"customers": [customer]}})
-        if status != 200:
-            self.stage.complaints.append(f"the key of {tenant} was answered with {status}")
-        await asyncio.sleep(APPLY_BOUND_S)
-
-    async def drop_tenants(self, names: list[str]) -> None:
-        self._generation += 1
-        removals = [{"name": name, "generation": f"{self._generation:08x}"} for name in names]
-        status = await self.stage.system.amend({"remove": {"customers": removals}})
-        if status != 200:
-            self.stage.complaints.append(f"the removal of {names} was answered with {status}")
-        await asyncio.sleep(APPLY_BOUND_S)
+        await self.stage.change({"customers": [{"name": tenant, "keys": [key], "rank": 1}]})
 
     def expect(self, what: str, requests: list[Request], expected: Callable[[Request], bool]) -> None:
         """The requests are told in the report, and each that is not as expected is a complaint."""
@@ -169,7 +150,7 @@
     first = await trial.pay_all(0, PROXIES)
     trial.expect("first operations", first, is_served)
     await trial.set_key(CUSTOMER, "another")
-    await trial.drop_tenants([CUSTOMER, *TENANTS])
+    await trial.stage.change(removed_customers=(CUSTOMER, *TENANTS))
     machines = trial.stage.system.controller_machines + trial.stage.system.proxy_machines
     for machine in machines:
         machine.kill_now()
--- a/tests/soak/settings_in_force.py
+++ b/tests/soak/settings_in_force.py
@@ -14,13 +14,12 @@
 
 import http_messages
 from http_messages import BrokenMessage
-from ledger import Kind
+from ledger import APPLY_BOUND_S, Kind
 from scenarios import Scenario, run
 from special_servers import RefusingServer
-from stage import DEADLINE_S, FAR, HOST, TENANTS, Stage, route
+from stage import DEADLINE_S, FAR, HOST, TENANTS, Stage, route, routes_of_host
 from stand_in_server import StandInServer
 
-APPLY_BOUND_S = 2.5
 # The middle one is between the others, by more than all slack.
 LOW, MIDDLE, HIGH = 0, 1, 2
 BODY_BYTES = (100_000, 1_000_000, 4_000_000)
@@ -104,32 +103,25 @@
 
     def __init__(self, stage: Stage):
         self.stage = stage
-        self._generation = 1
 
     async def set_limits(self, body: int = HIGH, head: int = LOW, idle: int = HIGH) -> None:
         limits = {"headerBytes": HEAD_BYTES[head], "bodyBytes": BODY_BYTES[body], "headerDeadlineS": 3,
                   "idleTimeoutS": IDLE_S[idle]}
-        await self._change({"limits": {**limits, "generation": self._next_version()}})
+        await self._change({"limits": limits})
 
     async def set_deadline(self, seconds: float) -> None:
-        policy = {**route("read", Kind.IDEMPOTENT, "/read/"), "generation": self._next_version()}
+        policy = route("read", Kind.IDEMPOTENT, "/read/")
         policy["actuation"]["deadlineS"] = seconds
-        await self._change({"sockets": [{"host": HOST, "policy": [policy]}]})
+        await self._change(routes_of_host(policy))
 
     async def set_allowance(self, rate: int) -> None:
-        tenant = {"name": TENANTS[0], "keys": [f"key-{TENANTS[0]}"], "rank": 1, "generation": self._next_version(),
-                  "allowance": {"rate": rate, "burst": rate}}
-        await self._change({"customers": [tenant]})
+        allowance = {"rate": rate, "burst": rate}
+        await self._change({"customers": [
+            {"name": TENANTS[0], "keys": [f"key-{TENANTS[0]}"], "rank": 1, "allowance": allowance}]})
 
-    def _next_version(self) -> str:
-        self._generation += 1
-        return f"{self._generation:08x}"
-
-    async def _change(self, items: dict) -> None:
-        """Sets items, and waits until they have to be in force."""
-        if await self.stage.system.amend({"upsert": items}) != 200:
+    async def _change(self, upsert: dict) -> None:
+        if not await self.stage.change(upsert):
             raise RuntimeError("the change was not taken")
-        await asyncio.sleep(APPLY_BOUND_S)
 
     async def client(self) -> Client:
         return await Client(self.stage).open()
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -1,6 +1,7 @@
 """A small system of real processes, on which one scenario is played: controllers, proxies and servers, mostly one each."""
 
 import asyncio
+import itertools
 import pathlib
 import random
 import re
@@ -8,7 +9,7 @@
 
 from clients import Call, ClientGroup
 from http_messages import Message
-from ledger import Kind, Ledger, Request, Run, RunEnd, watch_lag
+from ledger import APPLY_BOUND_S, Kind, Ledger, Request, Run, RunEnd, watch_lag
 from stand_in_server import StandInServer, Work
 from system import Machine, System
 
@@ -52,6 +53,25 @@
                        "sockets": [{"host": HOST, "policy": policy}], "pools": [pool]}, "remove": {"routes": []}}
 
 
+def with_version(upsert: dict, version: str) -> dict:
+    """The same items, all under this version."""
+    changed = dict(upsert)
+    if "limits" in upsert:
+        changed["limits"] = {**upsert["limits"], "generation": version}
+    for list_name in ("customers", "pools"):
+        if list_name in upsert:
+            changed[list_name] = [{**item, "generation": version} for item in upsert[list_name]]
+    if "sockets" in upsert:
+        changed["sockets"] = [{**socket, "policy": [{**policy, "generation": version} for policy in socket["policy"]]}
+                              for socket in upsert["sockets"]]
+    return changed
+
+
+def routes_of_host(*policies: dict) -> dict:
+    """For Stage.change()."""
+    return {"sockets": [{"host": HOST, "policy": list(policies)}]}
+
+
 def work_of(request: Message) -> Work:
     """A target may state the seconds of work and the bytes of the answer: /read/seconds-0.5/bytes-1000."""
     if "quick" in request.target:
@@ -73,6 +93,7 @@
         self.complaints: list[str] = []  # of the scenario itself, beside the judge's findings
         self.outcomes: list[str] = []  # in words, for the report
         self._idle_timeout_s = idle_timeout_s
+        self._generations = itertools.count(2)  # 1: the stage's own configuration
         self._lag_watch: asyncio.Task | None = None
 
     async def start(self, first_server: type[StandInServer]) -> None:
@@ -98,6 +119,18 @@
         await server.start(self.system.controllers)
         return server
 
+    async def change(self, upsert: dict | None = None, removed_customers: tuple[str, ...] = ()) -> bool:
+        """Sends items of the configuration under a version of their own, and waits until they have to be in force. What is
+        refused is a complaint."""
+        version = f"{next(self._generations):08x}"
+        removals = [{"name": name, "generation": version} for name in removed_customers]
+        change = {"upsert": with_version(upsert or {}, version), "remove": {"customers": removals}}
+        status = await self.system.amend(change)
+        if status != 200:
+            self.complaints.append(f"a change was answered with {status}: {change}")
+        await asyncio.sleep(APPLY_BOUND_S)
+        return status == 200
+
     def send(self, kind: Kind, target: str, body: bytes = b"", time_left_s: float = DEADLINE_S, key: str = "",
              sends_within_s: float = 0.0, **fields) -> asyncio.Task:
         """fields: others of Call."""
--- a/tests/soak/unlike_routes.py
+++ b/tests/soak/unlike_routes.py
@@ -14,9 +14,8 @@
 from clients import Call
 from ledger import Kind
 from scenarios import Scenario, check_rules_and_complaints, run
-from stage import HOST, Stage, route
+from stage import Stage, route, routes_of_host
 
-APPLY_BOUND_S = 2.5
 TIME_S = 6.0
 # So many requests of the long route at a time, for so long that a proxy's smoothed estimates are theirs.
 LONG_AT_ONCE, LONG_WORK_S, LONG_AIM_S, LONG_FOR_S = 6, 0.4, 2.5, 14.0
@@ -28,15 +27,10 @@
 class Trial:
     def __init__(self, stage: Stage):
         self.stage = stage
-        self._generation = 1
 
     async def add_route(self, name: str, kind: Kind, aim_s: float, rank: int) -> None:
-        self._generation += 1
-        policy = {**route(name, kind, f"/{name}/", self._generation), "setpointS": aim_s, "rank": rank}
-        status = await self.stage.system.amend({"upsert": {"sockets": [{"host": HOST, "policy": [policy]}]}})
-        if status != 200:
-            self.stage.complaints.append(f"the route {name} was answered with {status}")
-        await asyncio.sleep(APPLY_BOUND_S)
+        policy = {**route(name, kind, f"/{name}/"), "setpointS": aim_s, "rank": rank}
+        await self.stage.change(routes_of_host(policy))
 
     async def load_long(self, name: str) -> None:
         """One request after the other, on several connections."""
--- a/tests/soak/upgrade.py
+++ b/tests/soak/upgrade.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """A rolling upgrade of a system of real processes, machine by machine, while keys are in their window: a key that was
 answered is repeated whichever releases are beside each other, none runs again, and no tenant gets another's answer.
+Changes that take a client's key away are taken and read back meanwhile.
 By hand, for it needs the programs of an older build.
 
     tests/soak/upgrade.py OLD_BUILD NEW_BUILD [--keep DIR]
@@ -16,14 +17,15 @@
 
 import judge
 from clients import Call
-from ledger import Kind
-from stage import Stage
+from ledger import Kind, Request
+from stage import Stage, routes_of_host
 from stand_in_server import StandInServer
 
 CONTROLLERS, PROXIES = 3, 3
 TENANTS = ("ada", "print", "print/budapest")
 OPERATIONS = (("ada", "1"), ("ada", "a/b"), ("print", "plain"), ("print/budapest", "plain"))
-TARGET, TIME_S, SETTLE_S = "/signed/seconds-0.05", 3.0, 2.0
+TARGET, OPEN_TARGET, TIME_S, SETTLE_S = "/signed/seconds-0.05", "/pay/seconds-0.05", 3.0, 2.0
+CLIENT = "ivy"  # whose key is changed again and again
 # Programs before 2026-12-08 took these for one: asked for once none of them takes part any more.
 SHARING_OPERATIONS = (("print", "budapest/odd"), ("print/budapest", "odd"))
 
@@ -43,18 +45,39 @@
             await asyncio.sleep(SETTLE_S)
             await self._stage.system.wait_until_ready()
             await self._ask_all(f"after {number + 1} of {len(machines)}", OPERATIONS)
+            await self._give_key(f"ivy-{number}")
         await self._ask_all("at the end", OPERATIONS + SHARING_OPERATIONS)
+        await self._repeat_without_key()
 
     async def _add_tenants(self) -> None:
-        version = "00000002"
-        tenants = [{"name": name, "keys": [f"key-{name}"], "rank": 1, "generation": version} for name in TENANTS]
-        policy = {"name": "signed", "kind": "keyed", "setpointS": 1.0, "rank": 1, "generation": version,
-                  "selector": {"pathPrefix": "/signed/"},
+        tenants = [{"name": name, "keys": [f"key-{name}"], "rank": 1} for name in TENANTS]
+        policy = {"name": "signed", "kind": "keyed", "setpointS": 1.0, "rank": 1, "selector": {"pathPrefix": "/signed/"},
                   "actuation": {"service": "estimator", "deadlineS": 5, "maxTries": 2, "homeRegions": []}}
-        change = {"upsert": {"customers": tenants, "sockets": [{"host": "record.example", "policy": [policy]}]}}
-        if await self._stage.system.amend(change) != 200:
+        if not await self._stage.change({"customers": tenants, **routes_of_host(policy)}):
             raise RuntimeError("the tenants were not taken")
-        await asyncio.sleep(SETTLE_S)
+
+    async def _give_key(self, key: str) -> None:
+        """In place of the one that this client had."""
+        if not await self._stage.change({"customers": [{"name": CLIENT, "keys": [key], "rank": 1}]}):
+            self.wrong.append(f"the key {key} was not taken")
+        for read in await self._stage.system.read_back():
+            keys = {customer["name"]: customer["keys"] for customer in read["customers"]}
+            if keys.get(CLIENT) != [key]:
+                self.wrong.append(f"{keys.get(CLIENT)} is read back, not {key}")
+
+    async def _repeat_without_key(self) -> None:
+        """On a route that needs no key."""
+        await self._give_key("ivy-first")
+        first = await self._pay("ivy-first", 0)
+        await self._give_key("ivy-second")
+        again = await self._pay("ivy-first", 1)
+        print(f"with a key that was taken away: {first.status}, {again.status}")
+        if (again.status, again.seal) != (200, first.seal):
+            self.wrong.append("an operation was not repeated once its client's key had been taken away")
+
+    async def _pay(self, key: str, proxy: int) -> Request:
+        call = Call(Kind.KEYED, OPEN_TARGET, TIME_S, b"pay", "open", headers={"Authorization": f"Token {key}"})
+        return await self._stage.clients.send(call, proxy)
 
     async def _ask_all(self, when: str, operations: tuple[tuple[str, str], ...]) -> None:
         """Each operation at each proxy; what was answered once is answered so again."""
