--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -33,6 +33,7 @@
 
 echo "--- with real processes: attempts at work, clients that leave, acknowledgements, settings, own answers, names, repeats, unlike routes, a short soak"
 tests/soak/judge_test.py
+tests/soak/system_test.py
 tests/soak/incident_course.py $build
 tests/soak/client_disconnects.py $build
 tests/soak/after_acknowledgement.py $build
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -50,6 +50,7 @@
     try:
         await stage.start(scenario.first_server)
         await scenario.play(stage)
+        stage.note_crashes()
     finally:
         await stage.stop()
     return check(scenario, stage)
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -105,6 +105,11 @@
         self.system.first_start_is_over()
         await self.system.wait_until_ready()
 
+    def note_crashes(self) -> None:
+        """A process that has ended, though nobody had ended it, is a complaint."""
+        self.system.note_crashes()
+        self.complaints += [f"a process ended by itself: {process}" for process in self.ledger.crashed_processes]
+
     async def stop(self) -> None:
         self.clients.close()
         for server in self.servers:
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -18,6 +18,7 @@
 ACCEPTING_PART, IDLE_END_SLACK_S = 0.45, 1.0
 # Until a program's own code runs, a SIGHUP ends it whatever it says: the system's loader is at work.
 LOADING_S = 0.25
+ENDING_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGKILL)
 CONTROL_PORT, DIRECTORY_PORT, FRONT_PORT, READY_PORT = 8146, 8143, 8144, 8140
 # A proxy and its agent meet on 127.0.0.1: each machine of each system has a port there, below the ephemeral ones.
 FIRST_AGENT_PORT, AGENT_PORTS_PER_SYSTEM = 11000, 400
@@ -173,6 +174,7 @@
 
     def send_now(self, number: signal.Signals) -> None:
         """A signal for all its processes, which are not started again if it ends them."""
+        self._is_stopping = self._is_stopping or number in ENDING_SIGNALS
         for process in self._processes:
             process.send(number)
 
