--- a/packages/request/include/request/response_filter.hpp
+++ b/packages/request/include/request/response_filter.hpp
@@ -12,7 +12,7 @@
   no_id,         ///< one without an attempt id: it may be anybody's
   two_ids,       ///< one with two attempt ids
   bare_promise,  ///< 429, 503, 408 or 421 without X-Not-Run
-  broken_frame,  ///< a body length that is missing, doubled or not kept
+  broken_frame,  ///< a body length that is doubled or not kept, or a coding that hides its end
   no_seal,       ///< a success without its seal
   surplus,       ///< bytes behind a complete response
   late_answer,   ///< for a request that is over, or for an attempt that was given up
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -117,15 +117,34 @@
     trial.expect("repeats under other homes", await trial.repeat_everywhere(), is_served)
 
 
-async def key_taken_away(trial: Trial) -> None:
-    """The route needs no key of a client; its requests bear one, which is taken away between two tries."""
+async def pay_and_lose_key(trial: Trial) -> Callable[[Request], bool]:
+    """The route needs no key of a client; its requests bear one, which is taken away after they were answered. Says whether a
+    repeat gets the first answer."""
     await trial.set_key(CUSTOMER, "key")
     trial.headers = {"Authorization": "Token key"}
     first = await trial.pay_all(0, PROXIES)
     trial.expect("first operations", first, is_served)
     await trial.set_key(CUSTOMER, "another")
     seals = [request.seal for request in first]
-    trial.expect("with the key taken away", await trial.pay_all(0, PROXIES), lambda request: request.seal in seals)
+    return lambda request: request.seal in seals
+
+
+async def key_taken_away(trial: Trial) -> None:
+    has_first_answer = await pay_and_lose_key(trial)
+    trial.expect("with the key taken away", await trial.pay_all(0, PROXIES), has_first_answer)
+
+
+async def key_taken_away_before_restart(trial: Trial) -> None:
+    """Then all customers are dropped, and all machines are started again."""
+    has_first_answer = await pay_and_lose_key(trial)
+    await trial.stage.change(removed_customers=(CUSTOMER, *TENANTS))
+    machines = trial.stage.system.controller_machines + trial.stage.system.proxy_machines
+    for machine in machines:
+        machine.kill_now()
+    await asyncio.sleep(SETTLE_S)
+    await asyncio.gather(*(machine.start_again() for machine in machines))
+    await asyncio.sleep(QUIET_S)
+    trial.expect("after the restart", await trial.pay_all(0, PROXIES), has_first_answer)
 
 
 async def without_length(trial: Trial) -> None:
