--- a/packages/configuration/config_item.cpp
+++ b/packages/configuration/config_item.cpp
@@ -1,6 +1,6 @@
 #include "configuration/config_item.hpp"
 
-#include <rapidjson/document.h>
+#include "configuration/json.hpp"
 
 namespace dockbend {
 namespace item_key {
@@ -45,16 +45,9 @@
   return document;
 }
 
-/// Null if it is no object, or has no such member.
-rapidjson::Value const* member_of(rapidjson::Value const& object, char const* name) {
-  if (!object.IsObject()) return nullptr;
-  auto const member = object.FindMember(name);
-  return member == object.MemberEnd() ? nullptr : &member->value;
-}
-
 /// The member `service` of that object, if it has one.
 void append_service(std::vector<std::string>& services, rapidjson::Value const& object) {
-  rapidjson::Value const* const service = member_of(object, "service");
+  rapidjson::Value const* const service = json::find_member(object, "service");
   if (service != nullptr && service->IsString())
     services.emplace_back(service->GetString(), service->GetStringLength());
 }
@@ -64,11 +57,11 @@
   std::vector<std::string> services;
   rapidjson::Document document;
   document.Parse(route.body.data(), route.body.size());
-  rapidjson::Value const* const policy = member_of(document, "policy");
-  rapidjson::Value const* const actuation = policy == nullptr ? nullptr : member_of(*policy, "actuation");
+  rapidjson::Value const* const policy = json::find_member(document, "policy");
+  rapidjson::Value const* const actuation = policy == nullptr ? nullptr : json::find_member(*policy, "actuation");
   if (actuation == nullptr) return services;
   append_service(services, *actuation);
-  rapidjson::Value const* const split = member_of(*actuation, "split");
+  rapidjson::Value const* const split = json::find_member(*actuation, "split");
   if (split != nullptr && split->IsArray())
     for (rapidjson::Value const& share : split->GetArray())
       append_service(services, share);
--- a/packages/configuration/merge.cpp
+++ b/packages/configuration/merge.cpp
@@ -29,13 +29,18 @@
   return known || (newer.count(reference.key) == 0 && current != items.end());
 }
 
+ConfigItem const* find_item(ItemMap const& items, std::string const& key) {
+  auto const found = items.find(key);
+  return found == items.end() ? nullptr : &found->second;
+}
+
 /// The services that the change takes out of force.
 std::set<std::string> removed_services(ItemMap const& items, NewerItems const& newer) {
   std::set<std::string> removed;
   for (auto const& [key, item] : newer) {
     if (key[0] != item_key::kService || !item->gone) continue;
-    auto const current = items.find(item->key);
-    if (current != items.end() && !current->second.gone) removed.insert(item->key);
+    ConfigItem const* const current = find_item(items, item->key);
+    if (current != nullptr && !current->gone) removed.insert(item->key);
   }
   return removed;
 }
@@ -57,11 +62,6 @@
   return std::nullopt;
 }
 
-ConfigItem const* find_item(ItemMap const& items, std::string const& key) {
-  auto const found = items.find(key);
-  return found == items.end() ? nullptr : &found->second;
-}
-
 void replace_item(ItemMap& items, ConfigItem const& newer) {
   if (newer.key[0] == item_key::kTenant) {
     std::string const tenant = newer.key.substr(item_key::tenant("").size());
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -162,24 +162,6 @@
     trial.expect("repeats", await trial.repeat_everywhere(), is_lost)
 
 
-async def key_taken_away_before_restart(trial: Trial) -> None:
-    """The same; then all customers are dropped, and all machines are started again."""
-    await trial.set_key(CUSTOMER, "key")
-    trial.headers = {"Authorization": "Token key"}
-    first = await trial.pay_all(0, PROXIES)
-    trial.expect("first operations", first, is_served)
-    await trial.set_key(CUSTOMER, "another")
-    await trial.stage.change(removed_customers=(CUSTOMER, *TENANTS))
-    machines = trial.stage.system.controller_machines + trial.stage.system.proxy_machines
-    for machine in machines:
-        machine.kill_now()
-    await asyncio.sleep(SETTLE_S)
-    await asyncio.gather(*(machine.start_again() for machine in machines))
-    await asyncio.sleep(QUIET_S)
-    seals = [request.seal for request in first]
-    trial.expect("after the restart", await trial.pay_all(0, PROXIES), lambda request: request.seal in seals)
-
-
 def scenario(name: str, play: Play, more_settings: tuple[str, ...] = (),
              server: type[StandInServer] = StandInServer) -> Scenario:
     async def play_on(stage: Stage) -> None:
