--- a/packages/configuration/compiled_configuration.cpp
+++ b/packages/configuration/compiled_configuration.cpp
@@ -66,10 +66,15 @@
   return route.prefix.back() == '/';
 }
 
+/// Of two of one version the one whose name comes first, so that the order does not depend on who was put first.
+template <class T>
+bool comes_before(T const& a, T const& b) {
+  return a->gen == b->gen ? a->name < b->name : b->gen < a->gen;
+}
+
 template <class T>
 void insert_newest_first(std::vector<T>& list, T const& entry) {
-  auto const older = std::find_if(list.begin(), list.end(), [&](T const& other) { return other->gen < entry->gen; });
-  list.insert(older, entry);
+  list.insert(std::lower_bound(list.begin(), list.end(), entry, comes_before<T>), entry);
 }
 
 template <class Index, class T>
@@ -131,9 +136,9 @@
     insert_newest_first(exact_[route->host + route->prefix], route);
   } else {
     std::vector<RoutePtr>& list = inexact_[route->host];
-    insert_newest_first(list, route);
-    std::stable_sort(list.begin(), list.end(),
-                     [](RoutePtr const& a, RoutePtr const& b) { return a->prefix.size() > b->prefix.size(); });
+    auto const is_longer = [](RoutePtr const& a, RoutePtr const& b) { return a->prefix.size() > b->prefix.size(); };
+    auto const [first, last] = std::equal_range(list.begin(), list.end(), route, is_longer);
+    list.insert(std::lower_bound(first, last, route, comes_before<RoutePtr>), route);
   }
   ++routes_by_rank_[route->rank];
   routes_[key] = route;
@@ -146,10 +151,12 @@
 }
 
 void CompiledConfiguration::add_former_keys(ConfigItem const& item) {
-  auto const tenant = std::make_shared<FormerTenant const>(FormerTenant{read_former_keys(item), item.gen});
-  for (std::string const& api_key : tenant->former.keys)
-    insert_newest_first(former_tenants_by_api_key_[api_key], tenant);
-  former_tenants_[item.key] = tenant;
+  FormerKeys const former = read_former_keys(item);
+  for (FormerKey const& key : former.keys) {
+    auto const holding = std::make_shared<FormerHolding const>(FormerHolding{key.key, former.tenant, key.since});
+    insert_newest_first(former_holdings_by_api_key_[key.key], holding);
+    former_holdings_[item.key].push_back(holding);
+  }
 }
 
 void CompiledConfiguration::remove(std::string const& key) {
@@ -181,12 +188,11 @@
 }
 
 void CompiledConfiguration::remove_former_keys(std::string const& key) {
-  auto const found = former_tenants_.find(key);
-  if (found == former_tenants_.end()) return;
-  FormerTenantPtr const tenant = found->second;
-  for (std::string const& api_key : tenant->former.keys)
-    erase_entry(former_tenants_by_api_key_, api_key, tenant);
-  former_tenants_.erase(found);
+  auto const found = former_holdings_.find(key);
+  if (found == former_holdings_.end()) return;
+  for (FormerHoldingPtr const& holding : found->second)
+    erase_entry(former_holdings_by_api_key_, holding->api_key, holding);
+  former_holdings_.erase(found);
 }
 
 RoutePtr CompiledConfiguration::find_inexact(std::string_view host, std::string_view path) const {
@@ -221,8 +227,8 @@
 }
 
 std::string const* CompiledConfiguration::former_tenant_of(std::string_view key) const {
-  auto const list = former_tenants_by_api_key_.find(key);
-  return list == former_tenants_by_api_key_.end() ? nullptr : &list->second.front()->former.tenant;
+  auto const list = former_holdings_by_api_key_.find(key);
+  return list == former_holdings_by_api_key_.end() ? nullptr : &list->second.front()->name;
 }
 
 TenantPtr CompiledConfiguration::tenant(std::string_view name) const {
--- a/packages/configuration/include/configuration/compiled_configuration.hpp
+++ b/packages/configuration/include/configuration/compiled_configuration.hpp
@@ -80,8 +80,8 @@
   std::vector<TenantPtr> tenants() const;
   /// Was a tenant ever set? Requests need a key from then on, though the last tenant may have been removed since.
   bool has_tenants() const { return has_had_tenants_; }
-  /// The name of the tenant that this API key was taken away from; null if there is none. Of several the one holds
-  /// whose item is newest.
+  /// The name of the tenant that this API key was taken away from; null if there is none. Of several the one holds that
+  /// lost it last.
   std::string const* former_tenant_of(std::string_view key) const;
 
   /// The service of that name, valid until the next put(); null if there is none.
@@ -104,12 +104,13 @@
   template <class T>
   using Index = std::unordered_map<std::string, std::vector<T>, StringHash, std::equal_to<>>;
 
-  /// A tenant and the API keys that it no longer has.
-  struct FormerTenant {
-    FormerKeys former;
-    Generation gen;  // the item's version
+  /// An API key, and the tenant that it was taken away from.
+  struct FormerHolding {
+    std::string api_key;
+    std::string name;  // the tenant's
+    Generation gen;    // see FormerKey::since
   };
-  using FormerTenantPtr = std::shared_ptr<FormerTenant const>;
+  using FormerHoldingPtr = std::shared_ptr<FormerHolding const>;
 
   void set(ConfigItem const& item);
   void set_limits(schema::Limits const& limits);
@@ -129,8 +130,8 @@
   Index<RoutePtr> exact_;                // by host + prefix; prefixes that end with a slash; newest first
   Index<RoutePtr> inexact_;              // by host; the other prefixes; longest first, then newest
   Index<TenantPtr> tenants_by_api_key_;  // newest first
-  std::map<std::string, FormerTenantPtr> former_tenants_;  // by item key
-  Index<FormerTenantPtr> former_tenants_by_api_key_;       // newest first
+  std::map<std::string, std::vector<FormerHoldingPtr>> former_holdings_;  // by item key
+  Index<FormerHoldingPtr> former_holdings_by_api_key_;                    // newest first
   bool has_had_tenants_ = false;
   std::map<std::string, ServiceConfig> pools_;  // by the name in the item key
   std::map<u32, std::size_t> routes_by_rank_;   // how many routes have each rank; no zeros
--- a/packages/configuration/include/configuration/merge.hpp
+++ b/packages/configuration/include/configuration/merge.hpp
@@ -15,13 +15,14 @@
   clash,            // the change has another body for a version in force
   unknown_service,  // a route names a service that does not exist
   service_in_use,   // a service is removed that a route in force names
+  no_room,          // it takes away keys for which there is no room before earlier ones are let go
 };
 
 /// Merges `change` into `items`, which are by key and change only if the result is `changed`. A change that was merged
 /// once gives `changed` or `same` ever after, whatever was merged in between. Keys that it takes away from tenants are
 /// kept as former ones.
-/// @param field set to the key (clash), the path in the call (unknown_service), or the service and the route
-/// (service_in_use) that was wrong
+/// @param field set to the key (clash), the path in the call (unknown_service), the service and the route
+/// (service_in_use), or the part of the call (no_room) that was wrong
 MergeResult join(std::map<std::string, ConfigItem>& items, ConfigChange const& change, std::string& field);
 
 /// Would merging `change` into `items` set anything? Makes no copies.
--- a/packages/configuration/merge.cpp
+++ b/packages/configuration/merge.cpp
@@ -10,7 +10,6 @@
 
 namespace dockbend {
 namespace {
-using ItemMap = std::map<std::string, ConfigItem>;
 using NewerItems = std::map<std::string_view, ConfigItem const*>;
 
 /// A route names a service.
@@ -62,14 +61,11 @@
   return std::nullopt;
 }
 
-void replace_item(ItemMap& items, ConfigItem const& newer) {
-  if (newer.key[0] == item_key::kTenant) {
-    std::string const tenant = newer.key.substr(item_key::tenant("").size());
-    ConfigItem const* const former = find_item(items, item_key::former_keys(tenant));
-    if (std::optional<ConfigItem> changed = former_keys_after(former, find_item(items, newer.key), newer))
-      items[changed->key] = std::move(*changed);
-  }
-  items[newer.key] = newer;
+std::vector<ConfigItem const*> tenants_among(NewerItems const& newer) {
+  std::vector<ConfigItem const*> tenants;
+  for (auto const& [key, item] : newer)
+    if (key[0] == item_key::kTenant) tenants.push_back(item);
+  return tenants;
 }
 }  // namespace
 
@@ -95,8 +91,15 @@
       return MergeResult::service_in_use;
     }
   if (newer.empty()) return MergeResult::same;
+  std::vector<ConfigItem> former_keys = former_keys_after(items, tenants_among(newer));
+  if (!has_room_for(items, former_keys)) {
+    field = "customers: too many keys were taken away lately";
+    return MergeResult::no_room;
+  }
   for (auto const& [key, item] : newer)
-    replace_item(items, *item);
+    items[item->key] = *item;
+  for (ConfigItem& former : former_keys)
+    items[former.key] = std::move(former);
   return MergeResult::changed;
 }
 
--- a/packages/controller/controller.cpp
+++ b/packages/controller/controller.cpp
@@ -31,6 +31,7 @@
       surveys_(context_, directory_, registry_),
       drains_(context_, directory_, registry_, surveys_, leases_),
       consensus_(context_),
+      former_keys_(context_),
       session_listener_(loop, Address{settings.ip, settings.innerFirst}),
       idempotency_(load_disk()),
       membership_(context_, *idempotency_, steady_now()),
@@ -63,6 +64,7 @@
     event_base_loopbreak(context_.loop);
   });
   StoredState const stored = consensus_.open();
+  if (stored.value) former_keys_.load(*stored.value);
   auto idempotency = std::make_unique<IdempotencyService>(context_, stored.keys_filled);
   idempotency->load(stored.keys, stored.answers);
   try {  // rows that can't be read come again with the heartbeats
@@ -77,7 +79,14 @@
 }
 
 void Controller::connect_signals() {
-  consensus_.on_view().connect([this] { usage_.on_windows_fixed(context_.view.to_fix); });
+  consensus_.on_view().connect([this] {
+    usage_.on_windows_fixed(context_.view.to_fix);
+    former_keys_.on_view();
+  });
+  consensus_.on_items_changed().connect(
+      [this](std::vector<ConfigItem> const& old_items, std::vector<ConfigItem> const& changed) {
+        former_keys_.on_items_changed(old_items, changed);
+      });
   consensus_.on_committed.connect([this](bool membership_changed) { on_state_committed(membership_changed); });
   idempotency_->on_whole.connect([this] { membership_.update_own_entry_soon(); });
   prober_.on_change.connect([this](bool is_in_contact) { on_contact_changed(is_in_contact); });
@@ -160,6 +169,7 @@
   rollouts_.tick(now);
   leases_.tick(now);
   usage_.tick(now);
+  former_keys_.tick(now);
   quotas_.tick(now);
   drains_.tick(now);
   directory_.tell_sites(now);
--- a/packages/controller/idempotency_service.cpp
+++ b/packages/controller/idempotency_service.cpp
@@ -209,7 +209,7 @@
 }
 
 Seconds IdempotencyService::horizon() const {
-  return context_.settings.bounds.keyHorizonS * 1.25 + 5;
+  return key_binding_time(context_.settings.bounds.keyHorizonS);
 }
 
 KeyTable const& IdempotencyService::ledger() const {
--- a/packages/controller/include/controller/consensus_service.hpp
+++ b/packages/controller/include/controller/consensus_service.hpp
@@ -29,6 +29,8 @@
 
   /// The view changed; emitted before the sessions hear of it.
   sigc::signal<void()>& on_view() { return publisher_.on_view; }
+  /// See ViewPublisher::on_items_changed.
+  auto& on_items_changed() { return publisher_.on_items_changed; }
   sigc::signal<void(bool membership_changed)> on_committed;
   /// A new disk took no first write: this controller can't vote.
   sigc::signal<void()> on_first_write_failed;
--- a/packages/controller/include/controller/controller.hpp
+++ b/packages/controller/include/controller/controller.hpp
@@ -4,6 +4,7 @@
 #include "controller/control_api.hpp"
 #include "controller/controller_services.hpp"
 #include "controller/digest_gossip.hpp"
+#include "controller/former_key_service.hpp"
 #include "controller/http_listener.hpp"
 #include "controller/inbound_sessions.hpp"
 #include "controller/outbound_peers.hpp"
@@ -62,6 +63,7 @@
   SurveyService surveys_;
   DrainService drains_;
   ConsensusService consensus_;
+  FormerKeyService former_keys_;
   Listener session_listener_;
   std::unique_ptr<IdempotencyService> idempotency_;  // by pointer: made of what the disk holds
   MembershipService membership_;
--- a/packages/controller/include/controller/idempotency_service.hpp
+++ b/packages/controller/include/controller/idempotency_service.hpp
@@ -46,7 +46,7 @@
   void roster_changed();
   /// Sends our stored answers to that peer, the newest first, at most 100 at each call; true once all are sent.
   bool hand_on(std::string const& ip);
-  /// Drops keys and stored answers older than the horizon, 1.25 keyHorizonS + 5 s.
+  /// Drops keys and stored answers older than key_binding_time().
   void forget_old(Seconds now);
   KeyTable const& ledger() const;  ///< this disk's keys
 
--- a/packages/controller/include/controller/view_publisher.hpp
+++ b/packages/controller/include/controller/view_publisher.hpp
@@ -16,6 +16,8 @@
 
   /// The view changed; emitted before the sessions hear of it.
   sigc::signal<void()> on_view;
+  /// Items of the view that changed, as they are now, beside all items before; not for the first view.
+  sigc::signal<void(std::vector<ConfigItem> const& old_items, std::vector<ConfigItem> const& changed)> on_items_changed;
 
   /// A state was committed. `previous` is the one committed before it; null: there was none.
   void publish(ReplicatedState const* previous, ReplicatedState const& state);
--- a/packages/controller/membership_service.cpp
+++ b/packages/controller/membership_service.cpp
@@ -13,6 +13,7 @@
 constexpr Seconds kReplacePatienceSeconds = 2.0;
 constexpr Seconds kLeavePatienceSeconds = 1.0;
 constexpr Seconds kExitReserveSeconds = 1.5;  // of the grace period, for the end of the process
+constexpr Seconds kKeyBindingMarginSeconds = 5;  // a membership counts as large for longer than its keys bind
 
 /// What came of an operator's removal of a member.
 struct RemovalResult {
@@ -61,7 +62,7 @@
   MembershipMonitorOptions options;
   options.silent = std::max(1.0, 0.5 * bounds.convergeS);
   options.recent = bounds.convergeS + bounds.gracePeriodS;
-  options.horizon = bounds.keyHorizonS * 1.25 + 10;
+  options.horizon = key_binding_time(bounds.keyHorizonS) + kKeyBindingMarginSeconds;
   return options;
 }
 
--- a/packages/controller/view_publisher.cpp
+++ b/packages/controller/view_publisher.cpp
@@ -16,6 +16,7 @@
       update_tenant(item);
   } else {
     StateDelta const delta = delta_of(old_view, context_.view);
+    if (!delta.items.empty()) on_items_changed.emit(old_view.items, delta.items);
     for (ConfigItem const& item : delta.items) {
       item_changed_at_[item.key] = context_.view.ballot;
       update_tenant(item);
--- a/packages/idempotency/include/idempotency/key_table.hpp
+++ b/packages/idempotency/include/idempotency/key_table.hpp
@@ -12,6 +12,12 @@
 
 namespace dockbend {
 
+/// For how long a disk keeps a key, in seconds of its steady clock: longer than the horizon that is promised, for
+/// clocks may differ and the first attempt was sent before its claim.
+constexpr Seconds key_binding_time(Seconds key_horizon) {
+  return 1.25 * key_horizon + 5;
+}
+
 /// Grants each key to the first holder that claims it. An operation that an older program names may be any that shares
 /// its text, so each of these excludes it, and it each of these.
 ///
--- a/packages/operator_commands/amend_configuration.cpp
+++ b/packages/operator_commands/amend_configuration.cpp
@@ -82,6 +82,7 @@
     case MergeResult::unknown_service:
       return CommandResult::refused(CommandStatus::invalid, field + ": unknown service");
     case MergeResult::service_in_use: return CommandResult::refused(CommandStatus::invalid, field);
+    case MergeResult::no_room: return CommandResult::refused(CommandStatus::no_room, field);
     case MergeResult::changed: break;
   }
   if (may_have_been_refused(state, merged)) return CommandResult::undecided("other changes came between");
--- a/packages/operator_commands/command_result.cpp
+++ b/packages/operator_commands/command_result.cpp
@@ -18,6 +18,7 @@
     case CommandStatus::invalid: return 400;
     case CommandStatus::not_found: return 404;
     case CommandStatus::conflict: return 409;
+    case CommandStatus::no_room: return 503;
     case CommandStatus::undecided: break;
   }
   return 504;
--- a/packages/operator_commands/include/operator_commands/command_result.hpp
+++ b/packages/operator_commands/include/operator_commands/command_result.hpp
@@ -13,7 +13,8 @@
   invalid = 2,    ///< it names what nobody has set
   not_found = 3,  ///< what it is about does not exist
   conflict = 4,   ///< another command has its number, or what exists is in its way
-  undecided = 5   ///< not known to be in force: it may be, or may come into force yet; to be sent again
+  undecided = 5,  ///< not known to be in force: it may be, or may come into force yet; to be sent again
+  no_room = 6     ///< nothing was done, for a bound on memory and disk is reached; to be sent again later
 };
 
 /// What came of a command, judged on one replicated value.
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -10,10 +10,11 @@
 import asyncio
 import collections
 import sys
+import time
 from collections.abc import Awaitable, Callable
 
 from clients import Call
-from ledger import QUIET_S, Kind, Request
+from ledger import APPLY_BOUND_S, QUIET_S, Kind, Request
 from scenarios import Scenario, check_rules_and_complaints, run
 from special_servers import CutShortServer, UnframedServer
 from stage import FAR, TENANTS, Stage, route, routes_of_host
@@ -27,6 +28,10 @@
 FORGOTTEN_AFTER_S = 1.25 * KEY_HORIZON_S + 5 + 1.5
 SETTLE_S = 1.0
 CUSTOMER = "ivy"  # without a limit
+MANY_KEYS = [f"key-{n}" for n in range(40)]
+# A key that was taken away is let go at the age of an operation's key and the time that changes take, looked for each 10 s.
+LET_GO_WITHIN_S = FORGOTTEN_AFTER_S + APPLY_BOUND_S + 10.0
+LET_GO = "Former keys are let go"
 HOME, OTHER_HOME = ZONES[FAR], "east"
 HOME_CONTROLLER = list(ZONES).index(FAR)  # its only core machine
 
@@ -56,9 +61,27 @@
         policy["actuation"]["homeRegions"] = homes
         await self.stage.change(routes_of_host(policy))
 
-    async def set_key(self, tenant: str, key: str) -> None:
+    async def set_keys(self, tenant: str, *keys: str) -> None:
         """In place of those that the tenant had."""
-        await self.stage.change({"customers": [{"name": tenant, "keys": [key], "rank": 1}]})
+        await self.stage.change(keys_of(tenant, *keys))
+
+    async def pay_with_keys(self, keys: list[str]) -> list[Request]:
+        """An operation with each of a client's keys."""
+        requests = []
+        for number, key in enumerate(keys):
+            self.headers = {"Authorization": f"Token {key}"}
+            requests.append(await self.pay(number, number % PROXIES))
+        return requests
+
+    async def repeat_with_keys(self, keys: list[str], first: list[Request]) -> None:
+        """At another proxy than the first time each."""
+        self.expect("first operations", first, is_served)
+        seals = [request.seal for request in first]
+        repeats = []
+        for number, key in enumerate(keys):
+            self.headers = {"Authorization": f"Token {key}"}
+            repeats.append(await self.pay(number, (number + 1) % PROXIES))
+        self.expect("repeats", repeats, lambda request: request.seal in seals)
 
     def expect(self, what: str, requests: list[Request], expected: Callable[[Request], bool]) -> None:
         """The requests are told in the report, and each that is not as expected is a complaint."""
@@ -72,6 +95,11 @@
 Play = Callable[[Trial], Awaitable[None]]
 
 
+def keys_of(tenant: str, *keys: str) -> dict:
+    """For Stage.change()."""
+    return {"customers": [{"name": tenant, "keys": list(keys), "rank": 1}]}
+
+
 def is_served(request: Request) -> bool:
     return request.status == 200
 
@@ -120,11 +148,11 @@
 async def pay_and_lose_key(trial: Trial) -> Callable[[Request], bool]:
     """The route needs no key of a client; its requests bear one, which is taken away after they were answered. Says whether a
     repeat gets the first answer."""
-    await trial.set_key(CUSTOMER, "key")
+    await trial.set_keys(CUSTOMER, "key")
     trial.headers = {"Authorization": "Token key"}
     first = await trial.pay_all(0, PROXIES)
     trial.expect("first operations", first, is_served)
-    await trial.set_key(CUSTOMER, "another")
+    await trial.set_keys(CUSTOMER, "another")
     seals = [request.seal for request in first]
     return lambda request: request.seal in seals
 
@@ -147,6 +175,40 @@
     trial.expect("after the restart", await trial.pay_all(0, PROXIES), has_first_answer)
 
 
+async def many_keys_taken_away(trial: Trial) -> None:
+    """A customer has many keys, which one change takes away."""
+    await trial.set_keys(CUSTOMER, *MANY_KEYS)
+    first = await trial.pay_with_keys(MANY_KEYS)
+    await trial.set_keys(CUSTOMER, "another")
+    await trial.repeat_with_keys(MANY_KEYS, first)
+
+
+async def keys_taken_away_in_series(trial: Trial) -> None:
+    """Each change replaces a customer's key, one soon after the other."""
+    await trial.set_keys(CUSTOMER, MANY_KEYS[0])
+    first = await trial.pay_with_keys(MANY_KEYS[:1])
+    for key in MANY_KEYS[1:]:
+        await trial.stage.change(keys_of(CUSTOMER, key), settles_for_s=0.0)
+    await trial.repeat_with_keys(MANY_KEYS[:1], first)
+
+
+async def keys_let_go(trial: Trial) -> None:
+    """Once operations that were begun with a key have lapsed, the key is not known any more. Until then it stays its
+    customer's, though controllers are started again."""
+    has_first_answer = await pay_and_lose_key(trial)
+    lost_at = time.monotonic()
+    for machine in trial.stage.system.controller_machines:
+        await machine.kill()
+    trial.expect("with the key taken away", await trial.pay_all(0, PROXIES), has_first_answer)
+    await asyncio.sleep(max(0.0, lost_at + FORGOTTEN_AFTER_S - time.monotonic()))
+    trial.expect("after their horizon", await trial.pay_all(0, PROXIES, "two"), is_served)
+    await asyncio.sleep(LET_GO_WITHIN_S)
+    known = [machine.log_text().count(LET_GO) for machine in trial.stage.system.controller_machines]
+    trial.stage.outcomes.append(f"let go by {sum(known)} controllers")
+    if sum(known) == 0:
+        trial.stage.complaints.append("the key was not let go")
+
+
 async def without_length(trial: Trial) -> None:
     """The servers' answers end with their connections, in order: each is whole, and is what repeats get."""
     trial.expect("first operations", await trial.pay_all(0, PROXIES), is_served)
@@ -177,6 +239,9 @@
     scenario("a route is given other home regions", homes_changed),
     scenario("a customer's key is taken away", key_taken_away),
     scenario("a customer's key is taken away, all are dropped, and all machines are started again", key_taken_away_before_restart),
+    scenario("forty keys of a customer are taken away by one change", many_keys_taken_away),
+    scenario("forty changes take a customer's key away, one after the other", keys_taken_away_in_series),
+    scenario("a key that was taken away is let go", keys_let_go, (f"bounds.keyHorizonS={KEY_HORIZON_S:g}",)),
     scenario("answers without a length", without_length, server=UnframedServer),
     scenario("answers without a length that are cut short", cut_short, server=CutShortServer),
 ]
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -18,6 +18,7 @@
     HANG_UP = "SIGHUP for a proxy's machine, its settings changed or not"
     CHANGE_SETTINGS = "changed settings without a signal"
     CHANGE_ROUTES = "change of routes and limits"
+    CHANGE_TENANTS = "tenants and their keys are added, changed and taken away"
     RELEASE_SERVER = "a server leaves and another one comes"
     EVACUATE = "a zone is evacuated, and taken back"
     DRAIN_PROXY = "an operator's drain of a proxy, ended after a while"
@@ -67,6 +68,7 @@
     Series(Action.CHANGE_THEN_KILL, 0.4, 8.0),
     Series(Action.EVACUATE_THEN_KILL, 0.2, 10.0),
     Series(Action.KILL_MACHINE, 0.2, 8.0),
+    Series(Action.CHANGE_TENANTS, 0.7, 0.7),
 )
 USUAL_PROXIES = 5
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,6 +31,7 @@
 from special_servers import BreakingServer, FailingServer, FullServer, RefusingServer, SlowReadingServer, StrayAnswerServer
 from stand_in_server import StandInServer, Work
 from system import Machine, System
+from tenants import Tenants
 
 SCRIPT = "tests/soak/soak.py"  # as KNOWN-RED.txt names it
 HOST = "soak.example"
@@ -72,11 +73,11 @@
 )
 
 
-def configuration(generation: int, rng: random.Random) -> dict:
-    """All routes, to services, deadlines and limits that this generation draws."""
+def configuration(generation: int, rng: random.Random, is_keyless: bool) -> dict:
+    """All routes, to services, deadlines and limits that this generation draws. is_keyless: they need no tenant's key."""
     version = f"{generation:08x}"
     policy = [{"name": route.name, "kind": route.kind.value, "setpointS": route.wanted_s, "rank": 1,
-               "generation": version, "selector": {"pathPrefix": route.prefix},
+               "keyless": is_keyless, "generation": version, "selector": {"pathPrefix": route.prefix},
                "actuation": {"split": [{"service": service, "gain": rng.choice((10, 50, 90))} for service in SERVICES],
                              "deadlineS": rng.choice(DEADLINES_S), "maxTries": rng.choice((1, 2, 3)),
                              "homeRegions": []}} for route in ROUTES]
@@ -98,8 +99,8 @@
 class Traffic:
     """Requests in an open loop: each is sent when it is due, whatever became of those before it."""
 
-    def __init__(self, clients: ClientGroup, proxies: int, rate: float, rng: random.Random):
-        self._clients, self._proxies, self._rate, self._rng = clients, proxies, rate, rng
+    def __init__(self, clients: ClientGroup, proxies: int, rate: float, rng: random.Random, tenants: Tenants | None):
+        self._clients, self._proxies, self._rate, self._rng, self._tenants = clients, proxies, rate, rng, tenants
         self._open: set[asyncio.Task] = set()
         self._keys: collections.deque[str] = collections.deque(maxlen=50)
         self._share_disconnecting = rng.choice(SHARES_DISCONNECTING_ALONE)
@@ -119,7 +120,8 @@
         call = Call(route.kind, f"{route.prefix}{self._rng.randrange(1000)}", self._rng.choice((4.0, 6.0, 1.5)))
         call.reads_after_s = self._rng.choice((0.0,) * 9 + (1.0,))
         if route.kind is Kind.KEYED:
-            call.operation_key, call.body = self._draw_key(), b"pay"
+            call.body = b"pay"
+            self._draw_operation(call)
         elif route.kind is Kind.UPLOAD:
             call.body = b"u" * self._rng.choice(UPLOAD_BYTES)
             call.sends_within_s = self._rng.choice((0.0, 0.0, 0.0, 0.4, 2.0))
@@ -129,6 +131,15 @@
             call.disconnect = self._rng.choice(list(Disconnect))
         return call
 
+    def _draw_operation(self, call: Call) -> None:
+        if self._tenants is None:
+            call.operation_key = self._draw_key()
+            return
+        operation = self._tenants.draw_operation()
+        call.operation_key = operation.key
+        if operation.api_key:
+            call.headers["Authorization"] = f"Token {operation.api_key}"
+
     def _draw_key(self) -> str:
         """Some operations are tried again."""
         if self._keys and self._rng.random() < 0.1:
@@ -149,6 +160,7 @@
         self._servers: list[StandInServer] = []
         self._servers_begun = 0
         self._generation = 1
+        self._tenants: Tenants | None = None  # none: the schedule changes none
         self._work_rng = random.Random(seed + 2)
         self.drains_started = 0
         self.actions: collections.Counter = collections.Counter()
@@ -157,10 +169,13 @@
 
     async def play(self) -> None:
         schedule = draw_schedule(self._rng, self._options.length_s, self._options.proxies)
+        if any(event.action is Action.CHANGE_TENANTS for event in schedule):
+            self._tenants = Tenants(random.Random(self._rng.random()))
         try:
             await self._start()
             began_at = time.monotonic()
-            traffic = Traffic(self._clients, self._options.proxies, self._options.rate, random.Random(self._rng.random()))
+            traffic = Traffic(self._clients, self._options.proxies, self._options.rate, random.Random(self._rng.random()),
+                              self._tenants)
             load = asyncio.create_task(traffic.run(began_at + self._options.length_s + GRACE_PERIOD_S))
             watchers = [asyncio.create_task(self._watch_for_crashes()), asyncio.create_task(watch_lag(self.ledger))]
             for event in schedule:
@@ -186,6 +201,8 @@
             await self._add_server()
         if await self._amend(self._generation) != 200:
             raise RuntimeError("the first configuration was not taken")
+        if self._tenants and await self._system.amend(self._tenants.first_change(self._generation)) != 200:
+            raise RuntimeError("the first tenants were not taken")
         self._system.first_start_is_over()
         await self._system.wait_until_ready()
 
@@ -230,6 +247,7 @@
                 machine.hang_up()
             case Action.CHANGE_SETTINGS: self._change_settings(machine)
             case Action.CHANGE_ROUTES: await self._change_routes()
+            case Action.CHANGE_TENANTS: await self._change_tenants()
             case Action.RELEASE_SERVER: await self._release_server()
             case Action.EVACUATE: await self._evacuate(event.target)
             case Action.LEAVE_THEN_KILL: await self._depart_then_kill(number, "gone")
@@ -257,8 +275,20 @@
             self.ledger.refused_changes.append(f"generation {generation}: {status}")
         self.ledger.changes_acknowledged += status == 200
 
+    async def _change_tenants(self) -> None:
+        self._generation += 1
+        generation = self._generation
+        names, change = self._tenants.draw_change(generation)
+        if not names:  # all are being changed
+            return
+        status = await self._system.amend(change)
+        self._tenants.note_answer(names, change, status)
+        if 400 <= status < 500:
+            self.ledger.refused_changes.append(f"tenants of generation {generation}: {status}")
+        self.ledger.changes_acknowledged += status == 200
+
     async def _amend(self, generation: int, acknowledging: int | None = None) -> int:
-        change = configuration(generation, self._rng)
+        change = configuration(generation, self._rng, is_keyless=self._tenants is not None)
         limits = LimitsChange(time.monotonic(), change["upsert"]["limits"]["bodyBytes"])
         self.ledger.limits_changes.append(limits)
         status = 0
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -124,7 +124,8 @@
         await server.start(self.system.controllers)
         return server
 
-    async def change(self, upsert: dict | None = None, removed_customers: tuple[str, ...] = ()) -> bool:
+    async def change(self, upsert: dict | None = None, removed_customers: tuple[str, ...] = (),
+                     settles_for_s: float = APPLY_BOUND_S) -> bool:
         """Sends items of the configuration under a version of their own, and waits until they have to be in force. What is
         refused is a complaint."""
         version = f"{next(self._generations):08x}"
@@ -133,7 +134,7 @@
         status = await self.system.amend(change)
         if status != 200:
             self.complaints.append(f"a change was answered with {status}: {change}")
-        await asyncio.sleep(APPLY_BOUND_S)
+        await asyncio.sleep(settles_for_s)
         return status == 200
 
     def send(self, kind: Kind, target: str, body: bytes = b"", time_left_s: float = DEADLINE_S, key: str = "",
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -44,6 +44,9 @@
                 env={**os.environ, "DOCKBEND_SETTINGS": str(self._settings)})
         self._started_at = time.monotonic()
 
+    def log_text(self) -> str:
+        return self._log.read_text(errors="replace")
+
     def is_running(self) -> bool:
         return self._child is not None and self._child.returncode is None
 
@@ -172,6 +175,9 @@
                 return pathlib.Path(line.removeprefix("dataDir="))
         raise ValueError(f"{self.settings} names no disk")
 
+    def log_text(self) -> str:
+        return "".join(process.log_text() for process in self._processes)
+
     def send_now(self, number: signal.Signals) -> None:
         """A signal for all its processes, which are not started again if it ends them."""
         self._is_stopping = self._is_stopping or number in ENDING_SIGNALS
