--- a/packages/configuration/config_change.cpp
+++ b/packages/configuration/config_change.cpp
@@ -1,6 +1,5 @@
 #include "configuration/config_change.hpp"
 
-#include <map>
 #include <optional>
 #include <unordered_map>
 
@@ -98,16 +97,10 @@
   }
 
   void read_customers(std::vector<schema::Customer> const& customers, Value const& json) {
-    std::map<std::string, std::string> tenant_of_key;
     for (u32 i = 0; i < customers.size(); ++i) {
       schema::Customer const& customer = customers[i];
       std::string const at = indexed("upsert.customers", i);
       validation::check_customer(customer, at);
-      for (std::string const& key : customer.keys.value_or(std::vector<std::string>{})) {
-        auto const [tenant, is_new] = tenant_of_key.try_emplace(key, customer.name);
-        if (!is_new && tenant->second != customer.name)
-          throw Fault(at + ".keys", "a key that '" + tenant->second + "' holds too");
-      }
       items_.add(ConfigItem{item_key::tenant(customer.name), customer.generation, false, json::dump(json[i])},
                  at + ".name");
     }
--- a/packages/configuration/include/configuration/schema.hpp
+++ b/packages/configuration/include/configuration/schema.hpp
@@ -53,7 +53,7 @@
 struct Allowance {
   DB_RECORD(Allowance, (double, rate), (double, burst), (std::optional<double>, reserve));
 };
-/// A tenant. Invariant after check: no two tenants of one call have the same API key.
+/// A tenant. Of two that have the same API key the one with the newer item holds it.
 struct Customer {
   DB_RECORD(Customer, (std::string, name), (std::optional<std::vector<std::string>>, keys), (std::optional<u32>, rank),
             (std::optional<std::vector<std::string>>, homeRegions), (std::optional<Allowance>, allowance),
