--- a/packages/base/include/base/operation_id.hpp
+++ b/packages/base/include/base/operation_id.hpp
@@ -23,6 +23,10 @@
   /// As it comes from another program or from disk.
   static OperationId of_text(std::string text, u32 split) { return OperationId(std::move(text), split); }
 
+  /// The key alone, without the tenant's name; the whole text if none is stated.
+  std::string_view key() const;
+  /// Is a tenant's name stated?
+  bool has_tenant() const { return split_ >= kTenant; }
   std::string const& text() const { return text_; }
   u32 split() const { return split_; }
   bool is_empty() const { return text_.empty(); }
--- a/packages/base/operation_id.cpp
+++ b/packages/base/operation_id.cpp
@@ -1,5 +1,6 @@
 #include "base/operation_id.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace dockbend {
@@ -19,6 +20,11 @@
   return {std::string(key), kWithoutTenant};
 }
 
+std::string_view OperationId::key() const {
+  std::size_t const before = has_tenant() ? split_ - kTenant + 1 : 0;
+  return std::string_view(text_).substr(std::min(before, text_.size()));
+}
+
 std::string OperationId::storage_key() const {
   return is_exact() ? text_ + kStorageSeparator + std::to_string(split_) : text_;
 }
--- a/packages/controller/idempotency_service.cpp
+++ b/packages/controller/idempotency_service.cpp
@@ -88,12 +88,17 @@
     return;
   }
   std::weak_ptr<Connection> const w = ch;
-  OperationId const operation = operation_of(c);
-  context_.disk->submit({StoreOperation::put_key(operation.storage_key(), c.holder, false)},
-                        [this, w, tag, r, operation, holder = c.holder](bool ok) {
-                          if (!ledger_.confirm_durable(operation, holder, ok)) return;
-                          if (auto const cp = w.lock()) cp->send(MessageType::claim_response, tag, r);
-                        });
+  std::vector<OperationId> const names = ledger_.names_of(operation_of(c), c.client, c.holder);
+  std::vector<StoreOperation> operations;
+  for (OperationId const& name : names)
+    operations.push_back(StoreOperation::put_key(name.storage_key(), c.holder, false));
+  context_.disk->submit(std::move(operations), [this, w, tag, r, names, holder = c.holder](bool ok) {
+    bool stands = true;
+    for (OperationId const& name : names)
+      stands = ledger_.confirm_durable(name, holder, ok) && stands;
+    if (!stands) return;
+    if (auto const cp = w.lock()) cp->send(MessageType::claim_response, tag, r);
+  });
 }
 
 void IdempotencyService::store(std::string_view body, bool relay) {
@@ -125,8 +130,10 @@
 }
 
 void IdempotencyService::release(ReleaseRequest const& r) {
-  if (!ledger_.release(r)) return;
-  context_.disk->submit_lazily({StoreOperation::delete_key(operation_of(r).storage_key())});
+  std::vector<StoreOperation> operations;
+  for (OperationId const& name : ledger_.names_of(operation_of(r), r.client, r.holder))
+    operations.push_back(StoreOperation::delete_key(name.storage_key()));
+  if (ledger_.release(r)) context_.disk->submit_lazily(std::move(operations));
 }
 
 void IdempotencyService::fetch(ConnectionPtr const& ch, u32 tag, FetchAnswerRequest const& f) {
--- a/packages/idempotency/include/idempotency/claim_coordinator.hpp
+++ b/packages/idempotency/include/idempotency/claim_coordinator.hpp
@@ -118,9 +118,9 @@
   void respond(PendingClaim const& claim, AcquireResult result, std::string stored_answer = "");
   void end(PendingPlace place);
   void release(PendingClaim const& claim) {
-    release(operation_of(claim.request), claim.request.holder, claim.may_hold);
+    release(operation_of(claim.request), claim.request.client, claim.request.holder, claim.may_hold);
   }
-  void release(OperationId const& operation, u64 holder, std::set<std::string> const& ips);
+  void release(OperationId const& operation, std::string const& client, u64 holder, std::set<std::string> const& ips);
   std::set<std::string> take_granted(u64 holder);
 
   ClaimDisks disks_;
@@ -190,7 +190,7 @@
   // Granted requests may be running; only the proxy knows, and it tells us when it comes back.
   if (!Policy::may_release(true)) return;
   for (auto const& [holder, granted] : granted_claims_)
-    release(granted.operation, holder, granted.may_hold);
+    release(granted.operation, granted.client, holder, granted.may_hold);
   granted_claims_.clear();
 }
 
@@ -220,7 +220,7 @@
     return end(place);
   }
   std::set<std::string> const may_hold = take_granted(notice.holder);
-  if (Policy::has_not_run(notice.outcome)) return release(operation_of(notice), notice.holder, may_hold);
+  if (Policy::has_not_run(notice.outcome)) return release(operation_of(notice), notice.client, notice.holder, may_hold);
   if (!answers_.store(notice, may_hold, last_tick_, outgoing_actions_)) unmatched_.drop(UnmatchedReason::undelivered);
 }
 
@@ -391,6 +391,7 @@
   if (member == nullptr) return;
   ClaimRequest request;
   set_operation(request, operation_of(claim.request));
+  request.client = claim.request.client;
   request.holder = claim.request.holder;
   request.epoch = epoch_;
   request.incarnation = member->incarnation;
@@ -412,7 +413,8 @@
 void ClaimCoordinator<Policy>::grant(PendingPlace place, Seconds now) {
   PendingClaim& claim = place->second;
   respond(claim, AcquireResult::run);
-  granted_claims_[claim.request.holder] = GrantedClaim{operation_of(claim.request), std::move(claim.may_hold), now};
+  granted_claims_[claim.request.holder] =
+      GrantedClaim{operation_of(claim.request), claim.request.client, std::move(claim.may_hold), now};
   end(place);
 }
 
@@ -485,9 +487,11 @@
 }
 
 template <ClaimPolicy Policy>
-void ClaimCoordinator<Policy>::release(OperationId const& operation, u64 holder, std::set<std::string> const& ips) {
+void ClaimCoordinator<Policy>::release(OperationId const& operation, std::string const& client, u64 holder,
+                                       std::set<std::string> const& ips) {
   ReleaseRequest release;
   set_operation(release, operation);
+  release.client = client;
   release.holder = holder;
   for (std::string const& ip : ips) {
     bool const is_connected = disks_.is_connected(ip);
--- a/packages/idempotency/include/idempotency/claim_messages.hpp
+++ b/packages/idempotency/include/idempotency/claim_messages.hpp
@@ -22,10 +22,11 @@
   unready = 4   ///< the disk has not copied the keys of a majority yet
 };
 
-/// Asks one disk for a key. `work_ms`: for how long the claimant may work on the request, milliseconds.
+/// Asks one disk for a key. `work_ms`: for how long the claimant may work on the request, milliseconds. `client`: names
+/// the API key of a client whose tenant other machines may not know at this moment; see ClaimNames.
 struct ClaimRequest {
   DB_RECORD(ClaimRequest, (std::string, key), (u64, holder), (Epoch, epoch), (Incarnation, incarnation), (u32, work_ms),
-            (u32, split));
+            (u32, split), (std::string, client));
 };
 
 /// A disk's vote. `holder` names whose claim it answers; `in_progress` says that another holder's work time
@@ -35,9 +36,9 @@
             (bool, in_progress, at_work), (u64, held_by));
 };
 
-/// Gives a key back. The holder makes no claim after it.
+/// Gives a key back. The holder makes no claim after it. `client`: as in its claim.
 struct ReleaseRequest {
-  DB_RECORD(ReleaseRequest, (std::string, key), (u64, holder), (u32, split));
+  DB_RECORD(ReleaseRequest, (std::string, key), (u64, holder), (u32, split), (std::string, client));
 };
 
 /// A longer body is not stored; repeats of its key are told that the answer is lost.
--- a/packages/idempotency/include/idempotency/key_table.hpp
+++ b/packages/idempotency/include/idempotency/key_table.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "idempotency/claim_messages.hpp"
+#include "idempotency/claim_names.hpp"
 
 /// \file
 /// One disk's table of idempotency keys: who holds which key. No I/O.
@@ -30,7 +31,8 @@
 /// - a sealed entry, one that was copied from another disk, is never granted again, not even to its holder;
 /// - an entry that was copied with two different holders belongs to kNobody: no release frees it, for the
 ///   other holder may have run its request;
-/// - nothing is granted while the table is incomplete.
+/// - nothing is granted while the table is incomplete;
+/// - an operation that is granted for a client is entered with its marks (ClaimNames), by one write.
 class KeyTable {
  public:
   /// No holder has this number.
@@ -43,7 +45,10 @@
   /// the entry to disk, calls confirm_durable() and sends the response only then.
   /// epoch: of this disk's accepted value; now: seconds of the steady clock.
   ClaimVote claim(ClaimRequest const& request, Epoch epoch, Seconds now, ClaimResponse& response);
-  /// The write of this holder's entry has ended. True if the grant stands and may be sent: the key may have
+  /// What is to be written for a granted claim, and to be deleted for a release: the operation and its marks, as far as
+  /// this holder has them.
+  std::vector<OperationId> names_of(OperationId const& operation, std::string const& client, u64 holder) const;
+  /// The write of one of this holder's entries has ended. True if the grant stands and may be sent: the key may have
   /// been released, and granted to another holder, while it was written.
   bool confirm_durable(OperationId const& operation, u64 holder, bool was_written);
   /// The holder's request has ended; it goes on having the key.
@@ -93,6 +98,10 @@
   void remember_released(u64 holder);
   /// The entry that keeps others from the operation's key: its own, or one that may be the same operation's.
   Entry* find_holding(OperationId const& operation);
+  /// The entry of another holder that this one would share a client's operation with; null: there is none.
+  Entry const* find_excluding(ClaimNames const& names, u64 holder) const;
+  void enter(OperationId const& operation, u64 holder, Seconds now, Seconds work_until);
+  void enter_mark(OperationId const& mark, u64 holder, Seconds now);
 
   bool is_complete_;
   std::map<OperationId, Entry> entries_;      ///< in an order that lasts, so that it can be copied page by page
--- a/packages/idempotency/include/idempotency/pending_claim.hpp
+++ b/packages/idempotency/include/idempotency/pending_claim.hpp
@@ -33,6 +33,7 @@
 /// A request that was answered with `run` and whose outcome is not known yet.
 struct GrantedClaim {
   OperationId operation;
+  std::string client;  ///< as in ClaimRequest
   std::set<std::string> may_hold;
   Seconds granted_at = 0;
 };
--- a/packages/idempotency/include/idempotency/proxy_messages.hpp
+++ b/packages/idempotency/include/idempotency/proxy_messages.hpp
@@ -20,10 +20,10 @@
 };
 
 /// Asks for the key of a request. `holder` names the request, chosen by the proxy and never used twice;
-/// `work_ms`: for how long it may take, milliseconds.
+/// `work_ms`: for how long it may take, milliseconds; `client`: as in ClaimRequest.
 struct AcquireKeyRequest {
   DB_RECORD(AcquireKeyRequest, (std::string, key), (u64, holder), (u32, work_ms), (std::vector<std::string>, homes),
-            (u32, split));
+            (u32, split), (std::string, client));
 };
 
 /// `holder` names whose request this answers: the frame's tag alone may be another's by now.
@@ -39,10 +39,11 @@
   lost = 3       ///< it may have run
 };
 
-/// `stored_answer`: an encoded StoredAnswer if the outcome is `returned`.
+/// `stored_answer`: an encoded StoredAnswer if the outcome is `returned`. `client`: as in ClaimRequest, if it is
+/// `not_run`.
 struct KeyOutcomeNotice {
   DB_RECORD(KeyOutcomeNotice, (std::string, key), (u64, holder), (KeyOutcome, outcome),
-            (std::vector<std::string>, homes), (std::string, stored_answer, ret), (u32, split));
+            (std::vector<std::string>, homes), (std::string, stored_answer, ret), (u32, split), (std::string, client));
 };
 
 /// The notice for a request that has this answer: `returned`, or `lost` if it is too long to be stored.
--- a/packages/idempotency/key_table.cpp
+++ b/packages/idempotency/key_table.cpp
@@ -27,11 +27,49 @@
     response.held_by = holding->holder;
     return response.vote = ClaimVote::held;
   }
+  ClaimNames const names = claim_names(operation, request.client);
+  if (Entry const* const excluding = find_excluding(names, request.holder); excluding != nullptr) {
+    response.held_by = excluding->holder;
+    return response.vote = ClaimVote::held;
+  }
+  enter(operation, request.holder, now, now + request.work_ms / kMillisecondsPerSecond);
+  for (OperationId const& mark : names.marks)
+    enter_mark(mark, request.holder, now);
+  return response.vote = ClaimVote::granted;
+}
+
+KeyTable::Entry const* KeyTable::find_excluding(ClaimNames const& names, u64 holder) const {
+  for (OperationId const& name : names.excluded)
+    if (auto const entry = entries_.find(name); entry != entries_.end() && entry->second.holder != holder)
+      return &entry->second;
+  return nullptr;
+}
+
+void KeyTable::enter(OperationId const& operation, u64 holder, Seconds now, Seconds work_until) {
   Entry& entry = entries_[operation];
-  entry.holder = request.holder;
+  entry.holder = holder;
   entry.granted_at = now;
-  entry.work_until = now + request.work_ms / kMillisecondsPerSecond;
-  return response.vote = ClaimVote::granted;
+  entry.work_until = work_until;
+}
+
+/// Of a tenant's operations several may have one mark, of the same client: the first one's stays, and lasts as long as
+/// the youngest.
+void KeyTable::enter_mark(OperationId const& mark, u64 holder, Seconds now) {
+  if (auto const present = entries_.find(mark); present != entries_.end())
+    present->second.granted_at = now;
+  else
+    enter(mark, holder, now, now);
+}
+
+std::vector<OperationId> KeyTable::names_of(OperationId const& operation, std::string const& client, u64 holder) const {
+  ClaimNames const names = claim_names(operation, client);
+  std::vector<OperationId> held = names.marks;
+  held.push_back(operation);
+  std::erase_if(held, [&](OperationId const& name) {
+    auto const entry = entries_.find(name);
+    return entry == entries_.end() || entry->second.holder != holder;
+  });
+  return held;
 }
 
 KeyTable::Entry* KeyTable::find_holding(OperationId const& operation) {
@@ -60,10 +98,10 @@
 bool KeyTable::release(ReleaseRequest const& request) {
   if (request.holder == kNobody) return false;
   remember_released(request.holder);
-  auto const found = entries_.find(operation_of(request));
-  if (found == entries_.end() || found->second.holder != request.holder) return false;
-  entries_.erase(found);
-  return true;
+  std::vector<OperationId> const names = names_of(operation_of(request), request.client, request.holder);
+  for (OperationId const& name : names)
+    entries_.erase(name);
+  return !names.empty();
 }
 
 void KeyTable::remember_released(u64 holder) {
--- a/packages/proxy/idempotency_client.cpp
+++ b/packages/proxy/idempotency_client.cpp
@@ -18,6 +18,7 @@
   u32 const tag = context_.requests.open_key_request(request);
   AcquireKeyRequest message;
   set_operation(message, request.operation);
+  message.client = request.client;
   message.holder = request.key_holder;
   message.work_ms = static_cast<u32>(std::max(0.0, request.deadline() - steady_now()) * 1000);
   message.homes = request.homes;
--- a/packages/proxy/key_outcome_reporter.cpp
+++ b/packages/proxy/key_outcome_reporter.cpp
@@ -5,6 +5,7 @@
 void KeyOutcomeReporter::report(ProxiedRequest const& request, KeyOutcome outcome) {
   KeyOutcomeNotice notice;
   set_operation(notice, request.operation);
+  notice.client = request.client;
   notice.holder = request.key_holder;
   notice.homes = request.homes;
   notice.outcome = outcome;
--- a/packages/request/admission.cpp
+++ b/packages/request/admission.cpp
@@ -130,6 +130,7 @@
   if (is_keyed) {
     if (known.key == nullptr || known.key->empty()) return Refusal{make_local_reply(400)};
     request.operation = operation_of_client(client, *known.key);
+    request.client = client.fingerprint;
   }
   std::optional<std::vector<std::string>> homes = common_homes(route, request.tenant.get());
   if (!homes) return Refusal{make_local_reply(503, kRetryAfterNoHome), "homes have nothing in common"};
--- a/packages/request/client_identity.cpp
+++ b/packages/request/client_identity.cpp
@@ -2,8 +2,19 @@
 
 #include "request/headers.hpp"
 
+#include <cstdio>
+
 namespace dockbend {
 namespace {
+constexpr u64 kSecondSeed = 1;
+
+/// 32 hexadecimal digits; the key itself is not passed on.
+std::string fingerprint_of(std::string_view api_key) {
+  char text[33];
+  std::snprintf(text, sizeof text, "%016llx%016llx", static_cast<unsigned long long>(hash64(api_key)),
+                static_cast<unsigned long long>(hash64(api_key, kSecondSeed)));
+  return text;
+}
 
 /// The API key in `Authorization: Token KEY`; empty: there is none.
 std::string_view api_key_of(std::string_view authorization) {
@@ -29,6 +40,7 @@
     client.operation_tenant = client.tenant->name;
   else if (std::string const* const former = configuration.former_tenant_of(api_key); former != nullptr)
     client.operation_tenant = *former;
+  if (!api_key.empty() && route.keyless && configuration.has_tenants()) client.fingerprint = fingerprint_of(api_key);
   return client;
 }
 
--- a/packages/request/include/request/admission.hpp
+++ b/packages/request/include/request/admission.hpp
@@ -27,6 +27,7 @@
   TenantPtr tenant;                      ///< null: the route needs none, or there are none
   bool has_tenants = false;              ///< the configuration has tenants: the client's credentials are not forwarded
   OperationId operation;                 ///< empty: not keyed
+  std::string client;                    ///< of a keyed one; see ClientIdentity::fingerprint
   std::string const* service = nullptr;  ///< owned by the route
   std::vector<std::string> homes;        ///< regions that may serve it; empty: any
   bool is_repeatable = false;            ///< its route is idempotent, or it is keyed and its service deduplicates
--- a/packages/request/include/request/client_identity.hpp
+++ b/packages/request/include/request/client_identity.hpp
@@ -14,6 +14,9 @@
   std::string operation_tenant;  ///< whose its operations are: the tenant's, or of the one that its key was taken away
                                  ///< from; empty: nobody's
   bool is_admitted = false;      ///< may it run on its route? Else it is answered with 401.
+  /// Names its API key, which need not be known to every machine at this moment, nor be known at all; empty: its route
+  /// runs none but known ones, it brings none, or there never were tenants.
+  std::string fingerprint;
 };
 
 /// authorization: the value of the header of that name; null: there is none.
--- a/tests/idempotency/key_table_test.cpp
+++ b/tests/idempotency/key_table_test.cpp
@@ -283,3 +283,101 @@
   cr_assert_not(response.in_progress);
   cr_assert_eq(response.held_by, 7u);
 }
+
+namespace {
+std::string const kClient = "0123456789abcdef0123456789abcdef";
+
+ClaimVote vote_for_client(KeyTable& table, u64 holder, OperationId const& operation,
+                          std::string const& client = kClient) {
+  ClaimRequest claim = claim_of(holder, 1, operation);
+  claim.client = client;
+  ClaimResponse response{};
+  return table.claim(claim, Epoch(1), 0, response);
+}
+}  // namespace
+
+// Failure: one machine knew a client's API key, another one did not, and the client's operation ran at both.
+Test(key_table, an_operation_runs_once_though_not_all_machines_know_its_client) {
+  OperationId const of_tenant = OperationId::of_tenant("ada", "k");
+  OperationId const of_nobody = OperationId::without_tenant("k");
+  for (auto const& [first, second] : {std::pair(of_tenant, of_nobody), std::pair(of_nobody, of_tenant)}) {
+    KeyTable table(true);
+    cr_assert(vote_for_client(table, 7, first) == ClaimVote::granted);
+    cr_assert(vote_for_client(table, 8, second) == ClaimVote::held);
+    cr_assert(vote_for_client(table, 9, OperationId::of_tenant("ada", "other")) == ClaimVote::granted);
+    cr_assert(vote_for_client(table, 10, OperationId::without_tenant("another"), "another client") ==
+              ClaimVote::granted);
+  }
+}
+
+// A key may be given to another tenant, whose operations are its own.
+Test(key_table, operations_of_two_known_tenants_exclude_each_other_never) {
+  KeyTable table(true);
+  cr_assert(vote_for_client(table, 7, OperationId::of_tenant("ada", "k")) == ClaimVote::granted);
+  cr_assert(vote_for_client(table, 8, OperationId::of_tenant("bob", "k")) == ClaimVote::granted);
+  cr_assert(vote_for_client(table, 9, OperationId::without_tenant("k")) == ClaimVote::held);
+}
+
+Test(key_table, marks_are_released_written_and_copied_with_their_operation) {
+  OperationId const operation = OperationId::of_tenant("ada", "k");
+  KeyTable table(true);
+  vote_for_client(table, 7, operation);
+  std::vector<OperationId> const names = table.names_of(operation, kClient, 7);
+  cr_assert_eq(names.size(), 2u);
+  for (OperationId const& name : names)
+    cr_assert(table.confirm_durable(name, 7, true));
+
+  KeyTable copy(false);
+  for (HeldKey const& held : table.all_keys())
+    copy.seal(operation_of(held), held.holder, 0);
+  copy.set_complete();
+  cr_assert(vote_for_client(copy, 8, OperationId::without_tenant("k")) == ClaimVote::held);
+
+  KeyTable started(true);
+  for (OperationId const& name : names)
+    started.load(OperationId::of_storage_key(name.storage_key()), 7, false, 0);
+  cr_assert(vote_for_client(started, 8, OperationId::without_tenant("k")) == ClaimVote::held);
+
+  ReleaseRequest release{};
+  set_operation(release, operation);
+  release.holder = 7;
+  release.client = kClient;
+  cr_assert(table.release(release));
+  cr_assert_eq(table.size(), 0u);
+  cr_assert(vote_for_client(table, 8, OperationId::without_tenant("k")) == ClaimVote::granted);
+}
+
+// Machines know of each API key's tenant at random, and so claim under this name or that; disks are lost and filled
+// anew, one at a time. Of one client's operation at most one claim wins.
+Test(key_table, whatever_machines_know_of_a_client_its_operation_is_won_once) {
+  for (unsigned seed = 1; seed <= 500; ++seed) {
+    std::mt19937 draw(seed);
+    std::vector<KeyTable> disks(3, KeyTable(true));
+    unsigned wins = 0;
+    for (u64 holder = 1; holder <= 8; ++holder) {
+      bool const is_known = draw() % 2 == 0;
+      OperationId const operation = is_known ? OperationId::of_tenant("ada", "k") : OperationId::without_tenant("k");
+      ClaimQuorum quorum(disks.size(), Epoch(1));
+      bool has_won = false;
+      for (unsigned i = 0; i < 2 + draw() % 2; ++i) {
+        unsigned const disk = (static_cast<unsigned>(holder) + i) % 3;
+        ClaimRequest claim = claim_of(holder, 1, operation);
+        claim.client = kClient;
+        ClaimResponse response{};
+        disks[disk].claim(claim, Epoch(1), 0, response);
+        has_won = quorum.count(std::to_string(disk), response) == ClaimQuorum::Result::granted || has_won;
+      }
+      wins += has_won ? 1 : 0;
+      if (draw() % 4 != 0) continue;
+      unsigned const lost = draw() % 3;
+      KeyTable filled(false);
+      for (unsigned disk = 0; disk < 3; ++disk)
+        if (disk != lost)
+          for (HeldKey const& held : disks[disk].all_keys())
+            filled.seal(operation_of(held), held.holder, 0);
+      filled.set_complete();
+      disks[lost] = std::move(filled);
+    }
+    cr_assert_leq(wins, 1u, "seed %u", seed);
+  }
+}
--- a/tests/request/client_identity_test.cpp
+++ b/tests/request/client_identity_test.cpp
@@ -96,3 +96,24 @@
   client.operation_tenant = "ada";
   cr_assert(operation_of_client(client, "k") == OperationId::of_tenant("ada", "k"));
 }
+
+// On a keyless route runs who is not known too: there the API key itself is named, the same by every machine.
+Test(client_identity, an_api_key_is_named_where_machines_may_differ_on_whose_it_is) {
+  auto const fingerprint = [](std::vector<std::string> const& changes, std::string const& authorization,
+                              bool is_keyless) {
+    CompiledConfiguration configuration;
+    for (auto const& [key, item] : items_after(changes))
+      configuration.put(item);
+    Route route;
+    route.keyless = is_keyless;
+    return identify_client(&authorization, route, configuration).fingerprint;
+  };
+  std::string const known = fingerprint({kFirst}, "Token key-1", true);
+  cr_assert_eq(known.size(), 32u);
+  cr_assert(fingerprint({kFirst, kKeyTakenAway}, "Token key-1", true) == known);
+  cr_assert(fingerprint({kKeyOfAnother}, "Token key-1", true) == known);
+  cr_assert(fingerprint({kFirst}, "Token key-2", true) != known);
+  cr_assert(fingerprint({kFirst}, "Token key-1", false).empty(), "only known keys run");
+  cr_assert(fingerprint({kFirst}, "", true).empty(), "it brings none");
+  cr_assert(fingerprint({}, "Token key-1", true).empty(), "there never were tenants");
+}
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -109,6 +109,11 @@
     return request.status in (502, 503)
 
 
+def is_not_known(request: Request) -> bool:
+    """It has not run again, and the first one's answer is not given: another one may be at work, or may have run."""
+    return request.status in (409, 502, 503)
+
+
 async def key_used_again(trial: Trial) -> None:
     """A key that has lapsed names a new operation, in another region; its repeats get the new answer only."""
     trial.expect("first operations", await trial.pay_all(0, 2, "one"), is_served)
@@ -209,6 +214,38 @@
         trial.stage.complaints.append("the key was not let go")
 
 
+async def key_added_behind_agent(trial: Trial) -> None:
+    """A customer gets a key while one proxy's agent stands still. Operations with the key run at the others; each is sent
+    again to that proxy, which has not heard of the key, and the agent goes on."""
+    await trial.set_keys(CUSTOMER, "key")
+    held = trial.stage.system.proxy_machines[0]
+    held.freeze_agent()
+    await trial.set_keys(CUSTOMER, "key", "added")
+    trial.headers = {"Authorization": "Token added"}
+    first = await trial.pay_all(1, PROXIES - 1)
+    trial.expect("first operations", first, is_served)
+    repeats = [asyncio.create_task(trial.pay(n, 0)) for n in range(KEYS)]
+    await asyncio.sleep(SETTLE_S)
+    held.thaw_agent()
+    seals = [request.seal for request in first]
+    trial.expect("repeats at the proxy that has not heard of the key", await asyncio.gather(*repeats),
+                 lambda request: request.seal in seals or is_not_known(request))
+
+
+async def key_added_and_used_at_once(trial: Trial) -> None:
+    """Operations with keys that are being added, each sent to all proxies at once, before the change is answered and after."""
+    for number in range(KEYS):
+        trial.headers = {"Authorization": f"Token added-{number}"}
+        change = asyncio.create_task(trial.stage.change(keys_of(CUSTOMER, f"added-{number}"), settles_for_s=0.0))
+        requests = []
+        while not change.done():
+            requests += [asyncio.create_task(trial.pay(number, proxy, "one")) for proxy in range(PROXIES)]
+            await asyncio.sleep(0.002)
+        answers = await asyncio.gather(*requests)
+        answers += await asyncio.gather(*(trial.pay(number, proxy, "one") for proxy in range(PROXIES)))
+        trial.expect(f"operation {number}", answers, lambda request: is_served(request) or is_not_known(request))
+
+
 async def without_length(trial: Trial) -> None:
     """The servers' answers end with their connections, in order: each is whole, and is what repeats get."""
     trial.expect("first operations", await trial.pay_all(0, PROXIES), is_served)
@@ -242,6 +279,8 @@
     scenario("forty keys of a customer are taken away by one change", many_keys_taken_away),
     scenario("forty changes take a customer's key away, one after the other", keys_taken_away_in_series),
     scenario("a key that was taken away is let go", keys_let_go, (f"bounds.keyHorizonS={KEY_HORIZON_S:g}",)),
+    scenario("a key is added that a proxy has not heard of", key_added_behind_agent),
+    scenario("a key is added and used at once", key_added_and_used_at_once),
     scenario("answers without a length", without_length, server=UnframedServer),
     scenario("answers without a length that are cut short", cut_short, server=CutShortServer),
 ]
--- a/tests/soak/tenants.py
+++ b/tests/soak/tenants.py
@@ -9,27 +9,31 @@
 from ledger import APPLY_BOUND_S
 
 NAMES = ("ada", "bob", "eve", "max")
-MOST_KEYS = 6
+MOST_KEYS = 12
 OPERATIONS_REMEMBERED = 50
 REPEATED_SHARE = 0.3
 # Of the repeats so many come with another key of the tenant than the first try.
 OTHER_KEY_SHARE = 0.3
+# Of new operations so many come with a key of the tenant's newest change, which not all machines need to know yet.
+NEW_KEY_SHARE = 0.3
 
 
 @dataclasses.dataclass
 class Operation:
-    """`api_key`: the one that it was begun with; empty: its client has none."""
+    """`api_key`: the one that it was begun with; empty: its client has none. `is_settled`: every machine knew it by then."""
 
     key: str
     tenant: str = ""
     api_key: str = ""
+    is_settled: bool = False
 
 
 @dataclasses.dataclass
 class _Tenant:
     """`keys`: of the newest change that was acknowledged, at `acknowledged_at`. `settled_keys`: those that every machine must
-    have known as this tenant's at some moment; they stay its own."""
+    have known as this tenant's at some moment; they stay its own. `newest_keys`: of the newest change, answered or not."""
 
+    newest_keys: list[str] = dataclasses.field(default_factory=list)
     keys: list[str] = dataclasses.field(default_factory=list)
     acknowledged_at: float = 0.0
     settled_keys: list[str] = dataclasses.field(default_factory=list)
@@ -60,6 +64,7 @@
         for name in names:
             keys = self._draw_keys(name)
             self._tenants[name].is_changing = True
+            self._tenants[name].newest_keys = keys or []
             if keys is None:
                 change["remove"]["customers"].append({"name": name, "generation": f"{generation:08x}"})
             else:
@@ -77,23 +82,26 @@
                 tenant.keys, tenant.acknowledged_at = keys.get(name, []), time.monotonic()
 
     def draw_operation(self) -> Operation:
-        """A new one, or one that is tried again, with a key that every machine has known as its tenant's."""
+        """A new one, or one that is tried again: with the same key, or, if every machine knew that, with another one that
+        every machine has known as its tenant's."""
         if self._operations and self._rng.random() < REPEATED_SHARE:
             return self._repeat(self._rng.choice(self._operations))
         operation = Operation(f"key-{self._rng.getrandbits(48):x}")
         tenant = self._tenants[self._rng.choice(NAMES)]
         self._settle(tenant)
         in_force = [key for key in tenant.keys if key in tenant.settled_keys]
-        if in_force:
-            operation.api_key = self._rng.choice(in_force)
+        keys = tenant.newest_keys if self._rng.random() < NEW_KEY_SHARE else in_force
+        if keys:
+            operation.api_key = self._rng.choice(keys)
             operation.tenant = operation.api_key.partition("-")[0]
+            operation.is_settled = operation.api_key in tenant.settled_keys
         self._operations.append(operation)
         return operation
 
     def _repeat(self, operation: Operation) -> Operation:
-        settled = self._tenants[operation.tenant].settled_keys if operation.tenant else []
+        settled = self._tenants[operation.tenant].settled_keys if operation.is_settled else []
         if settled and self._rng.random() < OTHER_KEY_SHARE:
-            return Operation(operation.key, operation.tenant, self._rng.choice(settled))
+            return dataclasses.replace(operation, api_key=self._rng.choice(settled))
         return operation
 
     def _settle(self, tenant: _Tenant) -> None:
