--- a/tests/planning/evacuation_forecast_test.cpp
+++ b/tests/planning/evacuation_forecast_test.cpp
@@ -148,7 +148,7 @@
               ReleaseRequest r;
               r.key = h.key;
               r.holder = h.holder;
-              d.release(r);
+              d.release(r, 0);
             }
         }
       return;
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -128,15 +128,19 @@
                      settles_for_s: float = APPLY_BOUND_S) -> bool:
         """Sends items of the configuration under a version of their own, and waits until they have to be in force. What is
         refused is a complaint."""
-        version = f"{next(self._generations):08x}"
-        removals = [{"name": name, "generation": version} for name in removed_customers]
-        change = {"upsert": with_version(upsert or {}, version), "remove": {"customers": removals}}
+        change = self.next_change(upsert or {}, removed_customers)
         status = await self.system.amend(change)
         if status != 200:
             self.complaints.append(f"a change was answered with {status}: {change}")
         await asyncio.sleep(settles_for_s)
         return status == 200
 
+    def next_change(self, upsert: dict, removed_customers: tuple[str, ...] = ()) -> dict:
+        """These items and removals under a version of their own."""
+        version = f"{next(self._generations):08x}"
+        removals = [{"name": name, "generation": version} for name in removed_customers]
+        return {"upsert": with_version(upsert, version), "remove": {"customers": removals}}
+
     def send(self, kind: Kind, target: str, body: bytes = b"", time_left_s: float = DEADLINE_S, key: str = "",
              sends_within_s: float = 0.0, **fields) -> asyncio.Task:
         """fields: others of Call."""
--- a/tests/soak/upgrade.py
+++ b/tests/soak/upgrade.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """A rolling upgrade of a system of real processes, machine by machine, while keys are in their window: a key that was
 answered is repeated whichever releases are beside each other, none runs again, and no tenant gets another's answer.
-Changes that take a client's key away are taken and read back meanwhile.
+Changes that take a client's key away are taken and read back meanwhile, also by a controller of the older release beside one of
+the newer: the client's operations stay its own, until the last machine is exchanged.
 By hand, for it needs the programs of an older build.
 
     tests/soak/upgrade.py OLD_BUILD NEW_BUILD [--keep DIR]
@@ -11,13 +12,14 @@
 
 import argparse
 import asyncio
+import json
 import pathlib
 import sys
 import tempfile
 
 import judge
 from clients import Call
-from ledger import Kind, Request
+from ledger import APPLY_BOUND_S, Kind, Request
 from stage import Stage, routes_of_host
 from stand_in_server import StandInServer
 
@@ -33,7 +35,7 @@
 class Upgrade:
     def __init__(self, stage: Stage, new_build: pathlib.Path):
         self._stage, self._new_build = stage, new_build
-        self._number = 0
+        self._taken_away: list[Request] = []  # operations whose client's key was taken away since, "open-N" with "away-N"
         self.wrong: list[str] = []
 
     async def play(self) -> None:
@@ -46,6 +48,9 @@
             await self._stage.system.wait_until_ready()
             await self._ask_all(f"after {number + 1} of {len(machines)}", OPERATIONS)
             await self._give_key(f"ivy-{number}")
+            if machine in self._stage.system.controller_machines:
+                await self._take_key_away()
+        await self._repeat_all_taken_away()
         await self._ask_all("at the end", OPERATIONS + SHARING_OPERATIONS)
         await self._repeat_without_key()
 
@@ -65,6 +70,25 @@
             if keys.get(CLIENT) != [key]:
                 self.wrong.append(f"{keys.get(CLIENT)} is read back, not {key}")
 
+    async def _take_key_away(self) -> None:
+        """By the controller that is exchanged last, which is of the older release until then."""
+        number = len(self._taken_away)
+        await self._give_key(f"away-{number}")
+        self._taken_away.append(await self._pay(f"away-{number}", number % PROXIES, f"open-{number}"))
+        change = self._stage.next_change({"customers": [{"name": CLIENT, "keys": ["kept"], "rank": 1}]})
+        status = await self._stage.system.call_once(CONTROLLERS - 1, "/-/Config.Amend", json.dumps(change).encode())
+        if status != 200:
+            self.wrong.append(f"the key away-{number} was not taken away: {status}")
+        await asyncio.sleep(APPLY_BOUND_S)
+        await self._repeat_all_taken_away()
+
+    async def _repeat_all_taken_away(self) -> None:
+        for number, first in enumerate(self._taken_away):
+            repeats = [await self._pay(f"away-{number}", proxy, f"open-{number}") for proxy in range(PROXIES)]
+            print(f"open-{number}, its key taken away: {first.status}, then {[repeat.status for repeat in repeats]}")
+            if any((repeat.status, repeat.seal) != (200, first.seal) for repeat in repeats):
+                self.wrong.append(f"open-{number} was not repeated once its client's key had been taken away")
+
     async def _repeat_without_key(self) -> None:
         """On a route that needs no key."""
         await self._give_key("ivy-first")
@@ -75,8 +99,8 @@
         if (again.status, again.seal) != (200, first.seal):
             self.wrong.append("an operation was not repeated once its client's key had been taken away")
 
-    async def _pay(self, key: str, proxy: int) -> Request:
-        call = Call(Kind.KEYED, OPEN_TARGET, TIME_S, b"pay", "open", headers={"Authorization": f"Token {key}"})
+    async def _pay(self, key: str, proxy: int, operation: str = "open") -> Request:
+        call = Call(Kind.KEYED, OPEN_TARGET, TIME_S, b"pay", operation, headers={"Authorization": f"Token {key}"})
         return await self._stage.clients.send(call, proxy)
 
     async def _ask_all(self, when: str, operations: tuple[tuple[str, str], ...]) -> None:
