--- a/tests/soak/settings_in_force.py
+++ b/tests/soak/settings_in_force.py
@@ -10,14 +10,17 @@
 
 import asyncio
 import sys
+import time
 from collections.abc import Awaitable, Callable
 
 import http_messages
+from clients import Call
 from http_messages import BrokenMessage
 from ledger import APPLY_BOUND_S, Kind
 from scenarios import Scenario, run
-from special_servers import RefusingServer
+from special_servers import HeaderNotingServer, RefusingServer
 from stage import DEADLINE_S, FAR, HOST, TENANTS, Stage, route, routes_of_host
+from stand_in_platform import StandInPlatform
 from stand_in_server import StandInServer
 
 # The middle one is between the others, by more than all slack.
@@ -31,6 +34,12 @@
 CHUNKS, CHUNK_PAUSE_S = 10, 0.2
 ANSWER_LIMIT_S = 12.0
 MOST_HEADER_LINE = 8_000
+TRIES_FOR_TOKENS = 20
+PLATFORM_ADDRESS = "127.39.0.1:8200"  # beside the systems' own
+REPORT_PERIOD_S, REPORT_DELAY_S = 2.0, 5.0
+REPORT_LIMIT_S = 2 * REPORT_PERIOD_S + REPORT_DELAY_S + 3.0  # a lease's term comes first
+PLATFORM_SETTINGS = (f"cloudApi.address={PLATFORM_ADDRESS}", "cloudApi.tasks=usage_report", "cloudApi.dutyPerS=20",
+                     f"bounds.reportPeriodS={REPORT_PERIOD_S:g}", f"bounds.usageDelayS={REPORT_DELAY_S:g}")
 
 
 class Client:
@@ -257,11 +266,55 @@
     return play
 
 
-def scenario(name: str, play: Play, first_server: type[StandInServer] = StandInServer) -> Scenario:
+async def read_as_ada(trial: Trial) -> int:
+    """On a route that needs no key; the status. Tries again while the proxy has no tokens of hers yet."""
+    call = Call(Kind.IDEMPOTENT, "/read/quick", DEADLINE_S, headers={"Authorization": f"Token key-{TENANTS[0]}"})
+    for _ in range(TRIES_FOR_TOKENS):
+        status = (await trial.stage.clients.send(call, 0)).status
+        if status != 429:
+            break
+        await asyncio.sleep(0.2)
+    return status
+
+
+async def credentials_after_last_tenant(trial: Trial) -> None:
+    """Servers get a tenant's name in place of its key, and neither once the last tenant was removed."""
+    server = trial.stage.servers[0]
+    for when, expected in (("ada is a tenant", TENANTS[0]), ("the last tenant was removed", None)):
+        trial.expect(when, await read_as_ada(trial), 200)
+        trial.expect(f"{when}: X-Tenant", server.headers_seen[-1].get("x-tenant"), expected)
+        trial.expect(f"{when}: Authorization", server.headers_seen[-1].get("authorization"), None)
+        await trial.stage.change(removed_customers=TENANTS)
+
+
+async def usage_after_last_tenant(trial: Trial) -> None:
+    """Windows go on being reported, one after the other, and count nobody."""
+    platform = StandInPlatform(PLATFORM_ADDRESS)
+    await platform.start()
+    try:
+        await read_as_ada(trial)
+        counted = int(time.time() / REPORT_PERIOD_S)
+        trial.expect("a window is reported", await platform.until_window(counted + 1, REPORT_LIMIT_S), True)
+        counted_tenants = {name for tallies in platform.reports.values() for name in tallies}
+        trial.expect("tenants counted", counted_tenants, set(TENANTS[:1]))
+        await trial.stage.change(removed_customers=TENANTS)
+        await read_as_ada(trial)
+        last = int(time.time() / REPORT_PERIOD_S) + 1
+        trial.expect("a later window is reported", await platform.until_window(last, REPORT_LIMIT_S), True)
+        windows = sorted(platform.reports)
+        trial.expect("no window is left out", windows == list(range(windows[0], windows[-1] + 1)), True)
+        since = [platform.reports[window] for window in windows if window >= last - 1]
+        trial.expect("tenants counted since", since, [{}] * len(since))
+    finally:
+        platform.stop()
+
+
+def scenario(name: str, play: Play, first_server: type[StandInServer] = StandInServer,
+             more_settings: tuple[str, ...] = ()) -> Scenario:
     async def play_on(stage: Stage) -> None:
         await play(Trial(stage))
 
-    return Scenario(name, play_on, first_server)
+    return Scenario(name, play_on, first_server, more_settings=more_settings)
 
 
 SCENARIOS = [
@@ -281,6 +334,8 @@
     scenario("deadlineS lowered", deadline_changed(5.0, 0.5, "504")),
     scenario("a tenant's allowance raised", allowance_raised),
     scenario("a tenant's allowance lowered", allowance_lowered),
+    scenario("the last tenant is removed: credentials", credentials_after_last_tenant, HeaderNotingServer),
+    scenario("the last tenant is removed: usage", usage_after_last_tenant, more_settings=PLATFORM_SETTINGS),
     scenario("retrySlack raised in the settings file", retry_slack_changed(NO_RETRIES, MANY_RETRIES), RefusingServer),
     scenario("retrySlack lowered in the settings file", retry_slack_changed(MANY_RETRIES, NO_RETRIES), RefusingServer),
 ]
--- a/tests/soak/special_servers.py
+++ b/tests/soak/special_servers.py
@@ -83,6 +83,18 @@
         return True
 
 
+class HeaderNotingServer(StandInServer):
+    """Keeps the headers of each request that it runs, the newest last."""
+
+    def __init__(self, *arguments, **named):
+        super().__init__(*arguments, **named)
+        self.headers_seen: list[dict[str, str]] = []
+
+    async def _run(self, request, run, reader, writer, headers) -> bool:
+        self.headers_seen.append(request.headers)
+        return await super()._run(request, run, reader, writer, headers)
+
+
 class UnframedServer(StandInServer):
     """Its answers state no length, and end with their connection."""
 
