--- a/packages/controller/membership_service.cpp
+++ b/packages/controller/membership_service.cpp
@@ -12,7 +12,7 @@
 constexpr Seconds kJoinPatienceSeconds = 2.0;
 constexpr Seconds kReplacePatienceSeconds = 2.0;
 constexpr Seconds kLeavePatienceSeconds = 1.0;
-constexpr Seconds kExitReserveSeconds = 1.5;  // of the grace period, for the end of the process
+constexpr Seconds kExitReserveSeconds = 1.5;     // of the grace period, for the end of the process
 constexpr Seconds kKeyBindingMarginSeconds = 5;  // a membership counts as large for longer than its keys bind
 
 /// What came of an operator's removal of a member.
